--- /dev/null
+++ b/yarrowloom/__init__.py
@@ -0,0 +1,3 @@
+"""yarrowloom: a cluster scheduler for jobs."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/yarrowloom/agent/agent.py
@@ -0,0 +1,388 @@
+"""The agent: holds minions' beats, grants their room as exclusive leases, carries orders out and ends back."""
+
+from typing import Any, Protocol
+
+from ..job.spec import group_of
+from ..job.state import split_name
+from ..wire.frame import Kind
+from ..wire.http import Response
+from .answer import answer, settle
+from .choice import fits, pick
+from .minion import Call, Lease, Minion, Phase, Run
+
+CLOCK = 1.02          # a minion's clock may be this much slow
+SLACK_S = 0.3
+RETELL_S = 0.5
+CLAIM_S = 0.3
+ROOM_S = 0.2
+ROOM_IDLE_S = 0.5
+LEFT_S = 1.5
+
+
+class AgentHub(Protocol):
+    """What an agent needs of its node."""
+
+    now: float
+    uid: str
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        """To another node, or to itself."""
+
+    def respond(self, *, call: Any, res: Response) -> None:
+        """Answer a beat."""
+
+    def trusted(self) -> bool:
+        """Group 0's primary still counts this agent in."""
+
+    def primary(self, *, g: int) -> tuple[str, int] | None:
+        """Uid of a group's primary and its epoch's number."""
+
+    def evacuated(self, *, site: str) -> bool:
+        """Nothing may start there."""
+
+    def groups(self) -> range:
+        """Job groups."""
+
+    def cores(self) -> list[str]:
+        """All core nodes."""
+
+    def note(self, *, event: str, **fields: object) -> None:
+        """Log."""
+
+    def gone(self, *, mid: str, fence: int) -> None:
+        """Tell group 0 that a minion is no more."""
+
+
+class Agent:
+    """Invariants: room is granted by this agent alone and only for minions it owns; the leases on a minion never
+    exceed its capacity; an order is taken only from the group's newest epoch, on a lease it holds."""
+
+    def __init__(self, *, hub: AgentHub, hold_ms: int, stop_ms: int, lag_ms: int) -> None:
+        self.hub = hub
+        self.hold_ms = hold_ms
+        self.stop_ms = stop_ms
+        self.lag_ms = lag_ms
+        self.minions: dict[str, Minion] = {}
+        self.next = 1
+        self.dirty = True
+        self.roomed = 0.0
+        self.views: dict[str, tuple[float, dict[str, list[Any]]]] = {}
+
+    # -- ownership
+
+    def own(self, *, mid: str, fence: int, info: dict[str, Any]) -> None:
+        """Group 0 gave this agent a minion."""
+        old = self.minions.get(mid)
+        if old is not None and old.fence >= fence:
+            return
+        if old is not None and old.call is not None:
+            self.hub.respond(call=old.call.key, res=Response(status=503))
+        self.minions[mid] = Minion(mid=mid, fence=fence, heard=self.hub.now, svc=info.get("svc", ""),
+                                   site=info.get("site", ""), labels=info.get("labels", []))
+        self.dirty = True
+
+    def disown(self, *, mid: str) -> None:
+        """Group 0 gave it to another, or took it off the list."""
+        m = self.minions.pop(mid, None)
+        if m is not None and m.call is not None:
+            self.hub.respond(call=m.call.key, res=Response(status=503))
+        self.dirty = True
+
+    def drop_all(self) -> None:
+        """This agent is no longer counted in: what it held is void."""
+        for mid in list(self.minions):
+            self.disown(mid=mid)
+
+    # -- beats
+
+    def beat(self, *, mid: str, doc: dict[str, Any], call: Any) -> None:
+        """A beat of an owned minion."""
+        hub, m = self.hub, self.minions[mid]
+        if not hub.trusted() or m.phase is Phase.LOST:
+            hub.respond(call=call, res=Response(status=503))
+            return
+        if int(doc.get("call-seq", m.seq + 1)) <= m.seq:
+            hub.respond(call=call, res=Response.of(200, {"fence-no": m.fence}))
+            return
+        if m.call is not None:
+            hub.respond(call=m.call.key, res=Response(status=503))
+            m.call = None
+        cap, was = m.cap, m.draining
+        m.take(doc=doc, now=hub.now)
+        if m.phase is Phase.NEW:
+            m.move(Phase.FENCED)
+            hub.respond(call=call, res=Response.of(200, {
+                "fence-no": m.fence, "hold-ms": self.hold_ms, "last-seen": m.seen, "retry-after-ms": 1}))
+            return
+        if m.phase is Phase.FENCED:
+            m.move(Phase.KNOWN)
+        if cap != m.cap or was != m.draining:
+            self.dirty = True
+        settle(agent=self, m=m)
+        self._tell(m=m)
+        m.call = Call(key=call, at=hub.now, horizon=hub.now)
+        answer(agent=self, m=m, fresh=True)
+
+    def leave(self, *, mid: str, call: Any) -> None:
+        """A minion says that it ends."""
+        m = self.minions.get(mid)
+        if m is not None and m.phase is not Phase.LOST:
+            m.draining = True
+            m.losing = m.losing or self.hub.now + LEFT_S
+            self.dirty = True
+        self.hub.respond(call=call, res=Response.of(200, {}))
+
+    def _tell(self, *, m: Minion) -> None:
+        """Report ends that no group has acknowledged."""
+        now = self.hub.now
+        batch: dict[int, list[Any]] = {}
+        for num, (task, run, how, saved) in sorted(m.ends.items()):
+            if num <= m.seen or num in m.acked or now - m.told.get(num, -9.0) < RETELL_S:
+                continue
+            parts = split_name(task=task)
+            if parts is None or len(parts[0]) != 16:
+                m.acked.add(num)
+                continue
+            g = group_of(jid=parts[0], groups=len(self.hub.groups()))
+            if g not in m.att:
+                continue
+            m.told[num] = now
+            batch.setdefault(g, []).append([num, task, run, how, saved])
+        for g, rows in batch.items():
+            prim = self.hub.primary(g=g)
+            if prim is not None:
+                self.hub.send(uid=prim[0], kind=Kind.ENDS, body={"g": g, "m": m.mid, "f": m.fence, "x": rows})
+        m.note()
+
+    def endsok(self, *, body: dict[str, Any]) -> None:
+        """A group has ends on both its disks."""
+        m = self.minions.get(body["m"])
+        if m is None or m.fence != body["f"]:
+            return
+        for num, task, run in body["x"]:
+            if num > m.seen:
+                m.acked.add(num)
+            self._clear(m=m, task=task, run=run)
+        m.note()
+        self.dirty = True
+        if m.call is not None:
+            answer(agent=self, m=m)
+
+    def _clear(self, *, m: Minion, task: str, run: int) -> None:
+        r = m.runs.get(task)
+        if r is not None and r.run == run:
+            del m.runs[task]
+            les = m.leases.get(r.lid)
+            if les is not None:
+                les.task = ""
+
+    # -- groups
+
+    def attach(self, *, uid: str, b: dict[str, Any]) -> None:
+        """A group tells what it has on a minion; answer what of it never started."""
+        m, g = self.minions.get(b["m"]), b["g"]
+        prim = self.hub.primary(g=g)
+        if m is None or m.fence != b["f"] or m.phase is not Phase.KNOWN or (prim and prim[1] > b["n"]):
+            return
+        if g in m.att and m.att[g] >= (b["n"], b["seq"]):
+            return
+        m.att[g] = (b["n"], b["seq"])
+        m.met.add(g)
+        want = {row[0]: row for row in b["x"]}
+        for task, r in list(m.runs.items()):
+            if r.g == g and (task not in want or want[task][1] != r.run):
+                if r.sent or r.live:
+                    r.stop = True
+                else:
+                    self._clear(m=m, task=task, run=r.run)
+        for lid, les in list(m.leases.items()):
+            if les.g == g and not les.task:
+                del m.leases[lid]
+        void = []
+        for task, run, cpu, mem, gpu in b["x"]:
+            have = m.runs.get(task)
+            if have is not None and have.run == run:
+                if have.stop or have.sent or have.live:
+                    continue
+                self._clear(m=m, task=task, run=run)
+                m.leases.pop(have.lid, None)
+                void.append([task, run])
+            elif task in m.running and m.running[task][0] == run:
+                les = self._lease(m=m, g=g, cpu=cpu, mem=mem, gpu=gpu)
+                les.task = task
+                m.runs[task] = Run(task=task, run=run, g=g, lid=les.lid, sent=True, live=True, since=self.hub.now)
+                m.strays.pop(task, None)
+            elif not m.ended(task=task, run=run):
+                void.append([task, run])
+        self.hub.send(uid=uid, kind=Kind.VERDICT, body={"g": g, "n": b["n"], "seq": b["seq"], "m": m.mid,
+                                                        "f": m.fence, "x": void})
+        settle(agent=self, m=m)
+        self._tell(m=m)
+        self.dirty = True
+
+    def _lease(self, *, m: Minion, g: int, cpu: int, mem: int, gpu: int, until: float = 0.0) -> Lease:
+        les = Lease(lid=self.next, mid=m.mid, g=g, cpu=cpu, mem=mem, gpu=gpu, until=until)
+        self.next += 1
+        m.leases[les.lid] = les
+        return les
+
+    def open(self, *, m: Minion) -> bool:
+        """Whether room of this minion may be granted."""
+        late = self.hub.now - m.heard > 2.0 * self.lag_ms / 1000 + 0.5
+        return (m.phase is Phase.KNOWN and not m.draining and not late and not self.hub.evacuated(site=m.site)
+                and all(g in m.met for g in self.hub.groups()))
+
+    def lease(self, *, uid: str, b: dict[str, Any]) -> None:
+        """Grant room by a task's metadata, or name another agent that seems to have it."""
+        grants: list[Any] = []
+        if self.hub.trusted():
+            for m in pick(agent=self, b=b):
+                until = self.hub.now + b["mark"] if b.get("mark") else 0.0
+                les = self._lease(m=m, g=b["g"], cpu=b["cpu"], mem=b["mem"], gpu=b["gpu"], until=until)
+                grants.append([les.lid, m.mid, m.att[b["g"]][1]])
+        redir = ""
+        if len(grants) < b["n"]:
+            for other, (at, view) in sorted(self.views.items()):
+                if other != self.hub.uid and other not in b["been"] and self.hub.now - at < 1.5 and any(
+                        fits(row=row, b=b) for row in view.get(b["svc"], [])):
+                    redir = other
+                    break
+        self.dirty = self.dirty or bool(grants)
+        self.hub.send(uid=uid, kind=Kind.GRANT, body={"g": b["g"], "rid": b["rid"], "x": grants, "to": redir})
+
+    def giveback(self, *, b: dict[str, Any]) -> None:
+        """Leases that a group returns."""
+        for mid, lid in b["x"]:
+            m = self.minions.get(mid)
+            les = m.leases.get(lid) if m is not None else None
+            if m is not None and les is not None and not les.task and les.g == b["g"]:
+                del m.leases[lid]
+                self.dirty = True
+
+    def order(self, *, uid: str, b: dict[str, Any]) -> None:
+        """Orders on leases; what cannot be carried out is sent back as never started."""
+        nak = []
+        touched = set()
+        prim = self.hub.primary(g=b["g"])
+        for mid, seq, lid, task, run, spec, saved, est in b["x"]:
+            m = self.minions.get(mid)
+            if m is None or m.att.get(b["g"]) != (b["n"], seq) or (prim and prim[1] > b["n"]):
+                continue      # an attachment made since, or still to be made, settles it
+            les = m.leases.get(lid)
+            if les is None or les.task or task in m.runs or task in m.running or not self.open(m=m):
+                nak.append([mid, seq, task, run])
+                continue
+            les.task, les.until = task, 0.0
+            m.runs[task] = Run(task=task, run=run, g=b["g"], lid=lid, spec=spec, saved=saved, est=est)
+            touched.add(mid)
+        if nak:
+            self.hub.send(uid=uid, kind=Kind.NAK, body={"g": b["g"], "n": b["n"], "x": nak})
+        for mid in touched:
+            m = self.minions[mid]
+            if m.call is not None:
+                answer(agent=self, m=m)
+
+    def refuse(self, *, m: Minion, r: Run) -> None:
+        """An order that may no longer go out."""
+        self._clear(m=m, task=r.task, run=r.run)
+        prim = self.hub.primary(g=r.g)
+        if prim is not None:
+            self.hub.send(uid=prim[0], kind=Kind.NAK, body={
+                "g": r.g, "n": prim[1], "x": [[m.mid, m.att.get(r.g, (0, 0))[1], r.task, r.run]]})
+
+    def stop(self, *, b: dict[str, Any]) -> None:
+        """A group wants runs stopped."""
+        for mid, task, run in b["x"]:
+            m = self.minions.get(mid)
+            r = m.runs.get(task) if m is not None else None
+            if m is None or r is None or r.run != run:
+                continue
+            if not r.sent:
+                self.refuse(m=m, r=r)
+            else:
+                r.stop = True
+            if m.call is not None:
+                answer(agent=self, m=m)
+
+    def lostok(self, *, b: dict[str, Any]) -> None:
+        """A group has taken note of a loss."""
+        m = self.minions.get(b["m"])
+        if m is not None and m.phase is Phase.LOST and m.fence == b["f"]:
+            m.lostok.add(b["g"])
+
+    def gap(self, *, uid: str) -> None:
+        """Frames from a node were lost: what its groups said last is not known."""
+        for g in self.hub.groups():
+            prim = self.hub.primary(g=g)
+            if prim is not None and prim[0] == uid:
+                for m in self.minions.values():
+                    m.att.pop(g, None)
+
+    # -- time
+
+    def tick(self) -> None:
+        """Called several times a second."""
+        now, hub = self.hub.now, self.hub
+        if not hub.trusted():
+            return
+        claims: dict[int, list[Any]] = {}
+        for m in list(self.minions.values()):
+            if m.phase is not Phase.LOST and (now - m.heard > self.hold_ms / 1000 * CLOCK + SLACK_S
+                                              or (m.losing and now > m.losing)):
+                m.move(Phase.LOST)
+                self.dirty = True
+                hub.note(event="minion-lost", minion=m.mid, runs=len(m.runs), left=bool(m.losing))
+            if m.phase is Phase.LOST:
+                self._lose(m=m)
+            elif m.phase is Phase.KNOWN:
+                self._keep(m=m, claims=claims)
+        for g, rows in claims.items():
+            prim = hub.primary(g=g)
+            if prim is not None:
+                hub.send(uid=prim[0], kind=Kind.CLAIM, body={"g": g, "x": rows})
+        if (self.dirty and now - self.roomed > ROOM_S) or now - self.roomed > ROOM_IDLE_S:
+            self._room()
+
+    def _keep(self, *, m: Minion, claims: dict[int, list[Any]]) -> None:
+        now = self.hub.now
+        for g in self.hub.groups():
+            prim = self.hub.primary(g=g)
+            if prim is None:
+                continue
+            if g in m.att and m.att[g][0] < prim[1]:
+                del m.att[g]
+            if g not in m.att and now - m.claimed.get(g, -9.0) > CLAIM_S:
+                m.claimed[g] = now
+                claims.setdefault(g, []).append([m.mid, m.fence, m.svc, m.site, m.labels, list(m.cap)])
+        for lid, les in list(m.leases.items()):
+            if les.until and not les.task and now > les.until:
+                del m.leases[lid]
+                self.dirty = True
+        if m.ends:
+            self._tell(m=m)
+        if m.call is not None and now >= m.call.horizon:
+            answer(agent=self, m=m)
+
+    def _lose(self, *, m: Minion) -> None:
+        now = self.hub.now
+        left = [g for g in self.hub.groups() if g not in m.lostok]
+        if not left:
+            self.hub.gone(mid=m.mid, fence=m.fence)
+        elif now - m.claimed.get(-1, -9.0) > CLAIM_S:
+            m.claimed[-1] = now
+            saved = {t: v for t, (_, v, _) in m.running.items() if v}
+            for g in left:
+                prim = self.hub.primary(g=g)
+                if prim is not None:
+                    self.hub.send(uid=prim[0], kind=Kind.LOST, body={"g": g, "m": m.mid, "f": m.fence, "v": saved})
+
+    def _room(self) -> None:
+        self.roomed = self.hub.now
+        self.dirty = False
+        view: dict[str, list[Any]] = {}
+        for m in self.minions.values():
+            if self.open(m=m):
+                view.setdefault(m.svc, []).append([*m.free(), m.labels, list(m.cap)])
+        body = {"u": self.hub.uid, "v": view}
+        for uid in self.hub.cores():
+            self.hub.send(uid=uid, kind=Kind.ROOM, body=body)
--- /dev/null
+++ b/yarrowloom/agent/answer.py
@@ -0,0 +1,98 @@
+"""What a beat is answered, and when: at once, or a little later if orders are about to come."""
+
+from typing import TYPE_CHECKING, Any
+
+from ..wire.http import Response
+from .minion import Minion, Phase
+
+if TYPE_CHECKING:
+    from .agent import Agent
+
+IDLE_WAIT_S = 0.6     # a minion that runs nothing has nothing to tell: its beat may wait for an order
+ENDS_WAIT_S = 0.08    # a beat with ends waits this long for their acknowledgement and the next orders
+LATE_S = 0.85         # an answer later than a second would be dropped
+BUSY_MS = 200
+FULL_MS = 500
+
+
+def settle(*, agent: "Agent", m: Minion) -> None:
+    """Compare what the beat lists with what is owed."""
+    now = agent.hub.now
+    for r in list(m.runs.values()):
+        row = m.running.get(r.task)
+        if row is not None and row[0] == r.run:
+            if not r.live:
+                r.live, r.since, r.spec = True, now, ""
+            r.miss, r.pct = 0, row[2]
+            if row[1]:
+                r.saved = row[1]
+        elif m.ended(task=r.task, run=r.run):
+            r.miss = 0
+        elif r.live:
+            r.miss += 1
+        else:
+            r.sent = False        # the order was not carried out: it goes out once more
+    attached = all(g in m.met for g in agent.hub.groups())
+    m.strays = {t: row[0] for t, row in m.running.items() if t not in m.runs} if attached else {}
+    if m.draining:
+        _drain(agent=agent, m=m)
+
+
+def _drain(*, agent: "Agent", m: Minion) -> None:
+    """Stop what cannot end before the minion leaves, so that it goes on elsewhere."""
+    now = agent.hub.now
+    left = m.leave - now - agent.stop_ms / 1000 - 0.4
+    for r in m.runs.values():
+        if r.live and not r.stop:
+            ran = max(now - r.since, 0.05)
+            rest = ran * (100 - r.pct) / r.pct if r.pct > 0 else 1e9
+            if rest > left:
+                r.stop = True
+
+
+def answer(*, agent: "Agent", m: Minion, fresh: bool = False) -> None:
+    """Answer the waiting beat if it is time or if there is something to say."""
+    hub, call = agent.hub, m.call
+    if call is None:
+        return
+    now = hub.now
+    if not hub.trusted() or m.phase is not Phase.KNOWN:
+        m.call = None
+        hub.respond(call=call.key, res=Response(status=503))
+        return
+    shut = m.draining or hub.evacuated(site=m.site)
+    attached = all(g in m.met for g in hub.groups())
+    if shut:
+        for r in [r for r in m.runs.values() if not r.sent and not r.live]:
+            agent.refuse(m=m, r=r)
+    todo = [r for r in m.runs.values() if not r.sent and not r.live and not r.stop] if attached else []
+    stops = [[r.task, r.run] for r in m.runs.values() if r.stop and r.sent]
+    stops += [[t, run] for t, run in m.strays.items()]
+    owed = any(n > m.seen and n not in m.acked for n in m.ends)
+    if fresh:
+        if owed:
+            call.horizon = call.at + ENDS_WAIT_S
+        elif not m.running and not m.draining:
+            call.horizon = call.at + IDLE_WAIT_S
+    if now < call.horizon and not todo and not stops and (owed or fresh or not m.ends):
+        return
+    m.call = None
+    if now - call.at > LATE_S:
+        hub.respond(call=call.key, res=Response(status=503))
+        return
+    out: dict[str, Any] = {"hold-ms": agent.hold_ms, "fence-no": m.fence, "last-seen": m.seen}
+    if todo:
+        out["started"] = [[r.task, r.run, r.spec, r.saved] for r in todo]
+        for r in todo:
+            r.sent = True
+    if stops:
+        out["stopped"] = stops
+    if not m.running and not todo:
+        wait = 1 if attached else 50
+    elif m.draining or stops:
+        wait = 150
+    else:
+        cpu, mem, gpu = m.free()
+        wait = BUSY_MS if cpu * 8 > m.cap[0] and mem * 16 > m.cap[1] else FULL_MS
+    out["retry-after-ms"] = wait
+    hub.respond(call=call.key, res=Response.of(200, out))
--- /dev/null
+++ b/yarrowloom/agent/minion.py
@@ -0,0 +1,151 @@
+"""One minion as its agent knows it: what its beats tell, what is owed to it."""
+
+import enum
+from dataclasses import dataclass, field
+from typing import Any
+
+NOHOW = ""
+
+
+class Phase(enum.Enum):
+    """How much is known of what a minion runs."""
+
+    NEW = "new"          # owned, but no answer with the fence has gone out
+    FENCED = "fenced"    # the fence has gone out; the next beat tells what runs
+    KNOWN = "known"
+    LOST = "lost"        # silent beyond its longest hold, or left
+
+
+MOVES: dict[Phase, frozenset[Phase]] = {
+    Phase.NEW: frozenset({Phase.FENCED, Phase.LOST}),
+    Phase.FENCED: frozenset({Phase.KNOWN, Phase.LOST}),
+    Phase.KNOWN: frozenset({Phase.LOST}),
+    Phase.LOST: frozenset(),
+}
+
+
+@dataclass(kw_only=True)
+class Lease:
+    """Room on one minion, granted to one group. Invariant: counts against the minion until released; serves one
+    run at a time; an earmark (`until` above 0) lapses unless an order comes."""
+
+    lid: int
+    mid: str
+    g: int
+    cpu: int
+    mem: int
+    gpu: int
+    until: float = 0.0
+    task: str = ""
+
+
+@dataclass(kw_only=True)
+class Run:
+    """A start that the record holds. Invariant: `sent` only after the order was put into an answer; `live` once a
+    beat listed it; it stays until its end is acknowledged by the group."""
+
+    task: str
+    run: int
+    g: int
+    lid: int
+    spec: str = ""
+    saved: str = ""
+    sent: bool = False
+    live: bool = False
+    stop: bool = False
+    since: float = 0.0
+    pct: float = 0.0
+    miss: int = 0
+    est: int = 0
+
+
+@dataclass(kw_only=True)
+class Call:
+    """A beat not yet answered."""
+
+    key: Any
+    at: float
+    horizon: float
+
+
+@dataclass(kw_only=True)
+class Minion:
+    """Invariants: `seen` reaches an end only when its group has it on both disks; `fence` is group 0's newest for
+    this minion; no order leaves unless phase is KNOWN and every group was attached once
+    under this fence (`met`); `att` holds the groups whose attachment stands now."""
+
+    mid: str
+    fence: int
+    heard: float
+    svc: str = ""
+    site: str = ""
+    labels: list[str] = field(default_factory=list)
+    cap: tuple[int, int, int] = (0, 0, 0)
+    phase: Phase = Phase.NEW
+    draining: bool = False
+    leave: float = 0.0
+    seq: int = -1
+    seen: int = 0
+    running: dict[str, tuple[int, str, float]] = field(default_factory=dict)
+    ends: dict[int, tuple[str, int, str, str]] = field(default_factory=dict)
+    told: dict[int, float] = field(default_factory=dict)
+    acked: set[int] = field(default_factory=set)
+    runs: dict[str, Run] = field(default_factory=dict)
+    strays: dict[str, int] = field(default_factory=dict)
+    leases: dict[int, Lease] = field(default_factory=dict)
+    att: dict[int, tuple[int, int]] = field(default_factory=dict)
+    met: set[int] = field(default_factory=set)
+    claimed: dict[int, float] = field(default_factory=dict)
+    lostok: set[int] = field(default_factory=set)
+    losing: float = 0.0
+    call: Call | None = None
+    polls: int = 0
+
+    def move(self, phase: Phase) -> None:
+        """Change phase by the table."""
+        assert phase in MOVES[self.phase], (self.phase, phase)
+        self.phase = phase
+
+    def free(self) -> tuple[int, int, int]:
+        """Room that nobody holds; nothing while something unknown runs."""
+        if self.strays:
+            return (0, 0, 0)
+        cpu, mem, gpu = self.cap
+        for les in self.leases.values():
+            cpu -= les.cpu
+            mem -= les.mem
+            gpu -= les.gpu
+        return cpu, mem, gpu
+
+    def take(self, *, doc: dict[str, Any], now: float) -> None:
+        """Take note of a beat's account; lists of the wrong shape count as empty."""
+        self.heard = now
+        self.seq = int(doc.get("call-seq", self.seq + 1))
+        self.svc = str(doc.get("backend", self.svc))
+        self.site = str(doc.get("zone", self.site))
+        self.labels = [str(x) for x in doc.get("labels", self.labels)]
+        cap = doc.get("capacity", {})
+        self.cap = (int(cap.get("cpus", 0)), int(cap.get("mem-mb", 0)), int(cap.get("gpus", 0)))
+        if doc.get("state") == "draining":
+            self.draining = True
+            self.leave = now + float(doc.get("leave-at-ms", 0) or 0) / 1000
+        self.running = {}
+        for row in doc.get("running", []):
+            task, run = str(row[0]), int(row[1])
+            self.running[task] = (run, str(row[2]) if len(row) > 2 else "", float(row[3]) if len(row) > 3 else 0.0)
+        for row in doc.get("finished", []):
+            num = int(row[0])
+            if num > self.seen:
+                self.ends[num] = (str(row[1]), int(row[2]), str(row[3]), str(row[4]) if len(row) > 4 else "")
+
+    def note(self) -> None:
+        """Move `seen` over ends that are acknowledged."""
+        while self.seen + 1 in self.acked:
+            self.seen += 1
+            self.acked.discard(self.seen)
+            self.ends.pop(self.seen, None)
+            self.told.pop(self.seen, None)
+
+    def ended(self, *, task: str, run: int) -> bool:
+        """Whether the beats listed an end of this run that is not yet noted."""
+        return any(t == task and r == run for t, r, _, _ in self.ends.values())
--- /dev/null
+++ b/yarrowloom/base/__init__.py
@@ -0,0 +1,1 @@
+"""base: see docs/design.md."""
--- /dev/null
+++ b/yarrowloom/base/startup.py
@@ -0,0 +1,111 @@
+"""The settings file of a process: read, checked, all findings at once."""
+
+import os
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from .errs import Finding, StartupError
+
+ENV = "YARROWLOOM_NODE_FILE"
+DEFAULT_PATH = "/etc/yarrowloom/local.json"
+
+_BOUNDS_MS = {"drain-ms": 2000, "config-apply-ms": 2000, "evacuate-ms": 5000, "max-hold-ms": 10000,
+              "stop-grace-ms": 1000, "gang-wait-ms": 3000, "early_ms": 250, "restore-ms": 250, "contact-ms": 3000}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Startup:
+    """What a process is told. `seeds` are control addresses; ports are the same on all machines."""
+
+    name: str
+    role: str
+    ip: str
+    site: str
+    sites: dict[str, str]
+    binds: dict[str, str]
+    ports: tuple[int, int]
+    seeds: tuple[str, ...]
+    bootstrap: bool
+    data_dir: str | None
+    disk_mb: int
+    memory_mb: int
+    beat_ms: int
+    bounds: dict[str, float] = field(default_factory=dict)
+
+    def bound(self, *, name: str, default: float) -> float:
+        """A figure of the rules in force."""
+        return float(self.bounds.get(name, default))
+
+
+def _addr_ok(val: object) -> bool:
+    if not isinstance(val, str) or val.count(":") != 1:
+        return False
+    host, port = val.split(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+
+
+def check(*, doc: Any) -> Startup:
+    """Build a Startup or raise with every finding.
+
+    >>> try:
+    ...     check(doc={"node-name": "a"})
+    ... except StartupError as err:
+    ...     len(err.findings) > 3
+    True
+    """
+    bad: list[Finding] = []
+    if not isinstance(doc, dict):
+        raise StartupError(text="settings are not an object", findings=[Finding(place="(file)", text="not an object")])
+
+    def want(key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
+        val = doc.get(key, default)
+        if key not in doc and default is None:
+            bad.append(Finding(place=key, text="missing"))
+        elif not isinstance(val, kind) or (isinstance(val, bool) and kind is not bool):
+            bad.append(Finding(place=key, text=f"has the wrong type ({type(val).__name__})"))
+        return val
+
+    name, role = want("node-name", str), want("role", str, "")
+    ip, site = want("ip", str), want("zone", str)
+    sites = want("zones", dict, {})
+    binds = want("bind-addrs", dict)
+    ports = want("internal-ports", list)
+    seeds = want("seed-nodes", list)
+    beat = want("beat-interval-ms", (int, float), 1500)
+    bounds = want("bounds", dict, {})
+    limits = want("limits", dict, {})
+    boot = doc.get("bootstrap", False)
+    if isinstance(binds, dict):
+        bad += [Finding(place=f"bind-addrs.{k}", text="not HOST:PORT") for k, v in binds.items() if not _addr_ok(v)]
+    if isinstance(seeds, list):
+        bad += [Finding(place=f"seed-nodes[{i}]", text="not HOST:PORT") for i, v in enumerate(seeds) if not _addr_ok(v)]
+    if isinstance(ports, list) and not (len(ports) == 2 and all(isinstance(p, int) and 0 < p < 65536 for p in ports)
+                                        and ports[0] < ports[1]):
+        bad.append(Finding(place="internal-ports", text="not two rising ports"))
+    data = doc.get("data-dir")
+    if data is not None and not isinstance(data, str):
+        bad.append(Finding(place="data-dir", text="not a path"))
+    if not isinstance(boot, bool):
+        bad.append(Finding(place="bootstrap", text="not true or false"))
+    if bad:
+        raise StartupError(text="; ".join(str(f) for f in bad), findings=bad)
+    figs = {k: float(v) for k, v in bounds.items() if isinstance(v, (int, float))}
+    return Startup(name=name, role=role, ip=ip, site=site, sites=sites, binds=binds, ports=(ports[0], ports[1]),
+                   seeds=tuple(seeds), bootstrap=boot, data_dir=data, disk_mb=int(limits.get("disk-mb", 0) or 0),
+                   memory_mb=int(limits.get("memory-mb", 256) or 256), beat_ms=int(beat), bounds=figs)
+
+
+def load(*, path: str | None = None) -> Startup:
+    """Read the file named by the environment (or `path`)."""
+    where = path or os.environ.get(ENV) or DEFAULT_PATH
+    try:
+        with open(where, "rb") as fh:
+            doc = orjson.loads(fh.read())
+    except OSError as err:
+        raise StartupError(text=f"{where}: {err.strerror}", findings=[
+            Finding(place=where, text=str(err.strerror))]) from err
+    except orjson.JSONDecodeError as err:
+        raise StartupError(text=f"{where}: {err}", findings=[Finding(place=where, text=str(err))]) from err
+    return check(doc=doc)
--- /dev/null
+++ b/yarrowloom/edge/__init__.py
@@ -0,0 +1,1 @@
+"""edge: see docs/design.md."""
--- /dev/null
+++ b/yarrowloom/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""fleet: see docs/design.md."""
--- /dev/null
+++ b/yarrowloom/fleet/conf.py
@@ -0,0 +1,173 @@
+"""The operator's configuration: typed dictionaries and a small checker that reports all findings together."""
+
+from typing import Any, TypedDict
+
+from ..base.errs import Finding, InvalidError
+
+
+class Route(TypedDict, total=False):
+    """A queue. Invariant: host and prefix together are unique in a configuration."""
+
+    name: str
+    host_name: str
+    path_prefix: str
+    deadline_ms: int
+    target_ms: int
+    rank: int
+    backend: str
+    max_tries: int
+    stretch: float
+
+
+_TABLES = {"route-table", "service-table"}
+_LIMITS = ("max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms")
+
+
+def _num(val: object) -> bool:
+    return isinstance(val, (int, float)) and not isinstance(val, bool)
+
+
+def _int(val: object) -> bool:
+    return isinstance(val, int) and not isinstance(val, bool)
+
+
+def _table(*, doc: dict[str, Any], key: str, bad: list[Finding]) -> list[dict[str, Any]]:
+    rows = doc.get(key)
+    if not isinstance(rows, list):
+        bad.append(Finding(place=key, text="missing or not a list"))
+        return []
+    out: list[dict[str, Any]] = []
+    names: set[str] = set()
+    for i, row in enumerate(rows):
+        place = f"{key}[{i}]"
+        if not isinstance(row, dict):
+            bad.append(Finding(place=place, text="not an object"))
+            continue
+        name = row.get("name")
+        if not isinstance(name, str) or not name:
+            bad.append(Finding(place=f"{place}.name", text="missing or not a text"))
+        elif name in names:
+            bad.append(Finding(place=f"{place}.name", text=f"{name!r} stands twice"))
+        else:
+            names.add(name)
+        out.append(row)
+    return out
+
+
+def _route(*, row: dict[str, Any], place: str, backends: set[str], bad: list[Finding]) -> None:
+    for key in ("host-name", "path-prefix", "backend"):
+        if not isinstance(row.get(key), str) or not row[key]:
+            bad.append(Finding(place=f"{place}.{key}", text="missing or not a text"))
+    prefix = row.get("path-prefix")
+    if isinstance(prefix, str) and not prefix.startswith("/"):
+        bad.append(Finding(place=f"{place}.path-prefix", text="does not begin with /"))
+    if isinstance(row.get("backend"), str) and row["backend"] not in backends:
+        bad.append(Finding(place=f"{place}.backend", text=f"unknown service {row['backend']!r}"))
+    if not _num(row.get("deadline-ms")) or row["deadline-ms"] <= 0:
+        bad.append(Finding(place=f"{place}.deadline-ms", text="must be above 0"))
+    for key in ("target-ms", "rank", "max-tries", "stretch"):
+        if key in row and (not _num(row[key]) or row[key] < 0):
+            bad.append(Finding(place=f"{place}.{key}", text="not a number of 0 or more"))
+
+
+def check(*, doc: Any) -> dict[str, Any]:
+    """Return the document if it is a valid configuration, else raise with every finding.
+
+    >>> try:
+    ...     check(doc={"config-version": 1, "route-table": [{"name": "r"}], "service-table": []})
+    ... except InvalidError as err:
+    ...     [f.place for f in err.findings][:2]
+    ['route-table[0].host-name', 'route-table[0].path-prefix']
+    """
+    bad: list[Finding] = []
+    if not isinstance(doc, dict):
+        raise InvalidError(text="not an object", findings=[Finding(place="(body)", text="not an object")])
+    if not _int(doc.get("config-version")) or doc["config-version"] < 1:
+        bad.append(Finding(place="config-version", text="missing or not a whole number above 0"))
+    services = _table(doc=doc, key="service-table", bad=bad)
+    routes = _table(doc=doc, key="route-table", bad=bad)
+    backends = {str(s.get("name")) for s in services}
+    places: dict[tuple[str, str], int] = {}
+    for i, row in enumerate(routes):
+        _route(row=row, place=f"route-table[{i}]", backends=backends, bad=bad)
+        key = (str(row.get("host-name")).lower(), str(row.get("path-prefix")))
+        if key in places:
+            bad.append(Finding(place=f"route-table[{i}]", text=f"shares host and prefix with [{places[key]}]"))
+        places.setdefault(key, i)
+    limits = doc.get("limits", {})
+    if not isinstance(limits, dict):
+        bad.append(Finding(place="limits", text="not an object"))
+    else:
+        bad += [Finding(place=f"limits.{k}", text="not a number above 0")
+                for k in _LIMITS if k in limits and (not _num(limits[k]) or limits[k] <= 0)]
+    if bad:
+        raise InvalidError(text="configuration is invalid", findings=bad)
+    return doc
+
+
+def patch(*, base: dict[str, Any], change: Any) -> dict[str, Any]:
+    """The configuration that a PATCH makes of `base`; not yet checked as a whole.
+
+    >>> old = {"config-version": 1, "route-table": [{"name": "a", "x": 1}, {"name": "b"}], "service-table": []}
+    >>> patch(base=old, change={"config-version": 2, "upserts": {"route-table": [{"name": "a", "x": 2}]},
+    ...       "removals": {"route-table": ["b"]}})["route-table"]
+    [{'name': 'a', 'x': 2}]
+    """
+    bad: list[Finding] = []
+    if not isinstance(change, dict):
+        raise InvalidError(text="not an object", findings=[Finding(place="(body)", text="not an object")])
+    out = {**base, "config-version": change.get("config-version")}
+    for part in ("upserts", "removals"):
+        tables = change.get(part, {})
+        if not isinstance(tables, dict):
+            bad.append(Finding(place=part, text="not an object"))
+            continue
+        for key, items in tables.items():
+            if key not in _TABLES or not isinstance(items, list):
+                bad.append(Finding(place=f"{part}.{key}", text="unknown table or not a list"))
+                continue
+            rows = list(out.get(key, []))
+            for i, item in enumerate(items):
+                name = item.get("name") if part == "upserts" and isinstance(item, dict) else item
+                if not isinstance(name, str):
+                    bad.append(Finding(place=f"{part}.{key}[{i}]", text="no name"))
+                    continue
+                at = next((j for j, r in enumerate(rows) if r.get("name") == name), None)
+                if part == "removals":
+                    if at is not None:
+                        del rows[at]
+                elif at is None:
+                    rows.append(item)
+                else:
+                    rows[at] = item
+            out[key] = rows
+    unknown = set(change) - {"config-version", "upserts", "removals", "limits"}
+    bad += [Finding(place=key, text="not part of a change") for key in sorted(unknown)]
+    if "limits" in change:
+        out["limits"] = change["limits"]
+    if bad:
+        raise InvalidError(text="change is invalid", findings=bad)
+    return out
+
+
+class Table:
+    """Routes by host and prefix, ready for look-ups; one is built for each configuration."""
+
+    def __init__(self, *, doc: dict[str, Any]) -> None:
+        self.stamp: int = doc["config-version"]
+        self.routes: dict[str, dict[str, Any]] = {r["name"]: r for r in doc["route-table"]}
+        self.services: dict[str, dict[str, Any]] = {s["name"]: s for s in doc["service-table"]}
+        self.limits: dict[str, Any] = doc.get("limits", {})
+        hosts: dict[str, list[dict[str, Any]]] = {}
+        for row in doc["route-table"]:
+            hosts.setdefault(row["host-name"].lower(), []).append(row)
+        for rows in hosts.values():
+            rows.sort(key=lambda r: -len(r["path-prefix"]))
+        self.hosts = hosts
+
+    def select(self, *, host: str, path: str) -> dict[str, Any] | None:
+        """The route of the longest prefix, or None."""
+        for row in self.hosts.get(host.split(":", 1)[0].lower(), []):
+            if path.startswith(row["path-prefix"]):
+                return row
+        return None
--- /dev/null
+++ b/yarrowloom/job/state.py
@@ -0,0 +1,239 @@
+"""The state of a job group, changed by one reducer over all events; effects come back as data."""
+
+import enum
+from typing import Any
+
+import orjson
+
+Effect = tuple[Any, ...]
+
+
+class State(str, enum.Enum):
+    """What a caller is shown."""
+
+    PENDING = "pending"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED = frozenset({State.COMPLETE, State.FAILED, State.CANCELLED})
+MOVES: dict[State, frozenset[State]] = {
+    State.PENDING: frozenset({State.ACTIVE, State.CANCELLED}),
+    State.ACTIVE: frozenset({State.COMPLETE, State.FAILED, State.CANCELLED}),
+    State.COMPLETE: frozenset(),
+    State.FAILED: frozenset(),
+    State.CANCELLED: frozenset(),
+}
+WAIT, RUN, DONE = 0, 1, 2
+
+
+def task_name(*, jid: str, unit: str, idx: int) -> str:
+    """ID.K.STEP.INDEX.
+
+    >>> task_name(jid="ab", unit="0.1", idx=3)
+    'ab.0.1.3'
+    """
+    return f"{jid}.{unit}.{idx}"
+
+
+def split_name(*, task: str) -> tuple[str, str, int] | None:
+    """Undo `task_name`.
+
+    >>> split_name(task="ab.0.1.3")
+    ('ab', '0.1', 3)
+    >>> split_name(task="nonsense") is None
+    True
+    """
+    parts = task.split(".")
+    if len(parts) != 4 or not all(p.isdigit() for p in parts[1:]):
+        return None
+    return parts[0], f"{parts[1]}.{parts[2]}", int(parts[3])
+
+
+class Jobs:
+    """Invariants: a task's run number only rises; a task is RUN exactly while its run may be alive on the minion
+    named; a unit's `left` counts its tasks that are not DONE; `on` indexes all RUN tasks by minion; a gang's
+    members share run, saved progress (held at index 0) and the count of failed runs."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.on: dict[str, set[tuple[str, str, int]]] = {}
+        self.pending: dict[str, int] = {}
+
+    def dump(self) -> Any:
+        """All of it."""
+        return self.jobs
+
+    def load(self, doc: Any) -> None:
+        """Replace all of it; indexes are derived."""
+        self.jobs = orjson.loads(orjson.dumps(doc))
+        self.on, self.pending = {}, {}
+        for jid, job in self.jobs.items():
+            if job["st"] == State.PENDING:
+                self.pending[job["q"]] = self.pending.get(job["q"], 0) + 1
+            for key, unit in job.get("u", {}).items():
+                for i, st in enumerate(unit["s"]):
+                    if st == RUN:
+                        self.on.setdefault(unit["m"][i], set()).add((jid, key, i))
+
+    def apply(self, ev: dict[str, Any]) -> list[Effect]:
+        """Take one event."""
+        return getattr(self, "_" + ev["t"])(ev)  # type: ignore[no-any-return]
+
+    # -- helpers
+
+    def _show(self, *, job: dict[str, Any], st: State) -> None:
+        was = State(job["st"])
+        assert st in MOVES[was], (was, st)
+        if was is State.PENDING:
+            self.pending[job["q"]] -= 1
+        job["st"] = st.value
+
+    def _units(self, *, jid: str, k: int) -> list[Effect]:
+        job = self.jobs[jid]
+        out: list[Effect] = []
+        for s, step in enumerate(job["steps"]):
+            n = step["n"]
+            job["u"][f"{k}.{s}"] = {"s": [WAIT] * n, "r": [0] * n, "m": [""] * n, "f": [0] * n, "v": [""] * n,
+                                    "left": n, "fr": 0}
+            if not step["deps"]:
+                out.append(("ready", jid, f"{k}.{s}"))
+        job["k"] = k + 1
+        job["open"] = job["open"] + [k]
+        return out
+
+    def _off(self, *, jid: str, key: str, unit: dict[str, Any], i: int) -> None:
+        held = self.on.get(unit["m"][i])
+        if held is not None:
+            held.discard((jid, key, i))
+            if not held:
+                del self.on[unit["m"][i]]
+
+    def _slim(self, *, job: dict[str, Any]) -> None:
+        if job["st"] in ENDED and "u" in job and not any(RUN in u["s"] for u in job["u"].values()):
+            for name in ("u", "spec", "steps", "open"):
+                job.pop(name, None)
+
+    def _halt(self, *, jid: str, st: State) -> list[Effect]:
+        """Show an end that is not complete; what still runs is to be stopped."""
+        job = self.jobs[jid]
+        if job["st"] == State.PENDING and st is State.FAILED:
+            self._show(job=job, st=State.ACTIVE)
+        self._show(job=job, st=st)
+        out: list[Effect] = [("over", jid)]
+        for key, unit in job["u"].items():
+            out += [("stop", unit["m"][i], task_name(jid=jid, unit=key, idx=i), unit["r"][i])
+                    for i, s in enumerate(unit["s"]) if s == RUN]
+        self._slim(job=job)
+        return out
+
+    def _finished(self, *, jid: str, key: str) -> list[Effect]:
+        """A unit has no task left: later steps, then the time, then the job."""
+        job = self.jobs[jid]
+        k, s = key.split(".")
+        out: list[Effect] = []
+        for later, step in enumerate(job["steps"]):
+            if int(s) in step["deps"] and all(job["u"][f"{k}.{d}"]["left"] == 0 for d in step["deps"]):
+                out.append(("ready", jid, f"{k}.{later}"))
+        if all(job["u"][f"{k}.{d}"]["left"] == 0 for d in range(len(job["steps"]))):
+            job["open"] = [o for o in job["open"] if o != int(k)]
+            if not job["open"] and job["k"] >= max(job["times"], 1):
+                self._show(job=job, st=State.COMPLETE)
+                out.append(("over", jid))
+        return out
+
+    # -- events
+
+    def _job(self, ev: dict[str, Any]) -> list[Effect]:
+        jid = ev["id"]
+        if jid in self.jobs:
+            return []
+        job = {**ev["j"], "st": State.PENDING.value, "k": 0, "open": [], "u": {}}
+        self.jobs[jid] = job
+        self.pending[job["q"]] = self.pending.get(job["q"], 0) + 1
+        if job["times"]:
+            return [("timed", jid)]
+        return self._units(jid=jid, k=0)
+
+    def _due(self, ev: dict[str, Any]) -> list[Effect]:
+        job = self.jobs.get(ev["id"])
+        if job is None or job["st"] in ENDED or job["k"] != ev["k"] or ev["k"] >= job["times"]:
+            return []
+        return self._units(jid=ev["id"], k=ev["k"])
+
+    def _start(self, ev: dict[str, Any]) -> list[Effect]:
+        jid, key = ev["id"], ev["u"]
+        job = self.jobs[jid]
+        unit = job["u"][key]
+        if job["st"] == State.PENDING:
+            self._show(job=job, st=State.ACTIVE)
+        for i, run, mid in ev["x"]:
+            assert unit["s"][i] == WAIT and run > unit["r"][i]
+            unit["s"][i], unit["r"][i], unit["m"][i] = RUN, run, mid
+            self.on.setdefault(mid, set()).add((jid, key, i))
+        return []
+
+    def _end(self, ev: dict[str, Any]) -> list[Effect]:
+        jid, key, i = ev["id"], ev["u"], ev["i"]
+        job = self.jobs.get(jid)
+        unit = job["u"].get(key) if job is not None and "u" in job else None
+        if job is None or unit is None or i >= len(unit["s"]) or unit["r"][i] != ev["run"] or unit["s"][i] != RUN:
+            return []
+        step = job["steps"][int(key.split(".")[1])]
+        self._off(jid=jid, key=key, unit=unit, i=i)
+        out: list[Effect] = []
+        if ev["how"] == "done" and not step["last"]:
+            for j in range(len(unit["s"])) if step["gang"] else (i,):
+                if unit["s"][j] == RUN:
+                    self._off(jid=jid, key=key, unit=unit, i=j)
+                if unit["s"][j] != DONE:
+                    unit["s"][j] = DONE
+                    unit["left"] -= 1
+            if unit["left"] == 0 and job["st"] not in ENDED:
+                out += self._finished(jid=jid, key=key)
+        else:
+            unit["s"][i] = WAIT
+            at = 0 if step["gang"] else i
+            if ev["v"]:
+                unit["v"][at] = ev["v"]
+            if ev["how"] == "failed" and not step["last"] and (not step["gang"] or unit["fr"] != ev["run"]):
+                unit["fr"] = ev["run"]
+                unit["f"][at] += 1
+            if job["st"] not in ENDED:
+                if unit["f"][at] >= max(1, ev["mt"]):
+                    out += self._halt(jid=jid, st=State.FAILED)
+                elif not step["gang"] or RUN not in unit["s"]:
+                    out.append(("ready", jid, key))
+                elif step["gang"] and ev["how"] in ("lost", "void"):
+                    out += [("stop", unit["m"][j], task_name(jid=jid, unit=key, idx=j), unit["r"][j])
+                            for j, s in enumerate(unit["s"]) if s == RUN]
+        self._slim(job=job)
+        return out
+
+    def _lost(self, ev: dict[str, Any]) -> list[Effect]:
+        """A minion is gone with all that it ran."""
+        out: list[Effect] = []
+        for jid, key, i in sorted(self.on.get(ev["m"], ())):
+            job = self.jobs[jid]
+            task = task_name(jid=jid, unit=key, idx=i)
+            run = job["u"][key]["r"][i]
+            if ev["x"] is not None and [task, run] not in ev["x"]:
+                continue
+            out += self._end({"t": "end", "id": jid, "u": key, "i": i, "run": run, "how": "lost",
+                              "v": ev["v"].get(task, ""), "mt": 1})
+        return out
+
+    def _cancel(self, ev: dict[str, Any]) -> list[Effect]:
+        job = self.jobs.get(ev["id"])
+        if job is None or job["st"] in ENDED:
+            return []
+        return self._halt(jid=ev["id"], st=State.CANCELLED)
+
+    def _forget(self, ev: dict[str, Any]) -> list[Effect]:
+        for jid in ev["ids"]:
+            job = self.jobs.get(jid)
+            if job is not None and job["st"] in ENDED and "u" not in job:
+                del self.jobs[jid]
+        return []
--- /dev/null
+++ b/yarrowloom/node/__init__.py
@@ -0,0 +1,1 @@
+"""node: see docs/design.md."""
--- /dev/null
+++ b/yarrowloom/node/base.py
@@ -0,0 +1,211 @@
+"""What core and edge nodes share: outputs as data, news, the roster of nodes, ring watchers, hearts."""
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from ..base.log import Log
+from ..base.startup import Startup
+from ..fleet.conf import Table
+from ..record.epoch import Epoch, addr_of
+from ..wire.frame import Kind, dump
+from ..wire.http import Response
+from .calls import Calls
+
+JOB_GROUPS = 2
+HEART_S = 0.25
+ALIVE_S = 1.2
+WATCHERS = 4
+FANOUT = 16
+
+
+@dataclass(kw_only=True)
+class Outbox:
+    """What a node wants done: frames to send, records to write, calls to answer."""
+
+    sends: list[tuple[str, Kind, bytes]] = field(default_factory=list)
+    writes: list[tuple[bytes, tuple[Any, ...]]] = field(default_factory=list)
+    answers: list[tuple[Any, Response]] = field(default_factory=list)
+
+
+def ring(*, uid: str, among: list[str], n: int) -> list[str]:
+    """The `n` successors of a node's place on the ring of `among`.
+
+    >>> len(ring(uid="a", among=["a", "b", "c"], n=2))
+    2
+    >>> "a" in ring(uid="a", among=["a", "b", "c"], n=5)
+    False
+    """
+    def place(x: str) -> str:
+        return hashlib.sha256(x.encode()).hexdigest()
+
+    rows = sorted((place(x), x) for x in set(among) - {uid})
+    here = place(uid)
+    after = [x for p, x in rows if p > here] + [x for p, x in rows if p <= here]
+    return after[:n]
+
+
+class NodeBase:
+    """Invariants: `now` is the steady clock and rises; `table` never goes back to an older stamp; an epoch known
+    is never replaced by one with a lower number."""
+
+    def __init__(self, *, startup: Startup, uid: str, boot: int, kind: str, log: Log) -> None:
+        self.startup = startup
+        self.uid = uid
+        self.boot = boot
+        self.kind = kind
+        self.log = log
+        self.now = 0.0
+        self.wall = 0.0
+        self.out = Outbox()
+        self.conf: dict[str, Any] | None = None
+        self.table: Table | None = None
+        self.mods = -1
+        self.evac: set[str] = set()
+        self.members: dict[str, dict[str, Any]] = {}
+        self.eps: dict[int, Epoch] = {}
+        self.heard: dict[str, float] = {}
+        self.info: dict[str, dict[str, Any]] = {}
+        self.have: dict[str, dict[str, Any]] = {}
+        self.hearted = -9.0
+        self.contact = -9.0
+        self.calls = Calls(hub=self, base=boot % 1_000_000 * 1_000_000)
+
+    # -- outputs
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        """To another node, or to itself."""
+        self.out.sends.append((addr_of(uid=uid), kind, dump(body=body)))
+
+    def respond(self, *, call: Any, res: Response) -> None:
+        """Answer an HTTP call."""
+        self.out.answers.append((call, res))
+
+    def note(self, *, event: str, **fields: object) -> None:
+        """Log an event."""
+        self.log.info(event, **fields)
+
+    # -- epochs and news
+
+    def primary(self, *, g: int) -> tuple[str, int] | None:
+        """Who serves a group, as far as known."""
+        e = self.eps.get(g)
+        return (e["p"], e["n"]) if e is not None else None
+
+    def learn(self, *, eps: list[Any]) -> None:
+        """Take note of epochs: (group, epoch)."""
+        for g, e in eps:
+            if g not in self.eps or self.eps[g]["n"] < e["n"]:
+                self.eps[g] = e
+
+    def mine(self) -> dict[str, Any]:
+        """What this node has of the news."""
+        return {"conf": self.table.stamp if self.table else 0, "mods": self.mods,
+                "ep": {str(g): e["n"] for g, e in self.eps.items()}}
+
+    def newer(self, *, have: dict[str, Any]) -> dict[str, Any]:
+        """News that another node lacks."""
+        out: dict[str, Any] = {}
+        if self.conf is not None and have["conf"] < self.conf["config-version"]:
+            out["conf"] = self.conf
+        if self.mods > have["mods"]:
+            out["reg"] = {"mods": self.mods, "evac": sorted(self.evac), "members": self.members}
+        eps = [[g, e] for g, e in self.eps.items() if have["ep"].get(str(g), -1) < e["n"]]
+        if eps:
+            out["eps"] = eps
+        return out
+
+    def take_news(self, *, doc: dict[str, Any], push: bool = True) -> None:
+        """Take what is newer, pass it on down the tree."""
+        fresh = False
+        conf = doc.get("conf")
+        if conf is not None and (self.table is None or conf["config-version"] > self.table.stamp):
+            self.conf, self.table = conf, Table(doc=conf)
+            fresh = True
+            self.note(event="config-applied", stamp=self.table.stamp, routes=len(self.table.routes))
+            self.configured()
+        reg = doc.get("reg")
+        if reg is not None and reg["mods"] > self.mods:
+            self.mods, self.evac, self.members = reg["mods"], set(reg["evac"]), dict(reg["members"])
+            fresh = True
+        if doc.get("eps"):
+            before = {g: e["n"] for g, e in self.eps.items()}
+            self.learn(eps=doc["eps"])
+            fresh = fresh or before != {g: e["n"] for g, e in self.eps.items()}
+        if fresh and push:
+            self.push()
+
+    def push(self) -> None:
+        """Send news to the nodes whose hearts this one watches."""
+        for uid, at in self.heard.items():
+            if self.now - at < ALIVE_S and uid in self.have:
+                doc = self.newer(have=self.have[uid])
+                if doc:
+                    self.send(uid=uid, kind=Kind.NEWS, body=doc)
+                    self.have[uid] = self.mine()
+
+    def configured(self) -> None:
+        """A newer configuration is in force here."""
+
+    def route(self, *, name: str) -> dict[str, Any] | None:
+        """A route by name."""
+        return self.table.routes.get(name) if self.table is not None else None
+
+    # -- hearts
+
+    def seeds(self) -> list[str]:
+        """Uids good enough to reach the seeds: only the address counts."""
+        port = self.startup.ports[0]
+        return [f"{s.rsplit(':', 1)[0]}:{port}#?" for s in self.startup.seeds]
+
+    def cores(self) -> list[str]:
+        """All core nodes known."""
+        return sorted(set(self.members) | {u for u, i in self.info.items() if i.get("kind") == "core"
+                                           and self.now - self.heard.get(u, -9.0) < ALIVE_S})
+
+    def alive(self, *, uid: str) -> bool:
+        """Heard of lately."""
+        return uid == self.uid or self.now - self.heard.get(uid, -9.0) < ALIVE_S
+
+    def targets(self) -> list[str]:
+        """Who gets this node's hearts: its watchers on the ring, group 0's primary, seeds while nobody answers."""
+        out = ring(uid=self.uid, among=list(self.members), n=WATCHERS if self.kind == "core" else 2)
+        prim = self.primary(g=0)
+        if self.kind == "core" and prim is not None and prim[0] != self.uid:
+            out.append(prim[0])
+        if self.now - self.contact > 1.0 or not out:
+            known = {addr_of(uid=u) for u in out} | {addr_of(uid=self.uid)}
+            out += [s for s in self.seeds() if addr_of(uid=s) not in known]
+            out += [u for u in self.members if u != self.uid]
+        return list(dict.fromkeys(out))
+
+    def heart(self) -> dict[str, Any]:
+        """A heart's body."""
+        return {"u": self.uid, "site": self.startup.site, "kind": self.kind, "name": self.startup.name,
+                "ctl": self.startup.binds.get("control", ""), "boot": self.boot, "t": self.now, "have": self.mine()}
+
+    def beat_hearts(self) -> None:
+        """Send hearts when due."""
+        if self.now - self.hearted < HEART_S:
+            return
+        self.hearted = self.now
+        body = self.heart()
+        for uid in self.targets():
+            self.send(uid=uid, kind=Kind.HEART, body=body)
+
+    def hear(self, *, b: dict[str, Any]) -> None:
+        """Another node's heart."""
+        uid = b["u"]
+        self.heard[uid] = self.now
+        self.info[uid] = {k: b[k] for k in ("site", "kind", "name", "ctl", "boot")}
+        self.have[uid] = b["have"]
+        if len(self.heard) > 4096:
+            for old in [u for u, at in self.heard.items() if self.now - at > 60]:
+                for table in (self.heard, self.info, self.have):
+                    table.pop(old, None)
+
+    def load(self, *, body: bytes) -> Any:
+        """Decode a body."""
+        return orjson.loads(body)
--- /dev/null
+++ b/yarrowloom/node/control.py
@@ -0,0 +1,116 @@
+"""Calls of minions and of the operator, declared beside their handlers."""
+
+import re
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from ..base.errs import YarrowError
+from ..wire.http import JSON, Request, Response
+
+if TYPE_CHECKING:
+    from .core import CoreNode
+
+Handler = Callable[["CoreNode", Any, Request, str], None]
+CALLS: list[tuple[str, re.Pattern[str], Handler]] = []
+CONF_TTL = 3.5
+BEAT_TTL = 0.75
+
+
+def declare(method: str, path: str) -> Callable[[Handler], Handler]:
+    """Say which call a handler answers; the path's group is its argument."""
+    def wrap(fn: Handler) -> Handler:
+        CALLS.append((method, re.compile(path), fn))
+        return fn
+    return wrap
+
+
+def dispatch(*, node: "CoreNode", call: Any, req: Request) -> None:
+    """Find the handler and let it answer."""
+    path = req.path.split("?", 1)[0]
+    known = False
+    for method, pat, fn in CALLS:
+        hit = pat.fullmatch(path)
+        if hit is not None:
+            known = True
+            if method == req.method:
+                fn(node, call, req, hit.group(1) if pat.groups else "")
+                return
+    node.respond(call=call, res=Response.of(405 if known else 404, {"error": "no such call"}))
+
+
+def refusal(*, err: YarrowError) -> tuple[int, dict[str, Any]]:
+    """An error as an answer, with all findings."""
+    return err.status, {"error": err.code, "text": err.text, "findings": [str(f) for f in err.findings]}
+
+
+@declare("PUT", r"/minions/([^/]+)")
+def beat(node: "CoreNode", call: Any, req: Request, mid: str) -> None:
+    """A minion's beat: to its agent, here or elsewhere."""
+    try:
+        doc = orjson.loads(req.body)
+        if not isinstance(doc, dict) or not isinstance(doc.get("capacity", {}), dict):
+            raise ValueError
+    except ValueError:
+        node.respond(call=call, res=Response.of(400, {"error": "not a beat"}))
+        return
+    if mid in node.agent.minions and node.trusted():
+        node.agent_beat(mid=mid, doc=doc, call=call)
+        return
+    node.beat_elsewhere(mid=mid, doc=doc, call=call)
+
+
+@declare("DELETE", r"/minions/([^/]+)")
+def leave(node: "CoreNode", call: Any, req: Request, mid: str) -> None:
+    """A minion ends."""
+    if mid in node.agent.minions and node.trusted():
+        node.agent.leave(mid=mid, call=call)
+    else:
+        node.calls.start(g=0, op="leave", b={"m": mid}, done=("http", call), ttl=BEAT_TTL)
+
+
+@declare("PUT", r"/config")
+def put_config(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+    """A complete configuration."""
+    _change(node=node, call=call, req=req)
+
+
+@declare("PATCH", r"/config")
+def patch_config(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+    """A change of named items."""
+    _change(node=node, call=call, req=req)
+
+
+def _change(*, node: "CoreNode", call: Any, req: Request) -> None:
+    try:
+        text = req.body.decode()
+    except UnicodeDecodeError:
+        node.respond(call=call, res=Response.of(400, {"error": "invalid", "findings": ["(body): not UTF-8"]}))
+        return
+    node.calls.start(g=0, op="conf", b={"m": req.method, "base": req.headers.get("if-match"), "body": text},
+                     done=("http", call), ttl=CONF_TTL)
+
+
+@declare("GET", r"/config")
+def get_config(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+    """The newest configuration, whole."""
+    node.calls.start(g=0, op="getconf", b={}, done=("http", call), ttl=CONF_TTL)
+
+
+@declare("POST", r"/evacuation/([^/]+)")
+def evac_start(node: "CoreNode", call: Any, req: Request, site: str) -> None:
+    """Nothing more is to be sent to a site's minions."""
+    node.calls.start(g=0, op="evac", b={"site": site, "on": True}, done=("http", call), ttl=CONF_TTL)
+
+
+@declare("DELETE", r"/evacuation/([^/]+)")
+def evac_end(node: "CoreNode", call: Any, req: Request, site: str) -> None:
+    """The evacuation is taken back."""
+    node.calls.start(g=0, op="evac", b={"site": site, "on": False}, done=("http", call), ttl=CONF_TTL)
+
+
+@declare("GET", r"/state")
+def state(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+    """What this node knows, for the operator's command line."""
+    node.respond(call=call, res=Response(status=200, body=orjson.dumps(node.describe()), headers=JSON))
--- /dev/null
+++ b/yarrowloom/node/edge.py
@@ -0,0 +1,168 @@
+"""The edge node: callers' requests pass a chain of filters, each of which may answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlsplit
+
+from ..base.errs import InvalidError
+from ..base.log import Log
+from ..base.startup import Startup
+from ..job.spec import group_of, job_id, parse
+from ..wire.frame import Kind
+from ..wire.http import Limits, Request, Response
+from .base import JOB_GROUPS, NodeBase
+
+MARGIN_S = 0.15
+READY_S = 1.5
+RETRY = (("retry-after", "1"),)
+
+
+@dataclass(kw_only=True)
+class Way:
+    """A request on its way through the filters."""
+
+    call: Any
+    req: Request
+    path: str = ""
+    route: dict[str, Any] | None = None
+    rest: str = ""
+    job: dict[str, Any] | None = None
+
+
+Filter = Callable[[Way], Response | None]
+
+
+class EdgeNode(NodeBase):
+    """Invariant: a request is answered 503 or 429 only if nothing of it was sent on."""
+
+    def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log) -> None:
+        super().__init__(startup=startup, uid=uid, boot=boot, kind="edge", log=log)
+        self.limits = Limits()
+        self.closing = False
+        self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._parsed)
+
+    def configured(self) -> None:
+        """The operator's limits hold for callers from now on."""
+        assert self.table is not None
+        lim = self.table.limits
+        self.limits.header_bytes = int(lim.get("max-header-bytes", self.limits.header_bytes))
+        self.limits.body_bytes = int(lim.get("max-body-bytes", self.limits.body_bytes))
+        self.limits.header_ms = int(lim.get("header-timeout-ms", self.limits.header_ms))
+        self.limits.idle_ms = int(lim.get("idle-timeout-ms", self.limits.idle_ms))
+
+    def ready(self) -> bool:
+        """Can serve: configured, in contact, and knows who keeps the records."""
+        return (self.table is not None and not self.closing and self.now - self.contact < READY_S
+                and all(g in self.eps for g in range(JOB_GROUPS + 1)))
+
+    def http(self, *, call: Any, req: Request) -> None:
+        """A caller's request."""
+        way = Way(call=call, req=req)
+        for flt in self.filters:
+            res = flt(way)
+            if res is not None:
+                self.respond(call=call, res=res)
+                return
+        self._forward(way)
+
+    # -- filters
+
+    def _configured(self, way: Way) -> Response | None:
+        if self.table is None:
+            return Response.of(503, {"error": "no configuration yet"}, headers=RETRY)
+        return None
+
+    def _routed(self, way: Way) -> Response | None:
+        assert self.table is not None
+        way.path = urlsplit(way.req.path).path
+        way.route = self.table.select(host=way.req.headers.get("host", ""), path=way.path)
+        if way.route is None:
+            return Response.of(404, {"error": "no such queue"})
+        way.rest = way.path[len(way.route["path-prefix"]):].strip("/")
+        return None
+
+    def _named(self, way: Way) -> Response | None:
+        method = way.req.method
+        if method not in ("POST", "GET", "DELETE"):
+            return Response.of(405, {"error": "method"}, headers=(("allow", "POST, GET, DELETE"),))
+        if method == "GET" and not way.rest:
+            return None
+        if not job_id(text=way.rest):
+            return Response.of(400 if method == "POST" else 410, {"error": "not a job id"})
+        return None
+
+    def _parsed(self, way: Way) -> Response | None:
+        if way.req.method != "POST":
+            return None
+        try:
+            way.job = parse(body=way.req.body)
+        except InvalidError as err:
+            return Response.of(400, {"error": err.text, "findings": [str(f) for f in err.findings]})
+        return None
+
+    def _forward(self, way: Way) -> None:
+        assert way.route is not None
+        name, method = way.route["name"], way.req.method
+        ttl = float(way.route["deadline-ms"])
+        try:
+            ttl = min(ttl, float(way.req.headers.get("x-deadline-ms", ttl)))
+        except ValueError:
+            pass
+        ttl = max(ttl / 1000 - MARGIN_S, 0.05)
+        if method == "GET" and not way.rest:
+            count: dict[str, Any] = {"left": JOB_GROUPS, "sum": 0}
+            for g in range(1, JOB_GROUPS + 1):
+                self.calls.start(g=g, op="count", b={"q": name}, done=("count", way.call, count), ttl=ttl)
+            return
+        g = group_of(jid=way.rest, groups=JOB_GROUPS)
+        b: dict[str, Any] = {"id": way.rest, "q": name}
+        if method == "POST":
+            assert way.job is not None
+            b["j"] = {**way.job, "svc": way.route["backend"], "mt": int(way.route.get("max-tries", 1))}
+        op = {"POST": "put", "GET": "get", "DELETE": "del"}[method]
+        self.calls.start(g=g, op=op, b=b, done=(op, way.call), ttl=ttl)
+
+    def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
+        """An answer of the records, or none in time."""
+        if done[0] == "count":
+            box = done[2]
+            if box["left"] <= 0:
+                return
+            box["left"] -= 1
+            if status != 200:
+                box["left"] = 0
+                self.respond(call=done[1], res=Response.of(504, {"error": "no answer"}))
+                return
+            box["sum"] += doc["pending"]
+            if box["left"] == 0:
+                self.respond(call=done[1], res=Response.of(200, {"pending": box["sum"]}))
+            return
+        if status == 0:
+            res = Response.of(504 if sent else 503, {"error": "no answer in time"}, headers=() if sent else RETRY)
+        elif status == 429:
+            res = Response.of(429, doc, headers=RETRY)
+        else:
+            res = Response.of(status, doc)
+        self.respond(call=done[1], res=res)
+
+    # -- frames and time
+
+    def on(self, *, uid: str, kind: Kind, body: bytes) -> None:
+        """One frame."""
+        m = self.load(body=body)
+        if kind is Kind.HEARTOK:
+            self.contact = self.now
+            self.take_news(doc=m.get("news", {}))
+        elif kind is Kind.NEWS:
+            self.take_news(doc=m)
+        elif kind is Kind.REPLY:
+            self.calls.reply(m=m)
+
+    def gap(self, *, uid: str) -> None:
+        """Frames were lost: calls repeat by themselves."""
+
+    def tick(self) -> None:
+        """Several times a second."""
+        self.beat_hearts()
+        self.calls.tick()
--- /dev/null
+++ b/yarrowloom/node/shell.py
@@ -0,0 +1,245 @@
+"""The trio shell round a node: sockets, disk and clocks; the node itself is a pure state machine."""
+
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import orjson
+import trio
+
+from ..base.errs import StartupError, YarrowError
+from ..base.log import Log
+from ..base.startup import Startup, load
+from ..store import Ring
+from ..wire.frame import Kind, dump
+from ..wire.http import Request, Response, Server, listen
+from ..wire.peer import Peers
+from .core import CoreNode
+from .edge import EdgeNode
+
+TICK_CORE_S = 0.05
+TICK_EDGE_S = 0.1
+QUIET_S = 1.0
+Node = CoreNode | EdgeNode
+
+
+class Shell:
+    """Owns all tasks of a process. Each input sets the node's clocks, runs the node, and carries out its outputs."""
+
+    def __init__(self, *, node: Node, log: Log, ring: Ring | None, port: int) -> None:
+        self.node = node
+        self.log = log
+        self.ring = ring
+        self.peers = Peers(addr=f"{node.startup.ip}:{port}", uid=node.uid, boot=node.boot, sink=self._frame,
+                           gap=self._gap, log=log)
+        self.waits: dict[int, tuple[trio.Event, list[Response]]] = {}
+        self.call = 0
+        self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
+        self.dirty = trio.Event()
+        self.servers: list[Server] = []
+
+    def step(self, fn: Callable[[], None]) -> None:
+        """Give the node one input and carry out what it wants."""
+        node = self.node
+        node.now, node.wall = time.monotonic(), time.time()
+        fn()
+        out = node.out
+        sends, out.sends = out.sends, []
+        for addr, kind, body in sends:
+            self.peers.send(addr=addr, kind=kind, body=body)
+        if out.writes:
+            self.disk += out.writes
+            out.writes = []
+            self.dirty.set()
+        answers, out.answers = out.answers, []
+        for key, res in answers:
+            wait = self.waits.get(key)
+            if wait is not None:
+                wait[1].append(res)
+                wait[0].set()
+
+    def _frame(self, uid: str, _addr: str, kind: Kind, body: bytes) -> None:
+        try:
+            self.step(partial(self.node.on, uid=uid, kind=kind, body=body))
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
+            self.log.warn("frame-malformed", kind=kind.name, peer=uid, why=repr(err))
+
+    def _gap(self, uid: str) -> None:
+        self.step(partial(self.node.gap, uid=uid))
+
+    async def handle(self, req: Request) -> Response:
+        """One HTTP call: wait for the node's answer."""
+        self.call += 1
+        key = self.call
+        box: list[Response] = []
+        event = trio.Event()
+        self.waits[key] = (event, box)
+        try:
+            self.step(partial(self.node.http, call=key, req=req))
+            with trio.move_on_after(30):
+                await event.wait()
+        finally:
+            del self.waits[key]
+        return box[0] if box else Response(status=504)
+
+    async def ready(self, req: Request) -> Response:
+        """The platform's question."""
+        node = self.node
+        node.now = time.monotonic()
+        good = req.path.startswith("/readiness") and isinstance(node, EdgeNode) and node.ready()
+        return Response(status=200 if good else 503)
+
+    async def ticks(self) -> None:
+        """Time goes on."""
+        gap = TICK_CORE_S if isinstance(self.node, CoreNode) else TICK_EDGE_S
+        while True:
+            self.step(self.node.tick)
+            await trio.sleep(gap)
+
+    async def writer(self) -> None:
+        """Write and sync records in batches; effects follow."""
+        ring, node = self.ring, self.node
+        assert ring is not None and isinstance(node, CoreNode)
+        while True:
+            await self.dirty.wait()
+            self.dirty = trio.Event()
+            while self.disk:
+                batch, self.disk = self.disk, []
+                bodies = [b for b, _ in batch]
+                head: list[bytes] = []
+                if ring.full(extra=ring.room(bodies=bodies)):
+                    head = node.checkpoint()
+                try:
+                    await trio.to_thread.run_sync(self._put, ring, head, bodies)
+                except OSError as err:
+                    self.log.warn("disk-refused", why=str(err))
+                    ring.close()
+                    self.disk = batch + self.disk
+                    await trio.sleep(0.2)
+                    continue
+                self.step(partial(node.done, effs=[eff for _, eff in batch]))
+
+    @staticmethod
+    def _put(ring: Ring, head: list[bytes], bodies: list[bytes]) -> None:
+        if head:
+            ring.rotate()
+        ring.append(bodies=head + bodies)
+
+    async def stop_on_term(self, scope: trio.CancelScope) -> None:
+        """SIGTERM drains; SIGHUP reads the settings again."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as sigs:
+            async for sig in sigs:
+                if sig == signal.SIGHUP:
+                    self.reload()
+                    continue
+                self.log.info("draining")
+                await self.drain()
+                scope.cancel()
+                return
+
+    def reload(self) -> None:
+        """Take up the settings file as it is now."""
+        try:
+            fresh = load()
+        except StartupError as err:
+            self.log.warn("settings-refused", why=err.text)
+            return
+        if fresh != self.node.startup:
+            self.node.startup = fresh
+            self.log.info("settings-applied")
+
+    async def watch_settings(self) -> None:
+        """The file may change without a signal."""
+        while True:
+            await trio.sleep(2.0)
+            self.reload()
+
+    async def drain(self) -> None:
+        """Let others take over what they can, end when quiet."""
+        node = self.node
+        if isinstance(node, EdgeNode):
+            node.closing = True
+            for srv in self.servers:
+                srv.closing = True
+            grace = node.startup.bound(name="grace-s", default=6.0)
+            end = time.monotonic() + max(grace - 1.0, 0.5)
+            begun, quiet = time.monotonic(), time.monotonic()
+            while time.monotonic() < end:
+                now = time.monotonic()
+                if any(s.busy for s in self.servers):
+                    quiet = now
+                if now - begun > 2.5 and now - quiet > QUIET_S:
+                    break
+                await trio.sleep(0.1)
+        else:
+            self.step(node.leave)
+            await trio.sleep(0.6)
+
+    async def run(self) -> None:
+        """Serve until told to end."""
+        node = self.node
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.peers.run)
+            await trio.sleep(0)
+            if self.ring is not None:
+                nursery.start_soon(self.writer)
+            binds = node.startup.binds
+            if isinstance(node, EdgeNode):
+                if "front" in binds:
+                    srv = Server(handler=self.handle, limits=node.limits)
+                    self.servers.append(srv)
+                    nursery.start_soon(partial(listen, addr=binds["front"], server=srv))
+                if "ready" in binds:
+                    nursery.start_soon(partial(listen, addr=binds["ready"], server=Server(handler=self.ready)))
+            elif "control" in binds:
+                srv = Server(handler=self.handle)
+                srv.limits.body_bytes, srv.limits.idle_ms, srv.limits.header_bytes = 16 << 20, 60000, 65536
+                self.servers.append(srv)
+                nursery.start_soon(partial(listen, addr=binds["control"], server=srv))
+            nursery.start_soon(self.ticks)
+            nursery.start_soon(self.watch_settings)
+            nursery.start_soon(self.stop_on_term, nursery.cancel_scope)
+            self.log.info("started", role=node.kind, uid=node.uid)
+
+
+def open_core(*, startup: Startup, log: Log) -> Shell:
+    """A core process: identity and state from the disk, or new ones."""
+    if startup.data_dir is None:
+        raise StartupError(text="a core needs data-dir")
+    size = min(8 << 20, max(1 << 20, startup.disk_mb * (1 << 20) // 8))
+    ring = Ring(folder=startup.data_dir, size=size)
+    recs = ring.load()
+    port = startup.ports[0]
+    addr = f"{startup.ip}:{port}"
+    known = [r["uid"] for r in (orjson.loads(raw) for raw in recs) if r.get("k") == "id"]
+    first = not known and startup.bootstrap
+    uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
+    node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
+                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30))
+    if known:
+        node.restore(recs=recs)
+    ring.rotate()
+    ring.append(bodies=node.checkpoint())
+    return Shell(node=node, log=log, ring=ring, port=port)
+
+
+def open_edge(*, startup: Startup, log: Log) -> Shell:
+    """An edge process."""
+    port = startup.ports[0] + 1
+    uid = f"{startup.ip}:{port}#{secrets.token_hex(4)}"
+    node = EdgeNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log)
+    return Shell(node=node, log=log, ring=None, port=port)
+
+
+def serve(*, kind: str, level: str = "info") -> None:
+    """Run a process of a role until it is told to end."""
+    startup = load()
+    log = Log(name=kind, level=level)
+    shell = open_core(startup=startup, log=log) if kind == "core" else open_edge(startup=startup, log=log)
+    trio.run(shell.run)
+
+
+__all__ = ["Shell", "YarrowError", "dump", "open_core", "open_edge", "serve"]
--- /dev/null
+++ b/yarrowloom/place/placer.py
@@ -0,0 +1,444 @@
+"""The placing node of one job group: backlog, leases, starts, ends."""
+
+from typing import Any, Protocol
+
+from ..job.state import ENDED, RUN, WAIT, Jobs, split_name, task_name
+from ..record.replica import Replica
+from ..wire.frame import Kind
+from .gang import Gangs
+from .leases import Ask, Held, Link, Pool, Shape, copies
+
+ASK_S = 0.6
+SWEEP_S = 1.0
+HOPS = 4
+BATCH = 64
+
+
+class PlacerHub(Protocol):
+    """What a placing node needs of its node."""
+
+    now: float
+    wall: float
+    uid: str
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        """To another node, or to itself."""
+
+    def route(self, *, name: str) -> dict[str, Any] | None:
+        """The queue's route in the newest configuration."""
+
+    def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
+        """Answer a call."""
+
+    def note(self, *, event: str, **fields: object) -> None:
+        """Log."""
+
+
+class Placer:
+    """Invariants: a start is durable before its order leaves; a unit is in `ready` exactly if it has a task to
+    start; every task that is RUN is held by the link of its minion or awaits that minion's next attachment."""
+
+    def __init__(self, *, g: int, hub: PlacerHub, rep: Replica, jobs: Jobs, far: float, status_s: float) -> None:
+        self.g = g
+        self.hub = hub
+        self.rep = rep
+        self.jobs = jobs
+        self.far = far
+        self.status_s = status_s
+        self.links: dict[str, Link] = {}
+        self.pool = Pool()
+        self.ready: dict[tuple[str, str], float] = {}
+        self.timed: set[str] = set()
+        self.over: dict[str, float] = {}
+        self.asks: dict[int, Ask] = {}
+        self.held: dict[str, Held] = {}
+        self.gangs = Gangs(placer=self)
+        self.rid = 0
+        self.seq = 0
+        self.swept = hub.now
+        self.dirty = True
+        for jid, job in jobs.jobs.items():
+            self._adopt(jid=jid, job=job)
+
+    def _adopt(self, *, jid: str, job: dict[str, Any]) -> None:
+        if job["st"] in ENDED:
+            self.over[jid] = self.hub.now
+            return
+        if job["times"] and job["k"] < job["times"]:
+            self.timed.add(jid)
+        for key, unit in job["u"].items():
+            if unit["left"] and self._turn(job=job, key=key) and WAIT in unit["s"]:
+                self.ready[jid, key] = self.hub.now
+
+    def _turn(self, *, job: dict[str, Any], key: str) -> bool:
+        k, s = key.split(".")
+        step = job["steps"][int(s)]
+        if any(job["u"][f"{k}.{d}"]["left"] for d in step["deps"]):
+            return False
+        return not (step["gang"] and RUN in job["u"][key]["s"])
+
+    def tries(self, *, job: dict[str, Any]) -> int:
+        """The queue's limit on failed runs."""
+        route = self.hub.route(name=job["q"])
+        return int(route.get("max-tries", 1)) if route is not None else int(job["mt"])
+
+    # -- effects of events
+
+    def effects(self, effs: list[tuple[Any, ...]]) -> None:
+        """Take note of what events brought about."""
+        stops = []
+        for eff in effs:
+            kind = eff[0]
+            if kind == "ready":
+                self.ready.setdefault((eff[1], eff[2]), self.hub.now)
+            elif kind == "stop":
+                stops.append(eff[1:])
+            elif kind == "over":
+                self.over[eff[1]] = self.hub.now
+                self.timed.discard(eff[1])
+                for key in [k for k in self.ready if k[0] == eff[1]]:
+                    del self.ready[key]
+            elif kind == "timed":
+                self.timed.add(eff[1])
+        if stops:
+            self.rep.barrier(then=("stops", self.g, stops))
+        self.dirty = True
+
+    def stops(self, rows: list[Any]) -> None:
+        """Tell agents to stop runs."""
+        by: dict[str, list[Any]] = {}
+        for mid, task, run in rows:
+            link = self.links.get(mid)
+            if link is not None:
+                by.setdefault(link.agent, []).append([mid, task, run])
+        for uid, part in by.items():
+            self.hub.send(uid=uid, kind=Kind.STOP, body={"g": self.g, "x": part})
+
+    # -- calls of edges
+
+    def call(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
+        """A caller's request; the answer waits until what it rests on is durable."""
+        jid = b.get("id", "")
+        job = self.jobs.jobs.get(jid)
+        if op == "put":
+            if job is None:
+                now = self.hub.wall
+                ev = {"t": "job", "id": jid, "j": {**b["j"], "q": b["q"], "at": int(now * 1000)}}
+                self.effects(self.rep.commit(ev=ev, then=("reply", uid, rid, 200, {})))
+                return
+            self.rep.barrier(then=("reply", uid, rid, 200 if job["q"] == b["q"] else 409, {}))
+        elif op == "count":
+            self.rep.barrier(then=("reply", uid, rid, 200, {"pending": self.jobs.pending.get(b["q"], 0)}))
+        elif job is None or job["q"] != b["q"]:
+            self.rep.barrier(then=("reply", uid, rid, 410, {}))
+        elif op == "get":
+            self.rep.barrier(then=("reply", uid, rid, 200, {"state": job["st"]}))
+        elif op == "del":
+            if job["st"] in ENDED:
+                self.rep.barrier(then=("reply", uid, rid, 200, {}))
+            else:
+                self.effects(self.rep.commit(ev={"t": "cancel", "id": jid}, then=("reply", uid, rid, 200, {})))
+
+    # -- agents
+
+    def claim(self, *, uid: str, b: dict[str, Any]) -> None:
+        """An agent asks what this group has on its minions."""
+        for mid, fence, svc, site, labels, _cap in b["x"]:
+            link = self.links.get(mid)
+            if link is not None and link.fence > fence:
+                continue
+            self.seq += 1
+            self.links[mid] = Link(agent=uid, fence=fence, seq=self.seq, svc=svc, site=site, labels=labels)
+            self.pool.forget(mid=mid)
+            self.attach(mid=mid)
+
+    def attach(self, *, mid: str) -> None:
+        """Tell the agent what the record has on a minion."""
+        link = self.links[mid]
+        rows, ended = [], []
+        for jid, key, i in sorted(self.jobs.on.get(mid, ())):
+            job = self.jobs.jobs[jid]
+            step, unit = job["steps"][int(key.split(".")[1])], job["u"][key]
+            task = task_name(jid=jid, unit=key, idx=i)
+            rows.append([task, unit["r"][i], step["cpu"], step["mem"], step["gpu"]])
+            self.held.pop(task, None)
+            if job["st"] in ENDED:
+                ended.append([mid, task, unit["r"][i]])
+        self.hub.send(uid=link.agent, kind=Kind.ATTACH, body={
+            "g": self.g, "n": self.rep.base, "seq": link.seq, "m": mid, "f": link.fence, "x": rows})
+        if ended:
+            self.stops(ended)
+
+    def gap(self, *, uid: str) -> None:
+        """Frames from an agent were lost: attach its minions anew."""
+        for mid, link in self.links.items():
+            if link.agent == uid:
+                self.seq += 1
+                link.seq = self.seq
+                self.pool.forget(mid=mid)
+                self.attach(mid=mid)
+
+    def void(self, *, rows: list[Any]) -> None:
+        """Orders that never started: (minion, link seq or None, task, run)."""
+        for mid, seq, task, run in rows:
+            link, parts = self.links.get(mid), split_name(task=task)
+            if parts is None or link is None or (seq is not None and seq != link.seq):
+                continue
+            held = self.held.pop(task, None)
+            if held is not None:
+                self.release([held])
+            jid, key, i = parts
+            job = self.jobs.jobs.get(jid)
+            if job is None or "u" not in job or job["u"].get(key, {}).get("m", {}) == {}:
+                continue
+            unit = job["u"][key]
+            if unit["s"][i] == RUN and unit["r"][i] == run and unit["m"][i] == mid:
+                self.effects(self.rep.commit(ev={"t": "end", "id": jid, "u": key, "i": i, "run": run, "how": "void",
+                                                 "v": "", "mt": 1}))
+
+    def ends(self, *, uid: str, b: dict[str, Any]) -> None:
+        """Ends that an agent passes on; acknowledged once durable."""
+        for _num, task, run, how, saved in b["x"]:
+            parts = split_name(task=task)
+            job = self.jobs.jobs.get(parts[0]) if parts is not None else None
+            if parts is None or job is None or "u" not in job:
+                continue
+            if how == "failed" or how == "alone":
+                self.hub.note(event="task-end", task=task, run=run, how=how)
+            ev = {"t": "end", "id": parts[0], "u": parts[1], "i": parts[2], "run": run, "how": how, "v": saved,
+                  "mt": self.tries(job=job)}
+            held = self.held.pop(task, None)
+            self.effects(self.rep.commit(ev=ev))
+            if held is not None:
+                self._idle(held=held)
+        rows = [[num, task, run] for num, task, run, _, _ in b["x"]]
+        self.rep.barrier(then=("endsok", self.g, uid, b["m"], b["f"], rows))
+        self.pump()
+
+    def _idle(self, *, held: Held) -> None:
+        link = self.links.get(held.mid)
+        if link is None or link.seq != held.seq:
+            return
+        far = held.shape.near and held.shape.near not in link.labels
+        if held.shape.unit or far:
+            self.rep.barrier(then=("giveback", self.g, held.agent, held.mid, held.lid))
+        else:
+            self.pool.put(held=held, now=self.hub.now)
+
+    def lost(self, *, uid: str, b: dict[str, Any]) -> None:
+        """An agent declares a minion gone."""
+        link = self.links.get(b["m"])
+        if link is None or link.fence <= b["f"]:
+            self.links.pop(b["m"], None)
+            self.pool.forget(mid=b["m"])
+            for jid, key, i in self.jobs.on.get(b["m"], ()):
+                self.held.pop(task_name(jid=jid, unit=key, idx=i), None)
+            self.effects(self.rep.commit(ev={"t": "lost", "m": b["m"], "x": None, "v": b["v"]}))
+        self.rep.barrier(then=("send", uid, int(Kind.LOSTOK), {"g": self.g, "m": b["m"], "f": b["f"]}))
+
+    def release(self, rows: list[Held]) -> None:
+        """Give leases back."""
+        by: dict[str, list[Any]] = {}
+        for h in rows:
+            by.setdefault(h.agent, []).append([h.mid, h.lid])
+        for uid, part in by.items():
+            self.hub.send(uid=uid, kind=Kind.RETURN, body={"g": self.g, "x": part})
+
+    def grant(self, *, uid: str, b: dict[str, Any]) -> None:
+        """An agent's decision."""
+        ask = self.asks.pop(b["rid"], None)
+        rows = []
+        for lid, mid, seq in b["x"]:
+            link = self.links.get(mid)
+            shape = ask.shape if ask is not None else Shape("", 0, 0, 0, "", "", "")
+            held = Held(agent=uid, mid=mid, lid=lid, seq=seq, since=self.hub.now, shape=shape)
+            if ask is None:
+                self.release([held])
+            elif link is not None and link.seq == seq:
+                rows.append(held)
+        if ask is None:
+            return
+        if ask.gang is not None:
+            self.gangs.granted(ask=ask, rows=rows)
+        else:
+            for held in rows:
+                self.pool.put(held=held, now=self.hub.now)
+            if b["to"] and len(ask.been) < HOPS and len(rows) < ask.n:
+                self.ask(shape=ask.shape, n=ask.n - len(rows), agent=b["to"], been=[*ask.been, b["to"]])
+        self.dirty = True
+        self.pump()
+
+    def ask(self, *, shape: Shape, n: int, agent: str, been: list[str], gang: Any = None, **more: Any) -> None:
+        """Send a request for room: metadata only."""
+        self.rid += 1
+        self.asks[self.rid] = Ask(rid=self.rid, shape=shape, n=n, at=self.hub.now, agent=agent, been=been, gang=gang)
+        avoid, apart = {}, 0
+        if shape.unit:
+            jid, key = shape.unit.split("/")
+            job = self.jobs.jobs.get(jid)
+            if job is not None and "u" in job:
+                apart = job["steps"][int(key.split(".")[1])]["apart"]
+                unit = job["u"][key]
+                for i, st in enumerate(unit["s"]):
+                    if st == RUN:
+                        avoid[unit["m"][i]] = avoid.get(unit["m"][i], 0) + 1
+        self.hub.send(uid=agent, kind=Kind.LEASE, body={
+            "g": self.g, "rid": self.rid, "svc": shape.svc, "cpu": shape.cpu, "mem": shape.mem, "gpu": shape.gpu,
+            "req": shape.req, "near": shape.near, "n": n, "been": been, "apart": apart, "avoid": avoid, **more})
+
+    # -- placing
+
+    def rank(self, item: tuple[tuple[str, str], float]) -> tuple[Any, ...]:
+        """Order of the backlog: rank, then the time by which it should be done."""
+        (jid, key), _ = item
+        job = self.jobs.jobs[jid]
+        route = self.hub.route(name=job["q"]) or {}
+        base = job["at"] + (job["period"] * int(key.split(".")[0]) if job["times"] else 0)
+        est = sum(s["est"] for s in job["steps"])
+        aim = base + float(route.get("target-ms", 0)) + float(route.get("stretch", 1)) * est
+        return (int(route.get("rank", 9)), aim, jid, key)
+
+    def service(self, *, job: dict[str, Any]) -> str:
+        """Where the queue's tasks run now."""
+        route = self.hub.route(name=job["q"])
+        return str(route["backend"]) if route is not None else str(job["svc"])
+
+    def pump(self) -> None:
+        """Place what can be placed; ask for room for the rest."""
+        if not self.dirty or not self.rep.serving():
+            return
+        self.dirty = False
+        want: dict[Shape, int] = {}
+        strict: dict[Shape, bool] = {}
+        for (jid, key), since in sorted(self.ready.items(), key=self.rank):
+            job = self.jobs.jobs[jid]
+            unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
+            idxs = [i for i, st in enumerate(unit["s"]) if st == WAIT]
+            if not idxs:
+                del self.ready[jid, key]
+                continue
+            shape = Shape(self.service(job=job), step["cpu"], step["mem"], step["gpu"], step["req"], step["near"],
+                          f"{jid}/{key}" if step["apart"] or step["gang"] else "")
+            if step["gang"]:
+                self.gangs.want(shape=shape, jid=jid, key=key, n=len(unit["s"]), step=step, since=since)
+                continue
+            self._start(jid=jid, key=key, idxs=idxs, shape=shape)
+            if not idxs:
+                del self.ready[jid, key]
+                continue
+            want[shape] = want.get(shape, 0) + len(idxs)
+            patient = bool(step["near"]) and self.hub.now - since < min(step["est"], 4000) / 2000 * (self.far - 1)
+            strict[shape] = strict.get(shape, True) and patient
+        busy: dict[Shape, int] = {}
+        for a in self.asks.values():
+            if a.gang is None:
+                busy[a.shape] = busy.get(a.shape, 0) + a.n
+        for shape, n in want.items():
+            if shape not in busy:
+                self._seek(shape=shape, n=n, strict=strict[shape])
+
+    def _seek(self, *, shape: Shape, n: int, strict: bool) -> None:
+        room: dict[str, int] = {}
+        known = False
+        for uid, row in self.pool.rows(svc=shape.svc, now=self.hub.now):
+            near = bool(shape.near) and shape.near in row[3]
+            known = known or near
+            got = copies(row=row, shape=shape)
+            if got and (near or not strict):
+                room[uid] = room.get(uid, 0) + got * (1000 if near else 1)
+        if strict and not known:
+            self._seek(shape=shape, n=n, strict=False)
+            return
+        if room:
+            uid = max(sorted(room), key=lambda u: room[u])
+            self.ask(shape=shape, n=min(n, BATCH), agent=uid, been=[uid], strict=strict)
+
+    def _start(self, *, jid: str, key: str, idxs: list[int], shape: Shape) -> None:
+        """Bind idle leases to waiting tasks; `idxs` keeps what is left."""
+        rows = self.pool.idle.get(shape)
+        batch = []
+        while rows and idxs:
+            held = rows.pop()
+            link = self.links.get(held.mid)
+            if link is None or link.seq != held.seq:
+                continue
+            batch.append((idxs.pop(0), held))
+        if batch:
+            self.start(jid=jid, key=key, batch=batch)
+
+    def start(self, *, jid: str, key: str, batch: list[tuple[int, Held]]) -> None:
+        """Record starts; the orders follow once durable."""
+        unit = self.jobs.jobs[jid]["u"][key]
+        gang = self.jobs.jobs[jid]["steps"][int(key.split(".")[1])]["gang"]
+        top = max(unit["r"])
+        x, orders = [], []
+        for i, held in batch:
+            run = top + 1 if gang else unit["r"][i] + 1
+            x.append([i, run, held.mid])
+            self.held[task_name(jid=jid, unit=key, idx=i)] = held
+            orders.append([jid, key, i, run, held])
+        self.effects(self.rep.commit(ev={"t": "start", "id": jid, "u": key, "x": x}, then=("orders", self.g, orders)))
+
+    def orders(self, rows: list[Any]) -> None:
+        """Starts are durable: order them, unless something came in between."""
+        by: dict[str, list[Any]] = {}
+        late = []
+        for jid, key, i, run, held in rows:
+            job, link = self.jobs.jobs.get(jid), self.links.get(held.mid)
+            if job is None or "u" not in job or link is None or link.seq != held.seq:
+                continue
+            unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
+            if unit["s"][i] != RUN or unit["r"][i] != run:
+                continue
+            if job["st"] in ENDED:
+                late.append([held.mid, link.seq, task_name(jid=jid, unit=key, idx=i), run])
+                continue
+            by.setdefault(link.agent, []).append([
+                held.mid, link.seq, held.lid, task_name(jid=jid, unit=key, idx=i), run, job["spec"],
+                unit["v"][0 if step["gang"] else i], step["est"]])
+        for uid, part in by.items():
+            self.hub.send(uid=uid, kind=Kind.ORDER, body={"g": self.g, "n": self.rep.base, "x": part})
+        if late:
+            self.void(rows=late)
+
+    # -- time
+
+    def tick(self) -> None:
+        """Called several times a second while serving."""
+        now = self.hub.now
+        for rid, ask in list(self.asks.items()):
+            if now - ask.at > ASK_S:
+                del self.asks[rid]
+                if ask.gang is not None:
+                    self.gangs.granted(ask=ask, rows=[])
+                self.dirty = True
+        self.release(self.pool.expire(now=now))
+        wall = self.hub.wall * 1000
+        for jid in list(self.timed):
+            job = self.jobs.jobs[jid]
+            while job["k"] < job["times"] and wall >= job["first"] + job["k"] * job["period"] and len(job["open"]) < 64:
+                self.effects(self.rep.commit(ev={"t": "due", "id": jid, "k": job["k"]}))
+            if job["k"] >= job["times"]:
+                self.timed.discard(jid)
+        if now - self.swept > SWEEP_S:
+            self.swept = now
+            self._sweep()
+        self.dirty = self.dirty or bool(self.ready)
+        self.pump()
+
+    def _sweep(self) -> None:
+        now = self.hub.now
+        old = [jid for jid, at in self.over.items() if now - at > self.status_s * 1.25]
+        ids = [jid for jid in old if "u" not in self.jobs.jobs.get(jid, {})]
+        for jid in ids:
+            del self.over[jid]
+        if ids:
+            self.rep.commit(ev={"t": "forget", "ids": ids})
+        again = []
+        for mid, held in self.jobs.on.items():
+            for jid, key, i in held:
+                job = self.jobs.jobs[jid]
+                if job["st"] in ENDED:
+                    again.append([mid, task_name(jid=jid, unit=key, idx=i), job["u"][key]["r"][i]])
+        if again:
+            self.stops(again)
--- /dev/null
+++ b/yarrowloom/record/ballot.py
@@ -0,0 +1,192 @@
+"""A campaign for the next epoch: checkpoint to a backup, two rounds of ballots, installation."""
+
+import enum
+from typing import TYPE_CHECKING, Any
+
+from ..wire.frame import Kind
+from .epoch import Ballot, Epoch, majority
+
+if TYPE_CHECKING:
+    from .replica import Replica
+
+
+class Phase(enum.Enum):
+    """Where a campaign stands."""
+
+    PICK = "pick"
+    COPY = "copy"
+    PREPARE = "prepare"
+    ACCEPT = "accept"
+    INSTALL = "install"
+
+
+MOVES: dict[Phase, frozenset[Phase]] = {
+    Phase.PICK: frozenset({Phase.COPY, Phase.PREPARE}),
+    Phase.COPY: frozenset({Phase.PREPARE, Phase.PICK}),
+    Phase.PREPARE: frozenset({Phase.ACCEPT, Phase.PREPARE, Phase.INSTALL}),
+    Phase.ACCEPT: frozenset({Phase.INSTALL, Phase.PREPARE}),
+    Phase.INSTALL: frozenset({Phase.PICK}),
+}
+COPY_S = 0.6
+VOTE_S = 0.5
+INSTALL_S = 1.0
+
+
+class Campaign:
+    """Invariant: what is proposed names as backup only a member that has synced the checkpoint with this tag, and
+    a value that any witness may already have voted for is finished rather than replaced."""
+
+    def __init__(self, *, rep: "Replica", why: str, avoid: str, first: str) -> None:
+        self.rep = rep
+        self.why = why
+        self.avoid = avoid
+        self.first = first
+        self.tried: set[str] = set()
+        self.phase = Phase.PICK
+        self.since = rep.hub.now
+        self.round = 0
+        self.tag = ""
+        self.backup = ""
+        self.near = False
+        self.far = False
+        self.ok: set[str] = set()
+        self.best: tuple[Ballot, Epoch] | None = None
+        self.ballot: Ballot = [0, rep.hub.uid]
+        self.value: Epoch | None = None
+        self.sent = 0.0
+
+    def _go(self, phase: Phase) -> None:
+        assert phase in MOVES[self.phase], (self.phase, phase)
+        self.phase = phase
+        self.since = self.rep.hub.now
+        self.ok = set()
+
+    def tick(self) -> None:
+        """Time goes on."""
+        hub, age = self.rep.hub, self.rep.hub.now - self.since
+        if self.phase is Phase.PICK:
+            self._pick()
+        elif self.phase is Phase.COPY and age > COPY_S:
+            self._go(Phase.PICK)
+        elif self.phase in (Phase.PREPARE, Phase.ACCEPT) and age > VOTE_S * (1 + hub.jitter()):
+            self._prepare()
+        elif self.phase is Phase.INSTALL:
+            if age > INSTALL_S:
+                e = self.rep.wit.seen
+                self.avoid = e["b"] if e else ""
+                self._go(Phase.PICK)
+            elif hub.now - self.sent > 0.25:
+                self._install()
+
+    def _pick(self) -> None:
+        rep, hub = self.rep, self.rep.hub
+        e = rep.wit.seen
+        assert e is not None
+        if hub.now < rep.rest:
+            return
+        want = [uid for uid in hub.partners() if uid not in self.tried and uid != self.avoid]
+        if self.first and self.first in hub.partners() and self.first not in self.tried:
+            want.insert(0, self.first)
+        solo = not want and not self.tried and hub.everyone() in ([hub.uid], []) and len(e["w"]) <= 1
+        if not want and not solo:
+            self.tried = set()
+            self.avoid = ""
+            rep.rest = hub.now + 0.2
+            return
+        self.backup = "" if solo else want[0]
+        self.tried.add(self.backup)
+        self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
+        self.near, self.far = False, solo
+        self._go(Phase.COPY)
+        rec = {"k": "ck", "g": rep.g, "inst": e["n"] + 1, "tag": self.tag, "seq": rep.seq, "st": rep.state.dump()}
+        rep.keep(rec=rec)
+        hub.write(rec=rec, done=("copied", rep.g, self.tag))
+        if not solo:
+            hub.send(uid=self.backup, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
+
+    def copied(self, *, tag: str, far: bool) -> None:
+        """A checkpoint is synced, here or at the backup."""
+        if self.phase is not Phase.COPY or tag != self.tag:
+            return
+        self.near, self.far = self.near or not far, self.far or far
+        if self.near and self.far:
+            e = self.rep.wit.seen
+            assert e is not None
+            self.value = {"n": e["n"] + 1, "p": self.rep.hub.uid, "b": self.backup, "t": self.tag,
+                          "w": self.rep.hub.witnesses(have=e["w"])}
+            self._prepare()
+
+    def _prepare(self) -> None:
+        e = self.rep.wit.seen
+        assert e is not None
+        self._go(Phase.PREPARE)
+        self.round += 1
+        self.best = None
+        self.ballot = [self.round, self.rep.hub.uid]
+        for uid in e["w"]:
+            self.rep.hub.send(uid=uid, kind=Kind.PREP, body={"g": self.rep.g, "n": e["n"] + 1, "bal": self.ballot,
+                                                             "cert": e})
+
+    def on(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
+        """One answer."""
+        if kind is Kind.CKPTOK:
+            if uid == self.backup:
+                self.copied(tag=m["tag"], far=True)
+            return
+        if kind is Kind.INSTALLED:
+            self._installed(uid=uid, n=m["n"])
+            return
+        if m.get("cur"):
+            self.rep.learn(m["cur"])
+            return
+        e = self.rep.wit.seen
+        if e is None or m["n"] != e["n"] + 1 or m["bal"] != self.ballot:
+            return
+        if not m["ok"]:
+            self.round = max(self.round, m["pb"][0])
+            return
+        if kind is Kind.PROMISE and self.phase is Phase.PREPARE:
+            if m["ab"] is not None and (self.best is None or m["ab"] > self.best[0]):
+                self.best = (m["ab"], m["av"])
+            self.ok.add(uid)
+            if majority(votes=self.ok, among=e["w"]):
+                val = self.best[1] if self.best else self.value
+                assert val is not None
+                self._go(Phase.ACCEPT)
+                self.best = (self.ballot, val)
+                for wit in e["w"]:
+                    self.rep.hub.send(uid=wit, kind=Kind.ACCEPT, body={
+                        "g": self.rep.g, "n": e["n"] + 1, "bal": self.ballot, "val": val, "cert": e})
+        elif kind is Kind.ACCEPTED and self.phase is Phase.ACCEPT:
+            self.ok.add(uid)
+            if majority(votes=self.ok, among=e["w"]) and self.best is not None:
+                val = self.best[1]
+                old = e
+                self.rep.learn(val)
+                if self.rep.camp is not self:
+                    for peer in {*old["w"], *val["w"], val["p"], val["b"]} - {""}:
+                        self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": val})
+
+    def decided(self, *, epoch: Epoch) -> None:
+        """The epoch that this campaign proposed is decided."""
+        if self.phase is Phase.COPY:
+            self._go(Phase.PREPARE)
+        self._go(Phase.INSTALL)
+        self.value = epoch
+        self._install()
+
+    def _install(self) -> None:
+        assert self.value is not None
+        self.sent = self.rep.hub.now
+        for peer in {*self.value["w"], self.value["b"], *self.rep.hub.everyone()} - {"", *self.ok}:
+            self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": self.value})
+
+    def _installed(self, *, uid: str, n: int) -> None:
+        val = self.value
+        if self.phase is not Phase.INSTALL or val is None or n != val["n"]:
+            return
+        self.ok.add(uid)
+        if majority(votes=self.ok, among=val["w"]) and (not val["b"] or val["b"] in self.ok):
+            from .replica import PROMISE_S
+            self.rep.until = self.sent + PROMISE_S
+            self.rep.activate()
--- /dev/null
+++ b/yarrowloom/record/epoch.py
@@ -0,0 +1,92 @@
+"""Epochs and the witness that keeps them: one ballot per epoch number, decided by a majority of the last set."""
+
+from typing import Any, TypedDict
+
+
+class Epoch(TypedDict):
+    """Who serves a group. `n` is its number, `p` the primary, `b` the backup, `w` the witnesses, `t` the tag of
+    the checkpoint that primary and backup share. Invariant: for each number at most one epoch is ever decided."""
+
+    n: int
+    p: str
+    b: str
+    w: list[str]
+    t: str
+
+
+Ballot = list[Any]  # [round, uid]; compared as a pair
+
+
+def addr_of(*, uid: str) -> str:
+    """The internal address that a uid carries.
+
+    >>> addr_of(uid="10.0.0.1:7000#3f")
+    '10.0.0.1:7000'
+    """
+    return uid.split("#", 1)[0]
+
+
+def majority(*, votes: set[str], among: list[str]) -> bool:
+    """More than half of `among` voted.
+
+    >>> majority(votes={"a", "b", "z"}, among=["a", "b", "c"])
+    True
+    >>> majority(votes={"a", "z"}, among=["a", "b", "c"])
+    False
+    """
+    return 2 * len(votes & set(among)) > len(set(among))
+
+
+class Witness:
+    """The acceptor of one group. Invariants: `seen` never goes back; `promised` and `value` belong to the number
+    after `seen`; every answer is given only once what it says is on disk (the caller's duty)."""
+
+    def __init__(self, *, uid: str, seen: Epoch | None = None) -> None:
+        self.uid = uid
+        self.seen = seen
+        self.promised: Ballot | None = None
+        self.voted: Ballot | None = None
+        self.value: Epoch | None = None
+
+    def dump(self) -> dict[str, Any]:
+        """What the disk keeps."""
+        return {"e": self.seen, "pb": self.promised, "ab": self.voted, "av": self.value}
+
+    def load(self, doc: dict[str, Any]) -> None:
+        """Take what the disk kept."""
+        self.seen, self.promised = doc["e"], doc["pb"]
+        self.voted, self.value = doc["ab"], doc["av"]
+
+    def learn(self, epoch: Epoch) -> bool:
+        """Take note of a decided epoch; true if it is news."""
+        if self.seen is not None and epoch["n"] <= self.seen["n"]:
+            return False
+        self.seen = epoch
+        self.promised = self.voted = self.value = None
+        return True
+
+    def _open(self, *, n: int) -> bool:
+        return self.seen is not None and n == self.seen["n"] + 1 and self.uid in self.seen["w"]
+
+    def prepare(self, *, n: int, ballot: Ballot) -> dict[str, Any] | None:
+        """Promise a ballot for number `n`; None: not mine to answer."""
+        if self.seen is not None and n <= self.seen["n"]:
+            return {"ok": False, "cur": self.seen}
+        if not self._open(n=n):
+            return None
+        if self.promised is not None and ballot < self.promised:
+            return {"ok": False, "cur": None, "pb": self.promised}
+        self.promised = ballot
+        return {"ok": True, "ab": self.voted, "av": self.value}
+
+    def accept(self, *, n: int, ballot: Ballot, value: Epoch) -> dict[str, Any] | None:
+        """Vote for a value."""
+        if self.seen is not None and n <= self.seen["n"]:
+            return {"ok": False, "cur": self.seen}
+        if not self._open(n=n):
+            return None
+        if self.promised is not None and ballot < self.promised:
+            return {"ok": False, "cur": None, "pb": self.promised}
+        self.promised = self.voted = ballot
+        self.value = value
+        return {"ok": True}
--- /dev/null
+++ b/yarrowloom/record/replica.py
@@ -0,0 +1,430 @@
+"""One member's part in one group: witness always; primary or backup when the epoch says so."""
+
+import enum
+from typing import Any, Protocol
+
+from ..wire.frame import Kind
+from .ballot import Campaign, Phase
+from .epoch import Epoch, Witness, addr_of
+
+PROMISE_S = 1.2       # how long one word of the backup lets the primary act
+SILENCE_S = PROMISE_S * 1.05 + 0.15
+SUSPECT_S = 0.9       # a backup or disk that has not answered this long is replaced
+PING_S = 0.2
+RESEND_S = 0.3
+SPARES = 6
+REST_S = 3.0          # a primary that gave up its duty lets others try this long
+
+
+class Reducer(Protocol):
+    """The state of a group: changes only by events."""
+
+    def apply(self, ev: dict[str, Any]) -> Any:
+        """Take one event; what it returns are effects as data."""
+
+    def dump(self) -> Any:
+        """All of it as plain data."""
+
+    def load(self, doc: Any) -> None:
+        """Replace all of it."""
+
+
+class Hub(Protocol):
+    """What a replica needs of its node."""
+
+    now: float
+    uid: str
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        """To another node, or to itself."""
+
+    def write(self, *, rec: dict[str, Any], done: tuple[Any, ...]) -> None:
+        """To disk; `done` comes back as an effect once synced."""
+
+    def effect(self, *, eff: tuple[Any, ...]) -> None:
+        """Carry out an effect that is now durable."""
+
+    def partners(self) -> list[str]:
+        """Members that may be a backup, best first."""
+
+    def witnesses(self, *, have: list[str]) -> list[str]:
+        """The set that should keep epochs, given the one that does."""
+
+    def everyone(self) -> list[str]:
+        """All core members known."""
+
+    def jitter(self) -> float:
+        """0 to 1."""
+
+    def installed(self, *, g: int, epoch: Epoch) -> None:
+        """A newer epoch is decided."""
+
+    def elected(self, *, g: int) -> None:
+        """This node now serves the group."""
+
+    def deposed(self, *, g: int) -> None:
+        """It no longer does."""
+
+
+class Role(enum.Enum):
+    """A member's part."""
+
+    IDLE = "idle"
+    BACKUP = "backup"
+    LAPSED = "lapsed"      # named primary, has the state, but not serving
+    TAKING = "taking"      # campaigning for the next epoch
+    PRIMARY = "primary"
+
+
+MOVES: dict[Role, frozenset[Role]] = {
+    Role.IDLE: frozenset({Role.BACKUP, Role.LAPSED}),
+    Role.BACKUP: frozenset({Role.TAKING, Role.IDLE, Role.LAPSED, Role.BACKUP}),
+    Role.LAPSED: frozenset({Role.TAKING, Role.IDLE, Role.BACKUP, Role.LAPSED}),
+    Role.TAKING: frozenset({Role.PRIMARY, Role.IDLE, Role.BACKUP, Role.LAPSED, Role.TAKING}),
+    Role.PRIMARY: frozenset({Role.TAKING, Role.IDLE, Role.BACKUP, Role.LAPSED}),
+}
+
+
+class Replica:
+    """Invariants: `state` holds all events up to `seq` of epoch `base`; effects leave only when their events are on
+    both disks; a primary serves only until `until`, which its backup's last word bounds; a backup that has begun
+    to take over never again answers the epoch it leaves."""
+
+    def __init__(self, *, g: int, hub: Hub, state: Reducer, epoch: Epoch | None) -> None:
+        self.g = g
+        self.hub = hub
+        self.state = state
+        self.wit = Witness(uid=hub.uid, seen=epoch)
+        self.role = Role.IDLE
+        self.base = -1
+        self.seq = 0
+        self.until = 0.0
+        self.heard = 0.0
+        self.rest = 0.0
+        self.spares: dict[str, dict[str, Any]] = {}   # by tag: checkpoints for epochs not yet decided
+        self.camp: Campaign | None = None
+        self.queue: list[tuple[dict[str, Any] | None, tuple[Any, ...] | None]] = []
+        self.fly: dict[str, Any] | None = None
+        self.pinged = 0.0
+        self.reset = 0.0
+        if epoch is not None and epoch["n"] == 0 and hub.uid in (epoch["p"], epoch["b"]):
+            self.base = 0
+            self._place()
+
+    # -- what others ask
+
+    @property
+    def epoch(self) -> Epoch | None:
+        """The newest decided epoch known."""
+        return self.wit.seen
+
+    def serving(self) -> bool:
+        """May act as the primary right now."""
+        return self.role is Role.PRIMARY and self.hub.now < self.until
+
+    def commit(self, *, ev: dict[str, Any], then: tuple[Any, ...] | None = None) -> Any:
+        """Apply an event; `then` is carried out once it is durable. Only while serving."""
+        res = self.state.apply(ev)
+        self.queue.append((ev, then))
+        return res
+
+    def barrier(self, *, then: tuple[Any, ...]) -> None:
+        """Carry out an effect once all that was applied so far is durable."""
+        if self.queue:
+            self.queue.append((None, then))
+        elif self.fly is not None:
+            self.fly["effs"].append(then)
+        else:
+            self.hub.effect(eff=then)
+
+    # -- roles
+
+    def _become(self, role: Role) -> None:
+        assert role in MOVES[self.role], (self.role, role)
+        was, self.role = self.role, role
+        if was is Role.PRIMARY and role is not Role.TAKING or was is Role.TAKING and role in (
+                Role.IDLE, Role.BACKUP, Role.LAPSED):
+            self.queue.clear()
+            self.fly = None
+            self.camp = None
+            self.hub.deposed(g=self.g)
+
+    def _place(self) -> None:
+        """Take the part that the known epoch gives."""
+        e = self.wit.seen
+        assert e is not None
+        mine = self.base == e["n"]
+        if not mine and self._unpack(epoch=e):
+            mine = True
+        self._prune(n=e["n"])
+        if mine and e["p"] == self.hub.uid:
+            self._become(Role.LAPSED)
+            self.rest = max(self.rest, self.hub.now + 0.05)
+        elif mine and e["b"] == self.hub.uid:
+            self._become(Role.BACKUP)
+            self.heard = self.hub.now
+        elif self.role is not Role.IDLE:
+            self._become(Role.IDLE)
+
+    def learn(self, epoch: Epoch) -> None:
+        """Take note of a decided epoch."""
+        if not self.wit.learn(epoch):
+            return
+        self._save(done=("none",))
+        self.hub.installed(g=self.g, epoch=epoch)
+        camp = self.camp
+        if camp is not None and epoch["p"] == self.hub.uid and epoch["t"] == camp.tag:
+            self.base = epoch["n"]
+            self._prune(n=epoch["n"])
+            camp.decided(epoch=epoch)
+            return
+        self._place()
+
+    def _save(self, *, done: tuple[Any, ...]) -> None:
+        self.hub.write(rec={"k": "w", "g": self.g, **self.wit.dump()}, done=done)
+
+    # -- disk
+
+    def restore(self, rec: dict[str, Any]) -> None:
+        """Replay one record; `settle` follows the last."""
+        kind = rec["k"]
+        if kind == "w":
+            old = self.wit.seen
+            self.wit.load(rec)
+            e = self.wit.seen
+            if e is not None and (old is None or e["n"] > old["n"]):
+                self._unpack(epoch=e)
+                self._prune(n=e["n"])
+        elif kind == "ck":
+            if self.wit.seen is None or rec["inst"] > self.wit.seen["n"]:
+                self.keep(rec=rec)
+        elif kind == "st":
+            self.state.load(rec["st"])
+            self.base, self.seq = rec["n"], rec["seq"]
+        elif kind == "lg" and rec["n"] == self.base and rec["seq"] == self.seq + 1:
+            for ev in rec["evs"]:
+                self.state.apply(ev)
+            self.seq += 1
+
+    def settle(self) -> None:
+        """All is replayed: take the part that the disk tells."""
+        self.role = Role.IDLE
+        e = self.wit.seen
+        if e is not None and self.base == e["n"] and self.hub.uid in (e["p"], e["b"]):
+            self._place()
+
+    def checkpoint(self) -> list[dict[str, Any]]:
+        """Records that stand for all that is kept."""
+        out: list[dict[str, Any]] = []
+        if self.base >= 0 and self.role is not Role.IDLE:
+            out.append({"k": "st", "g": self.g, "n": self.base, "seq": self.seq, "st": self.state.dump()})
+        out.append({"k": "w", "g": self.g, **self.wit.dump()})
+        return out + list(self.spares.values())
+
+    def keep(self, *, rec: dict[str, Any]) -> None:
+        """Hold on to a checkpoint until its epoch is decided; the oldest make room."""
+        self.spares[rec["tag"]] = rec
+        while len(self.spares) > SPARES:
+            del self.spares[next(iter(self.spares))]
+
+    def _unpack(self, *, epoch: Epoch) -> bool:
+        rec = self.spares.get(epoch["t"])
+        if rec is None or rec["inst"] != epoch["n"]:
+            return False
+        self.state.load(rec["st"])
+        self.base, self.seq = epoch["n"], rec["seq"]
+        return True
+
+    def _prune(self, *, n: int) -> None:
+        self.spares = {t: r for t, r in self.spares.items() if r["inst"] > n}
+
+    # -- time
+
+    def tick(self) -> None:
+        """Called a few times a second."""
+        now = self.hub.now
+        if self.camp is not None:
+            self.camp.tick()
+            return
+        if self.role is Role.PRIMARY:
+            self._serve()
+        elif self.role is Role.BACKUP:
+            if now - self.heard > SILENCE_S and now >= self.rest:
+                self.take(why="silence")
+        elif self.role is Role.LAPSED and now >= self.rest:
+            self.take(why="restart")
+
+    def thawed(self) -> None:
+        """The process stood still: silence proves nothing yet."""
+        self.heard = max(self.heard, self.hub.now)
+        self.rest = max(self.rest, self.hub.now + 0.3)
+
+    def _serve(self) -> None:
+        now, e = self.hub.now, self.wit.seen
+        assert e is not None
+        if not e["b"]:
+            self.until = now + PROMISE_S
+        elif now - self.pinged >= PING_S:
+            self.pinged = now
+            self.hub.send(uid=e["b"], kind=Kind.PING, body={"g": self.g, "n": e["n"], "t": now})
+        if self.fly is not None:
+            age = now - self.fly["t0"]
+            if age > SUSPECT_S and not self.fly["near"]:
+                self.until = 0.0
+                self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
+                self._become(Role.LAPSED)
+                self.rest = now + REST_S
+                return
+            if age > SUSPECT_S:
+                self.take(why="backup-slow", avoid=e["b"])
+                return
+            if not self.fly["far"] and now - self.fly["t"] > RESEND_S:
+                self._fire()
+        elif self.queue and now < self.until:
+            self.flush()
+        if e["b"] and now > self.until - PROMISE_S + SUSPECT_S:
+            self.take(why="backup-silent", avoid=e["b"])
+        elif now >= self.reset:
+            self.reset = now + 1.0
+            want = self.hub.witnesses(have=e["w"])
+            if set(want) != set(e["w"]):
+                self.take(why="witnesses", stay=True)
+
+    def hand_over(self) -> None:
+        """Planned end: the backup is to take over at once."""
+        e = self.wit.seen
+        if self.role is Role.PRIMARY and e is not None and e["b"]:
+            self.until = 0.0
+            self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
+            self._become(Role.LAPSED)
+            self.rest = self.hub.now + REST_S
+
+    def take(self, *, why: str, avoid: str = "", stay: bool = False) -> None:
+        """Campaign to be the primary of the next epoch."""
+        e = self.wit.seen
+        assert e is not None
+        first = e["b"] if stay else ""
+        self._become(Role.TAKING)
+        self.camp = Campaign(rep=self, why=why, avoid=avoid, first=first)
+        self.camp.tick()
+
+    # -- commits
+
+    def flush(self) -> None:
+        """Send the next batch, one at a time."""
+        if self.fly is not None or not self.queue or not self.serving():
+            return
+        evs = [ev for ev, _ in self.queue if ev is not None]
+        effs = [eff for _, eff in self.queue if eff is not None]
+        self.queue = []
+        self.seq += 1
+        e = self.wit.seen
+        assert e is not None
+        self.fly = {"seq": self.seq, "evs": evs, "effs": effs, "t0": self.hub.now, "t": 0.0, "near": False,
+                    "far": not e["b"]}
+        self.hub.write(rec={"k": "lg", "g": self.g, "n": e["n"], "seq": self.seq, "evs": evs},
+                       done=("near", self.g, e["n"], self.seq))
+        if e["b"]:
+            self._fire()
+
+    def _fire(self) -> None:
+        e, fly = self.wit.seen, self.fly
+        assert e is not None and fly is not None
+        fly["t"] = self.hub.now
+        self.hub.send(uid=e["b"], kind=Kind.LOG, body={"g": self.g, "n": e["n"], "seq": fly["seq"],
+                                                       "evs": fly["evs"], "t": self.hub.now})
+
+    def near(self, *, n: int, seq: int) -> None:
+        """The own disk has a batch."""
+        if self.fly is not None and self.fly["seq"] == seq and self.wit.seen and self.wit.seen["n"] == n:
+            self.fly["near"] = True
+            self._landed()
+
+    def _landed(self) -> None:
+        fly = self.fly
+        if fly is None or not (fly["near"] and fly["far"]) or self.role is not Role.PRIMARY:
+            return
+        self.fly = None
+        for eff in fly["effs"]:
+            self.hub.effect(eff=eff)
+        self.flush()
+
+    def activate(self) -> None:
+        """The campaign is won and installed: both disks hold the whole state."""
+        e = self.wit.seen
+        assert e is not None
+        effs = (self.fly["effs"] if self.fly else []) + [eff for _, eff in self.queue if eff is not None]
+        self.queue, self.fly, self.camp = [], None, None
+        self._become(Role.PRIMARY)
+        self.until = max(self.until, self.hub.now + PROMISE_S / 2) if not e["b"] else self.until
+        self.reset = self.hub.now + 1.0
+        self.hub.elected(g=self.g)
+        for eff in effs:
+            self.hub.effect(eff=eff)
+
+    # -- messages
+
+    def on(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
+        """One message of this group."""
+        if kind is Kind.PREP or kind is Kind.ACCEPT:
+            self._vote(uid=uid, kind=kind, m=m)
+        elif kind is Kind.INSTALL:
+            self.learn(m["e"])
+            self._save(done=("send", uid, int(Kind.INSTALLED), {"g": self.g, "n": m["e"]["n"]}))
+        elif kind is Kind.CKPT:
+            if self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
+                rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "seq": m["seq"], "st": m["st"]}
+                self.keep(rec=rec)
+                self.hub.write(rec=rec, done=("send", uid, int(Kind.CKPTOK), {"g": self.g, "tag": m["tag"]}))
+        elif kind is Kind.LOG:
+            self._log(uid=uid, m=m)
+        elif kind is Kind.PING:
+            if self.role is Role.BACKUP and self.base == m["n"]:
+                self.heard = self.hub.now
+                self.hub.send(uid=uid, kind=Kind.PONG, body=m)
+        elif kind is Kind.YIELD:
+            if self.role is Role.BACKUP and self.base == m["n"]:
+                self.take(why="yielded", avoid=uid)
+        elif kind in (Kind.PONG, Kind.LOGOK):
+            e = self.wit.seen
+            if self.role is Role.PRIMARY and e is not None and m["n"] == e["n"] and uid == e["b"]:
+                self.until = max(self.until, m["t"] + PROMISE_S)
+                if kind is Kind.LOGOK and self.fly is not None and m["seq"] == self.fly["seq"]:
+                    self.fly["far"] = True
+                    self._landed()
+        elif self.camp is not None:
+            self.camp.on(uid=uid, kind=kind, m=m)
+
+    def _vote(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
+        if m.get("cert"):
+            self.learn(m["cert"])
+        if kind is Kind.PREP:
+            res = self.wit.prepare(n=m["n"], ballot=m["bal"])
+            back = Kind.PROMISE
+        else:
+            res = self.wit.accept(n=m["n"], ballot=m["bal"], value=m["val"])
+            back = Kind.ACCEPTED
+        if res is None:
+            return
+        body = {"g": self.g, "n": m["n"], "bal": m["bal"], **res}
+        if res["ok"]:
+            self._save(done=("send", uid, int(back), body))
+        else:
+            self.hub.send(uid=uid, kind=back, body=body)
+
+    def _log(self, *, uid: str, m: dict[str, Any]) -> None:
+        if self.role is not Role.BACKUP or self.base != m["n"]:
+            return
+        self.heard = self.hub.now
+        ok = {"g": self.g, "n": m["n"], "seq": m["seq"], "t": m["t"]}
+        if m["seq"] == self.seq + 1:
+            for ev in m["evs"]:
+                self.state.apply(ev)
+            self.seq += 1
+            self.hub.write(rec={"k": "lg", "g": self.g, "n": m["n"], "seq": m["seq"], "evs": m["evs"]},
+                           done=("send", uid, int(Kind.LOGOK), ok))
+        elif m["seq"] == self.seq:
+            self.hub.write(rec={"k": "none", "g": self.g}, done=("send", uid, int(Kind.LOGOK), ok))
+
+
+__all__ = ["Campaign", "Hub", "Phase", "Reducer", "Replica", "Role", "addr_of"]
--- /dev/null
+++ b/yarrowloom/store/ring.py
@@ -0,0 +1,129 @@
+"""A journal in a ring of preallocated files.
+
+Each file begins with a header naming its place in the journal; records follow, each with length and checksum.
+The ring moves to the next file when the current one is full; before it reuses a file, the owner writes a
+checkpoint of all live state into the fresh file, so that older files hold nothing needed.
+"""
+
+import os
+import struct
+import zlib
+from collections.abc import Iterator
+
+from ..base.errs import Finding, StoreError
+
+_HEAD = struct.Struct("<8sQI")   # magic, file number, checksum of the two
+_REC = struct.Struct("<IIQ")     # length, checksum, record number
+_MAGIC = b"YLRING01"
+
+
+def _crc(*, num: int, body: bytes) -> int:
+    return zlib.crc32(body, num & 0xFFFFFFFF)
+
+
+class Ring:
+    """Invariants: file numbers rise by one along the journal; record numbers rise by one within it; a record
+    counts only if its checksum fits and it follows the one before; what a sync has not covered may be torn."""
+
+    def __init__(self, *, folder: str, files: int = 4, size: int = 4 << 20) -> None:
+        self.folder = folder
+        self.files = files
+        self.size = size
+        self._fd = -1
+        self._file = 0
+        self._pos = 0
+        self._next = 1
+
+    def _path(self, slot: int) -> str:
+        return os.path.join(self.folder, f"ring-{slot}")
+
+    def load(self) -> list[bytes]:
+        """Read all records in order; leaves the ring ready for `rotate`."""
+        os.makedirs(self.folder, exist_ok=True)
+        found: list[tuple[int, bytes]] = []
+        for slot in range(self.files):
+            try:
+                with open(self._path(slot), "rb") as fh:
+                    raw = fh.read()
+            except FileNotFoundError:
+                continue
+            except OSError as err:
+                raise StoreError(text=str(err), findings=[Finding(place=self._path(slot), text=str(err))]) from err
+            if len(raw) < _HEAD.size:
+                continue
+            magic, num, crc = _HEAD.unpack_from(raw)
+            if magic == _MAGIC and crc == zlib.crc32(raw[:16]) and num % self.files == slot:
+                found.append((num, raw))
+        found.sort(key=lambda it: it[0])
+        out: list[bytes] = []
+        last: int | None = None
+        for num, raw in found:
+            if self._file and num != self._file + 1:
+                out.clear()
+                last = None
+            self._file = num
+            for idx, body in self._records(raw=raw):
+                if last is not None and idx != last + 1:
+                    break
+                last = idx
+                out.append(body)
+        self._next = (last or 0) + 1
+        return out
+
+    @staticmethod
+    def _records(*, raw: bytes) -> Iterator[tuple[int, bytes]]:
+        pos = _HEAD.size
+        while pos + _REC.size <= len(raw):
+            size, crc, idx = _REC.unpack_from(raw, pos)
+            body = raw[pos + _REC.size:pos + _REC.size + size]
+            if idx == 0 or len(body) != size or crc != _crc(num=idx, body=body):
+                return
+            yield idx, body
+            pos += _REC.size + size
+
+    def full(self, *, extra: int) -> bool:
+        """Whether the current file has no room for `extra` bytes more."""
+        return self._fd < 0 or self._pos + extra > self.size
+
+    def rotate(self) -> None:
+        """Move on to the next file, preallocated; nothing of it counts until records are synced."""
+        if self._fd >= 0:
+            os.close(self._fd)
+        self._file += 1
+        path = self._path(self._file % self.files)
+        self._fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+        if os.fstat(self._fd).st_size < self.size:
+            os.ftruncate(self._fd, 0)
+            self._write(pos=0, data=bytes(self.size))
+        head = _HEAD.pack(_MAGIC, self._file, 0)[:16]
+        # The zeroed first record slot cuts off what the file held before.
+        self._write(pos=0, data=head + struct.pack("<I", zlib.crc32(head)) + bytes(_REC.size))
+        self._pos = _HEAD.size
+
+    def _write(self, *, pos: int, data: bytes) -> None:
+        os.lseek(self._fd, pos, os.SEEK_SET)
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._fd, view):]
+
+    def append(self, *, bodies: list[bytes]) -> None:
+        """Write records and sync them. A zeroed head follows the last one."""
+        buf = bytearray()
+        for body in bodies:
+            buf += _REC.pack(len(body), _crc(num=self._next, body=body), self._next)
+            buf += body
+            self._next += 1
+        end = bytes(_REC.size) if self._pos + len(buf) + _REC.size <= self.size else b""
+        self._write(pos=self._pos, data=bytes(buf) + end)
+        self._pos += len(buf)
+        os.fdatasync(self._fd)
+
+    def room(self, *, bodies: list[bytes]) -> int:
+        """Bytes these records take."""
+        return sum(len(b) + _REC.size for b in bodies)
+
+    def close(self) -> None:
+        """Let go of the file."""
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
--- /dev/null
+++ b/yarrowloom/wire/__init__.py
@@ -0,0 +1,1 @@
+"""wire: see docs/design.md."""
--- /dev/null
+++ b/yarrowloom/wire/http.py
@@ -0,0 +1,177 @@
+"""HTTP/1.1 served with h11 on trio: one task owns one connection."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import h11
+import orjson
+import trio
+
+from .headers import Rule, screen
+
+JSON = (("content-type", "application/json"),)
+
+
+@dataclass(kw_only=True)
+class Limits:
+    """Limits on the callers' side; replaced in place when a configuration says so."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_ms: int = 3000
+    idle_ms: int = 15000
+
+
+@dataclass(kw_only=True)
+class Request:
+    """One call as it arrived; header names are lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+@dataclass(kw_only=True)
+class Response:
+    """What is answered."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @classmethod
+    def of(cls, status: int, doc: object = None, *, headers: tuple[tuple[str, str], ...] = ()) -> "Response":
+        """Build from plain data."""
+        if doc is None:
+            return cls(status=status, headers=headers)
+        return cls(status=status, body=orjson.dumps(doc), headers=JSON + headers)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+@dataclass(kw_only=True)
+class Server:
+    """Serves one listening address. `closing` makes each response the last of its connection."""
+
+    handler: Handler
+    limits: Limits = field(default_factory=Limits)
+    closing: bool = False
+    busy: int = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Own one connection until it ends."""
+        try:
+            await _Conn(server=self, stream=stream).run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, OSError):
+            pass
+        finally:
+            with trio.move_on_after(0.5) as scope:
+                scope.shield = True
+                await trio.aclose_forcefully(stream)
+
+
+class _Conn:
+    def __init__(self, *, server: Server, stream: trio.SocketStream) -> None:
+        self.srv = server
+        self.stream = stream
+        lim = server.limits
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=max(lim.header_bytes, 1024))
+
+    async def run(self) -> None:
+        first = True
+        while True:
+            req = await self._read(first=first)
+            first = False
+            if req is None:
+                return
+            self.srv.busy += 1
+            try:
+                res = await self.srv.handler(req)
+            finally:
+                self.srv.busy -= 1
+            await self._send(res)
+            if self.conn.our_state is h11.MUST_CLOSE or self.conn.our_state is h11.CLOSED:
+                return
+            try:
+                self.conn.start_next_cycle()
+            except h11.LocalProtocolError:
+                return
+
+    async def _read(self, *, first: bool) -> Request | None:
+        lim = self.srv.limits
+        head: h11.Request | None = None
+        body = bytearray()
+        wait = lim.header_ms if first else lim.idle_ms
+        horizon = trio.current_time() + wait / 1000
+        began = first
+        while True:
+            try:
+                ev = self.conn.next_event()
+            except h11.RemoteProtocolError as err:
+                await self._refuse(status=err.error_status_hint or 400)
+                return None
+            if ev is h11.NEED_DATA:
+                if not began and self.conn.trailing_data[0]:
+                    began = True
+                    horizon = trio.current_time() + lim.header_ms / 1000
+                if self.conn.they_are_waiting_for_100_continue:
+                    await self.stream.send_all(self.conn.send(
+                        h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                with trio.move_on_at(horizon) as scope:
+                    data = await self.stream.receive_some(65536)
+                if scope.cancelled_caught:
+                    if began and (head is not None or self.conn.trailing_data[0]):
+                        await self._refuse(status=408)
+                    return None
+                if not began and data:
+                    began = True
+                    horizon = trio.current_time() + lim.header_ms / 1000
+                self.conn.receive_data(data)
+            elif isinstance(ev, h11.Request):
+                head = ev
+                horizon = trio.current_time() + max(lim.header_ms, lim.idle_ms) / 1000
+                size = dict(ev.headers).get(b"content-length")
+                if size is not None and int(size) > lim.body_bytes:
+                    await self._refuse(status=413)
+                    return None
+            elif isinstance(ev, h11.Data):
+                body += ev.data
+                if len(body) > lim.body_bytes:
+                    await self._refuse(status=413)
+                    return None
+            elif isinstance(ev, h11.EndOfMessage):
+                assert head is not None
+                if sum(len(k) + len(v) + 4 for k, v in head.headers) > lim.header_bytes:
+                    await self._refuse(status=431)
+                    return None
+                return Request(method=head.method.decode(), path=head.target.decode("latin-1"), body=bytes(body),
+                               headers={k.decode(): v.decode("latin-1") for k, v in head.headers})
+            else:
+                return None
+
+    async def _refuse(self, *, status: int) -> None:
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._send(Response(status=status, headers=(("connection", "close"),)))
+
+    async def _send(self, res: Response) -> None:
+        if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = screen(headers=res.headers, rule=Rule.RESPONSE)
+        if self.srv.closing and not any(k == "connection" for k, _ in headers):
+            headers.append(("connection", "close"))
+        headers.append(("content-length", str(len(res.body))))
+        data = self.conn.send(h11.Response(status_code=res.status, headers=headers)) or b""
+        if res.body:
+            data += self.conn.send(h11.Data(data=res.body)) or b""
+        data += self.conn.send(h11.EndOfMessage()) or b""
+        with trio.fail_after(10):
+            await self.stream.send_all(data)
+
+
+async def listen(*, addr: str, server: Server, backlog: int = 512) -> None:
+    """Accept connections at HOST:PORT for ever."""
+    host, port = addr.rsplit(":", 1)
+    lst = await trio.open_tcp_listeners(int(port), host=host, backlog=backlog)
+    await trio.serve_listeners(server.serve, lst)
