--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -17,6 +17,7 @@
 ROOM_S = 0.2
 ROOM_IDLE_S = 0.5
 LEFT_S = 1.5
+IDLE_S = 3.0          # a lease that its holder neither uses nor returns lapses; holders return far sooner
 
 
 class AgentHub(Protocol):
@@ -174,7 +175,7 @@
             del m.runs[task]
             les = m.leases.get(r.lid)
             if les is not None:
-                les.task = ""
+                les.task, les.until = "", self.hub.now + IDLE_S
 
     # -- groups
 
@@ -221,7 +222,7 @@
         self.dirty = True
 
     def _lease(self, *, m: Minion, g: int, cpu: int, mem: int, gpu: int, until: float = 0.0) -> Lease:
-        les = Lease(lid=self.next, mid=m.mid, g=g, cpu=cpu, mem=mem, gpu=gpu, until=until)
+        les = Lease(lid=self.next, mid=m.mid, g=g, cpu=cpu, mem=mem, gpu=gpu, until=until or self.hub.now + IDLE_S)
         self.next += 1
         m.leases[les.lid] = les
         return les
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -27,7 +27,7 @@
 @dataclass(kw_only=True)
 class Lease:
     """Room on one minion, granted to one group. Invariant: counts against the minion until released; serves one
-    run at a time; an earmark (`until` above 0) lapses unless an order comes."""
+    run at a time; without a run it lapses at `until`."""
 
     lid: int
     mid: str
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -201,14 +201,13 @@
         for _num, task, run, how, saved in b["x"]:
             parts = split_name(task=task)
             job = self.jobs.jobs.get(parts[0]) if parts is not None else None
-            if parts is None or job is None or "u" not in job:
-                continue
-            if how == "failed" or how == "alone":
-                self.hub.note(event="task-end", task=task, run=run, how=how)
-            ev = {"t": "end", "id": parts[0], "u": parts[1], "i": parts[2], "run": run, "how": how, "v": saved,
-                  "mt": self.tries(job=job)}
             held = self.held.pop(task, None)
-            self.effects(self.rep.commit(ev=ev))
+            if parts is not None and job is not None and "u" in job:
+                if how == "alone":
+                    self.hub.note(event="gang-alone", task=task, run=run)
+                ev = {"t": "end", "id": parts[0], "u": parts[1], "i": parts[2], "run": run, "how": how, "v": saved,
+                      "mt": self.tries(job=job)}
+                self.effects(self.rep.commit(ev=ev))
             if held is not None:
                 self._idle(held=held)
         rows = [[num, task, run] for num, task, run, _, _ in b["x"]]
