--- /dev/null
+++ b/tests/simfleet.py
@@ -0,0 +1,292 @@
+"""Stand-ins for minions and callers in the simulated cluster, and an oracle for the rules on jobs."""
+
+from typing import Any
+
+import orjson
+
+from tests.simnet import Sim
+from yarrowloom.wire.http import Response
+
+HOST = "h.example"
+SLOW = 1.02
+
+
+def config(*, version: int, guards: bool = False, tries: int = 3, more: int = 0) -> dict[str, Any]:
+    """A configuration of two queues on one service."""
+    def row(name: str, prefix: str, rank: int) -> dict[str, Any]:
+        return {"name": name, "host-name": HOST, "path-prefix": prefix, "route-kind": "mutating", "deadline-ms": 3000,
+                "target-ms": 2000, "rank": rank, "backend": "svc", "max-tries": tries, "stretch": 2.0}
+
+    routes = [row("fast", "/fast/", 0), row("slow", "/slow/", 1)]
+    routes += [row(f"x{i}", f"/x{i}/", 2) for i in range(more)]
+    return {"config-version": version, "route-table": routes,
+            "service-table": [{"name": "svc", "conn-limit": 64, "guards": guards}],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144}}
+
+
+class Oracle:
+    """Judges starts and ends as minions see them. Each entry of `broken` is a rule's name and what happened."""
+
+    def __init__(self, *, sim: Sim) -> None:
+        self.sim = sim
+        self.broken: list[str] = []
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.alive: dict[str, list[tuple[str, int]]] = {}
+        self.noted: set[str] = set()
+        self.done: set[str] = set()
+        self.failed: dict[str, int] = {}
+        self.refused: set[str] = set()
+        self.accepted: dict[str, float] = {}
+        self.cancelled: dict[str, float] = {}
+        self.tries = 3
+
+    def step_of(self, task: str) -> dict[str, Any]:
+        jid, _, s, _ = task.split(".")
+        row: dict[str, Any] = self.jobs[jid]["stages"][int(s)]
+        return row
+
+    def started(self, *, m: "SimMinion", task: str, run: int, spec: str, saved: str) -> None:
+        jid, k, s, _ = task.split(".")
+        job = self.jobs.get(jid)
+        if job is None or spec != job["task-spec"]:
+            self.broken.append(f"UNASKED {task}")
+            return
+        if jid in self.refused and jid not in self.accepted:
+            self.broken.append(f"REFUSED {task}")
+        if jid in self.cancelled and self.sim.now > self.cancelled[jid] + 3.0:
+            self.broken.append(f"UNASKED {task} after cancel")
+        row = self.step_of(task)
+        if self.alive.get(task):
+            self.broken.append(f"TWICE {task} run {run} on {m.mid}, also {self.alive[task]}")
+        if task in self.noted and not row.get("long-running"):
+            self.broken.append(f"TWICE {task} run {run} after its end was noted")
+        if self.failed.get(task, 0) >= self.tries:
+            self.broken.append(f"BUDGET {task}")
+        for d in row.get("depends-on", []):
+            n = job["stages"][d]["task-count"]
+            gang = job["stages"][d].get("gang")
+            ends = [f"{jid}.{k}.{d}.{i}" in self.done for i in range(n)]
+            if not (any(ends) if gang else all(ends)):
+                self.broken.append(f"ORDER {task}")
+        if row.get("requires") and row["requires"] not in m.labels:
+            self.broken.append(f"ROUTE {task}")
+        apart = row.get("anti-affinity", 0)
+        if apart and sum(t.rsplit(".", 1)[0] == task.rsplit(".", 1)[0] for t in m.running) >= apart:
+            self.broken.append(f"ROUTE {task} apart")
+        used = [0, 0, 0]
+        for other in [*m.running, task]:
+            need = self.step_of(other)
+            used = [used[0] + need.get("cpus", 0), used[1] + need.get("mem-mb", 0), used[2] + need.get("gpus", 0)]
+        if any(u > c for u, c in zip(used, m.cap, strict=True)):
+            self.broken.append(f"LIMIT {m.mid} {used} over {m.cap}")
+        self.alive.setdefault(task, []).append((m.mid, run))
+
+    def ended(self, *, m: "SimMinion", task: str, run: int, how: str) -> None:
+        self.alive.get(task, []).remove((m.mid, run))
+        if how == "done":
+            self.done.add(task)
+
+    def note(self, *, task: str, how: str) -> None:
+        if how == "done":
+            self.noted.add(task)
+        if how == "failed":
+            self.failed[task] = self.failed.get(task, 0) + 1
+
+
+class SimMinion:
+    """Behaves as PROTOCOL says: fences, holds on its own slow clock, ends kept until noted, one beat at a time."""
+
+    def __init__(self, *, sim: Sim, oracle: Oracle, mid: str, site: str, cap: tuple[int, int, int], work: float,
+                 labels: tuple[str, ...] = ("a", "r1"), fail: float = 0.0) -> None:
+        self.sim, self.oracle, self.mid, self.site, self.cap = sim, oracle, mid, site, cap
+        self.labels, self.work, self.fail = labels, work, fail
+        self.running: dict[str, dict[str, Any]] = {}
+        self.ends: dict[int, tuple[str, int, str, str, float]] = {}
+        self.top: dict[str, int] = {}
+        self.seen = 0
+        self.num = 0
+        self.fence = 0
+        self.hold = 0.0
+        self.lapsed = -1.0
+        self.seq = 0
+        self.up = True
+        self.state = "ready"
+        self.target = ""
+        self.inflight = 0
+        self.planned = 0
+        self.at = sim.rng.randrange(len(sim.core_ips))
+        sim.at(delay=sim.rng.random(), fn=self.beat)
+        self._watch()
+
+    def _watch(self) -> None:
+        if not self.up:
+            return
+        if self.running and self.sim.now > self.hold:
+            self.lapsed = self.sim.now
+            for task in list(self.running):
+                self.end(task=task, how="lapsed")
+        self.sim.at(delay=0.02, fn=self._watch)
+
+    def crash(self) -> None:
+        """Die with all that runs."""
+        self.up = False
+        for task, row in self.running.items():
+            self.oracle.ended(m=self, task=task, run=row["run"], how="lost")
+        self.running = {}
+
+    def end(self, *, task: str, how: str) -> None:
+        row = self.running.pop(task)
+        self.oracle.ended(m=self, task=task, run=row["run"], how=how)
+        self.num += 1
+        self.ends[self.num] = (task, row["run"], how, "", self.sim.now)
+        if not self.inflight:
+            self.plan(delay=0.05)
+
+    def plan(self, *, delay: float) -> None:
+        self.planned += 1
+        mark = self.planned
+
+        def go() -> None:
+            if mark == self.planned and not self.inflight:
+                self.beat()
+        self.sim.at(delay=delay, fn=go)
+
+    def beat(self) -> None:
+        if not self.up or self.inflight:
+            return
+        self.seq += 1
+        self.planned += 1
+        self.inflight = seq = self.seq
+        sent = self.sim.now
+        dst = self.target or self.sim.core_ips[self.at % len(self.sim.core_ips)]
+        doc = {"backend": "svc", "address": f"{self.mid}:1", "zone": self.site, "config-version": "v1", "slots": 8,
+               "state": self.state, "cold-left-ms": 0, "call-seq": seq, "clock-ms": int(sent * 1000),
+               "capacity": {"cpus": self.cap[0], "mem-mb": self.cap[1], "gpus": self.cap[2]},
+               "labels": list(self.labels),
+               "running": [[t, r["run"], "", 50] for t, r in self.running.items()],
+               "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500]}
+
+        def back(res: Response) -> None:
+            if self.inflight == seq and self.up and self.sim.now - sent <= 1.0:
+                self.inflight = 0
+                if res.status == 200:
+                    self.answer(doc=orjson.loads(res.body), sent=sent)
+                else:
+                    self.miss()
+
+        def late() -> None:
+            if self.inflight == seq and self.up:
+                self.inflight = 0
+                self.miss()
+        self.sim.at(delay=1.0, fn=late)
+        self.sim.http(ip=dst, src=self.mid, method="PUT", path=f"/minions/{self.mid}", doc=doc, back=back)
+
+    def miss(self) -> None:
+        self.target = ""
+        self.at += 1
+        self.plan(delay=0.1)
+
+    def answer(self, *, doc: dict[str, Any], sent: float) -> None:
+        if doc.get("beat-target"):
+            self.target = doc["beat-target"].split(":")[0]
+        self.plan(delay=min(doc.get("retry-after-ms", 1400), 1400) / 1000)
+        fence = doc.get("fence-no", 0)
+        if fence < self.fence:
+            return
+        self.fence = fence
+        if "hold-ms" in doc:
+            self.hold = max(self.hold, sent + min(doc["hold-ms"], 6000) / 1000 * SLOW)
+        for n in sorted(self.ends):
+            if n <= doc.get("last-seen", 0):
+                task, _, how, _, at = self.ends.pop(n)
+                if self.lapsed < at:
+                    self.oracle.note(task=task, how=how)
+        for task, run in doc.get("stopped", []):
+            self.top[task] = max(self.top.get(task, 0), run)
+            if task in self.running and self.running[task]["run"] == run:
+                self.sim.at(delay=0.2, fn=lambda task=task, run=run: self.finish(  # type: ignore[misc]
+                    task=task, run=run, how="stopped"))
+        for task, run, spec, saved in doc.get("started", []):
+            if run <= self.top.get(task, 0):
+                continue
+            self.top[task] = run
+            self.oracle.started(m=self, task=task, run=run, spec=spec, saved=saved)
+            self.running[task] = {"run": run}
+            last = self.oracle.step_of(task).get("long-running")
+            how = "failed" if self.sim.rng.random() < self.fail else "done"
+            dur = 1e9 if last else self.work * (0.5 + self.sim.rng.random())
+            self.sim.at(delay=dur, fn=lambda task=task, run=run, how=how: self.finish(  # type: ignore[misc]
+                task=task, run=run, how=how))
+
+    def finish(self, *, task: str, run: int, how: str) -> None:
+        if self.up and task in self.running and self.running[task]["run"] == run:
+            self.end(task=task, how=how)
+
+
+class SimCaller:
+    """Hands jobs in as clients do: the same ID again after silence, 502 or 504."""
+
+    def __init__(self, *, sim: Sim, oracle: Oracle) -> None:
+        self.sim, self.oracle = sim, oracle
+        self.n = 0
+
+    def submit(self, *, stages: list[dict[str, Any]], queue: str = "fast", **more: Any) -> str:
+        self.n += 1
+        jid = f"{self.sim.rng.getrandbits(64):016x}"
+        doc = {"task-spec": f"spec-{jid}", "stages": stages, **more}
+        self.oracle.jobs[jid] = doc
+        self._send(jid=jid, queue=queue, doc=doc, left=5)
+        return jid
+
+    def _send(self, *, jid: str, queue: str, doc: Any, left: int) -> None:
+        ip = self.sim.rng.choice(self.sim.edge_ips)
+        state = {"done": False}
+
+        def back(res: Response) -> None:
+            if state["done"]:
+                return
+            state["done"] = True
+            if 200 <= res.status < 300:
+                self.oracle.accepted.setdefault(jid, self.sim.now)
+            elif res.status in (429, 503) and left == 5:
+                self.oracle.refused.add(jid)
+            elif res.status in (502, 504) and left:
+                self._send(jid=jid, queue=queue, doc=doc, left=left - 1)
+
+        def late() -> None:
+            if not state["done"]:
+                state["done"] = True
+                if left:
+                    self._send(jid=jid, queue=queue, doc=doc, left=left - 1)
+        self.sim.http(ip=ip, src="caller", method="POST", path=f"/{queue}/{jid}", doc=doc,
+                      headers={"host": HOST, "x-deadline-ms": "3000"}, back=back)
+        self.sim.at(delay=3.0, fn=late)
+
+    def state(self, *, jid: str, queue: str = "fast") -> tuple[int, Any]:
+        status, doc = self.sim.ask(ip=self.sim.edge_ips[0], method="GET", path=f"/{queue}/{jid}",
+                                   headers={"host": HOST, "x-deadline-ms": "3000"})
+        return status, doc["state"] if status == 200 else None
+
+    def cancel(self, *, jid: str, queue: str = "fast") -> int:
+        status, _ = self.sim.ask(ip=self.sim.edge_ips[0], method="DELETE", path=f"/{queue}/{jid}",
+                                 headers={"host": HOST, "x-deadline-ms": "3000"})
+        if status == 200:
+            self.oracle.cancelled[jid] = self.sim.now
+        return status
+
+
+def cluster(*, seed: int, minions: int = 6, work: float = 0.5, cap: tuple[int, int, int] = (4000, 8000, 0),
+            fail: float = 0.0, **kw: Any) -> tuple[Sim, Oracle, SimCaller, list[SimMinion]]:
+    """A configured cluster with minions."""
+    sim = Sim(seed=seed, **kw)
+    oracle = Oracle(sim=sim)
+    fleet = [SimMinion(sim=sim, oracle=oracle, mid=f"i-{i}", site=f"z{i % len(sim.sites)}", cap=cap, work=work,
+                       labels=("a", f"r{i % len(sim.sites)}"), fail=fail) for i in range(minions)]
+    sim.run(seconds=1.0)
+    for ip in sim.core_ips:
+        status, _ = sim.ask(ip=ip, method="PUT", path="/config", doc=config(version=3), headers={"if-match": "0"})
+        if status == 200:
+            break
+    assert status == 200, status
+    sim.run(seconds=2.0)
+    return sim, oracle, SimCaller(sim=sim, oracle=oracle), fleet
--- /dev/null
+++ b/tests/simnet.py
@@ -0,0 +1,285 @@
+"""A deterministic cluster: nodes, links, disks and clocks in one thread of simulated time."""
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from yarrowloom.base.log import Log
+from yarrowloom.base.startup import Startup
+from yarrowloom.node.core import CoreNode
+from yarrowloom.node.edge import EdgeNode
+from yarrowloom.wire.frame import Kind
+from yarrowloom.wire.http import Request, Response
+
+PORTS = (7000, 7015)
+BOUNDS = {"max-hold-ms": 6000.0, "stop-grace-ms": 400.0, "spread-factor": 2.0, "status_s": 120.0, "grace-s": 6.0}
+
+
+class Disk:
+    """What a machine keeps. `synced` survives a loss of power; `torn` writes may or may not."""
+
+    def __init__(self) -> None:
+        self.synced: list[bytes] = []
+        self.pending: list[bytes] = []
+
+
+class Proc:
+    """One process of a node."""
+
+    def __init__(self, *, node: CoreNode | EdgeNode, life: int) -> None:
+        self.node = node
+        self.life = life
+        self.up = True
+        self.frozen_till = 0.0
+        self.disk_busy = False
+        self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
+        self.inbox: list[Callable[[], None]] = []
+
+
+class Sim:
+    """Invariant: events at one time run in the order in which they were planned, so a seed fixes the run."""
+
+    def __init__(self, *, seed: int, sites: int = 3, cores: int = 3, edges: int = 1, sync_s: float = 0.005) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.wall0 = 1_700_000_000.0
+        self.sync_s = sync_s
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.procs: dict[str, Proc] = {}
+        self.disks: dict[str, Disk] = {}
+        self.uids: dict[str, str] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.stalls: dict[str, float] = {}
+        self.seq: dict[tuple[str, str, int], int] = {}
+        self.last: dict[tuple[str, str], float] = {}
+        self.seen: dict[tuple[str, str], tuple[int, int]] = {}
+        self.lives = 0
+        self.calls: dict[int, Callable[[Response], None]] = {}
+        self.owner_of_call: dict[int, str] = {}
+        self.ncall = 0
+        self.sites = [f"z{i}" for i in range(sites)]
+        self.core_ips = [f"10.{i % sites}.0.{i + 1}" for i in range(cores)]
+        self.edge_ips = [f"10.{i % sites}.1.{i + 1}" for i in range(edges)]
+        for ip in self.core_ips:
+            self.boot(ip=ip, first=True)
+        for ip in self.edge_ips:
+            self.boot(ip=ip, first=True)
+
+    # -- time
+
+    def at(self, *, delay: float, fn: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + delay, self.count, fn))
+
+    def run(self, *, seconds: float) -> None:
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, fn = heapq.heappop(self.heap)
+            fn()
+        self.now = end
+
+    def until(self, *, cond: Callable[[], bool], limit: float) -> bool:
+        end = self.now + limit
+        while self.now < end:
+            if cond():
+                return True
+            self.run(seconds=0.05)
+        return cond()
+
+    # -- machines
+
+    def startup(self, *, ip: str, first: bool) -> Startup:
+        core = ip.split(".")[2] != "1"
+        binds = {"control": f"{ip}:8000"} if core else {"front": f"{ip}:8001", "ready": f"{ip}:8002"}
+        return Startup(name=ip, role="core" if core else "edge", ip=ip, site=f"z{ip.split('.')[1]}",
+                       sites={s: "r" for s in self.sites}, binds=binds, ports=PORTS,
+                       seeds=tuple(f"{s}:8000" for s in self.core_ips[:3]), bootstrap=first,
+                       data_dir="/d" if core else None, disk_mb=64, memory_mb=256, beat_ms=1400, bounds=BOUNDS)
+
+    def boot(self, *, ip: str, first: bool = False) -> None:
+        """Start a machine's process from what its disk holds."""
+        self.lives += 1
+        core = ip.split(".")[2] != "1"
+        st = self.startup(ip=ip, first=first)
+        log = Log(name="sim", level="error")
+        boot = int(self.now * 1e6) + self.lives
+        node: CoreNode | EdgeNode
+        if core:
+            disk = self.disks.setdefault(ip, Disk())
+            known = [r["uid"] for r in map(orjson.loads, disk.synced) if r.get("k") == "id"]
+            fresh = not known and first
+            uid = known[-1] if known else f"{ip}:7000#0" if fresh else f"{ip}:7000#{self.lives:x}x"
+            node = CoreNode(startup=st, uid=uid, boot=boot, log=log, first=fresh, now=self.now,
+                            rand=self.rng.random())
+            if known:
+                node.restore(recs=list(disk.synced))
+            disk.synced = node.checkpoint()
+        else:
+            uid = f"{ip}:7001#{self.lives:x}"
+            node = EdgeNode(startup=st, uid=uid, boot=boot, log=log)
+        self.uids[ip] = uid
+        proc = Proc(node=node, life=self.lives)
+        self.procs[ip] = proc
+        self.at(delay=self.rng.random() * 0.05, fn=lambda: self._tick(ip, proc))
+
+    def kill(self, *, ip: str, power: bool = False) -> None:
+        """End a process; without power, what was not synced is lost or in part there."""
+        proc = self.procs[ip]
+        proc.up = False
+        disk = self.disks.get(ip)
+        if disk is not None:
+            keep = len(disk.pending) if not power else self.rng.randint(0, len(disk.pending))
+            disk.synced += disk.pending[:keep]
+            disk.pending = []
+
+    def wipe(self, *, ip: str) -> None:
+        """Lose the disk (of a machine that is down)."""
+        self.disks[ip] = Disk()
+
+    def freeze(self, *, ip: str, seconds: float) -> None:
+        proc = self.procs[ip]
+        proc.frozen_till = self.now + seconds
+
+        def thaw() -> None:
+            box, proc.inbox = proc.inbox, []
+            for fn in box:
+                fn()
+        self.at(delay=seconds + 1e-6, fn=thaw)
+
+    def cut(self, *, a: str, b: str, one_way: bool = False) -> None:
+        self.cuts.add((a, b))
+        if not one_way:
+            self.cuts.add((b, a))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    # -- inputs and outputs
+
+    def step(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
+        if not proc.up or self.procs.get(ip) is not proc:
+            return
+        if self.now < proc.frozen_till:
+            proc.inbox.append(lambda: self.step(ip, proc, fn))
+            return
+        node = proc.node
+        node.now, node.wall = self.now, self.wall0 + self.now
+        fn()
+        out = node.out
+        sends, out.sends = out.sends, []
+        for addr, kind, body in sends:
+            self._send(ip, proc, addr.split(":")[0], kind, body)
+        if out.writes:
+            proc.disk += out.writes
+            self.disks[ip].pending += [b for b, _ in out.writes]
+            out.writes = []
+            self._sync(ip, proc)
+        answers, out.answers = out.answers, []
+        for key, res in answers:
+            back = self.calls.pop(key, None)
+            if back is not None:
+                self.at(delay=0.002, fn=lambda back=back, res=res: back(res))  # type: ignore[misc]
+
+    def _tick(self, ip: str, proc: Proc) -> None:
+        if not proc.up or self.procs.get(ip) is not proc:
+            return
+        if self.now >= proc.frozen_till:
+            self.step(ip, proc, proc.node.tick)
+        self.at(delay=0.05 + self.rng.random() * 0.01, fn=lambda: self._tick(ip, proc))
+
+    def _sync(self, ip: str, proc: Proc) -> None:
+        if proc.disk_busy or not proc.disk:
+            return
+        proc.disk_busy = True
+        batch, proc.disk = proc.disk, []
+        wait = max(0.0, self.stalls.get(ip, 0.0) - self.now) + self.sync_s * (0.5 + self.rng.random())
+
+        def synced() -> None:
+            if not proc.up or self.procs.get(ip) is not proc:
+                return
+            disk = self.disks[ip]
+            disk.synced += [b for b, _ in batch]
+            del disk.pending[:len(batch)]
+            proc.disk_busy = False
+            node = proc.node
+            assert isinstance(node, CoreNode)
+            self.step(ip, proc, lambda: node.done(effs=[e for _, e in batch]))
+            self._sync(ip, proc)
+        self.at(delay=wait, fn=synced)
+
+    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
+        key = (ip, dst, proc.life)
+        seq = self.seq[key] = self.seq.get(key, 0) + 1
+        boot, uid = proc.node.boot, proc.node.uid
+        if ip != dst and ((ip, dst) in self.cuts or self.rng.random() < self.loss):
+            return
+        due = self.now if ip == dst else self.now + 0.001 + self.rng.random() * 0.002
+        due = self.last[ip, dst] = max(due, self.last.get((ip, dst), 0.0) + 1e-7)   # a stream keeps its order
+        delay = due - self.now
+
+        def arrive() -> None:
+            to = self.procs.get(dst)
+            if to is None or not to.up:
+                return
+
+            def take() -> None:
+                last = self.seen.get((ip, dst + str(to.life)), (0, 0))
+                if ip != dst and (boot < last[0] or (boot == last[0] and seq <= last[1])):
+                    return
+                self.seen[ip, dst + str(to.life)] = (boot, seq)
+                if ip != dst and (boot != last[0] or seq != last[1] + 1):
+                    to.node.gap(uid=uid)
+                to.node.on(uid=uid, kind=kind, body=body)
+            self.step(dst, to, take)
+        self.at(delay=delay, fn=arrive)
+
+    def http(self, *, ip: str, src: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
+             headers: dict[str, str] | None = None, back: Callable[[Response], None]) -> None:
+        """An HTTP call from `src`; `back` may never be called."""
+        self.ncall += 1
+        key = self.ncall
+        raw = body if body is not None else b"" if doc is None else orjson.dumps(doc)
+        req = Request(method=method, path=path, headers=headers or {}, body=raw)
+
+        def answered(res: Response) -> None:
+            if (ip, src) not in self.cuts:
+                back(res)
+
+        def arrive() -> None:
+            proc = self.procs.get(ip)
+            if proc is None or not proc.up or (src, ip) in self.cuts:
+                return
+            self.calls[key] = answered
+            self.step(ip, proc, lambda: proc.node.http(call=key, req=req))
+        self.at(delay=0.002, fn=arrive)
+
+    def ask(self, *, ip: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
+            headers: dict[str, str] | None = None, limit: float = 6.0) -> tuple[int, Any]:
+        """Call and wait; status 0: no answer."""
+        got: list[Response] = []
+        self.http(ip=ip, src="op", method=method, path=path, doc=doc, body=body, headers=headers, back=got.append)
+        self.until(cond=lambda: bool(got), limit=limit)
+        if not got:
+            return 0, None
+        return got[0].status, orjson.loads(got[0].body) if got[0].body else None
+
+    def core(self, ip: str) -> CoreNode:
+        node = self.procs[ip].node
+        assert isinstance(node, CoreNode)
+        return node
+
+    def serving(self, *, g: int) -> list[str]:
+        """Machines whose process serves a group now."""
+        out = []
+        for ip in self.procs:
+            proc = self.procs[ip]
+            if proc.up and isinstance(proc.node, CoreNode) and self.now >= proc.frozen_till:
+                proc.node.now = self.now
+                if proc.node.reps[g].serving():
+                    out.append(ip)
+        return out
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,152 @@
+"""Whole jobs in the simulated cluster, with and without failures; the oracle judges the rules."""
+
+import pytest
+
+from tests.simfleet import Oracle, SimCaller, SimMinion, cluster
+from tests.simnet import Sim
+
+TASK = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
+
+
+def finish(sim: Sim, oracle: Oracle, caller: SimCaller, jids: list[str], limit: float = 60.0) -> None:
+    """All accepted jobs complete and no rule is broken."""
+    left = list(jids)
+    end = sim.now + limit
+    while left and sim.now < end:
+        left = [j for j in left if caller.state(jid=j)[1] not in ("complete", "failed", "cancelled")]
+        sim.run(seconds=0.5)
+    assert oracle.broken == []
+    assert left == [], [(j, caller.state(jid=j)) for j in left]
+
+
+def test_quiet_jobs_complete() -> None:
+    sim, oracle, caller, _ = cluster(seed=1)
+    jids = [caller.submit(stages=[TASK, {**TASK, "depends-on": [0]}]) for _ in range(10)]
+    finish(sim, oracle, caller, jids)
+    assert len(oracle.accepted) == 10
+    assert all(caller.state(jid=j) == (200, "complete") for j in jids)
+
+
+def test_gang_runs_together() -> None:
+    sim, oracle, caller, _ = cluster(seed=2)
+    jids = [caller.submit(stages=[{**TASK, "task-count": 5, "cpus": 3000, "gang": True}]) for _ in range(3)]
+    finish(sim, oracle, caller, jids)
+
+
+def test_same_id_is_one_job_and_unknown_is_gone() -> None:
+    sim, oracle, caller, _ = cluster(seed=3)
+    jid = caller.submit(stages=[TASK])
+    sim.run(seconds=1.0)
+    doc = oracle.jobs[jid]
+    caller._send(jid=jid, queue="fast", doc=doc, left=0)
+    finish(sim, oracle, caller, [jid])
+    assert caller.state(jid="0123456789abcdef") == (410, None)
+    assert sim.ask(ip=sim.edge_ips[0], method="GET", path="/none/", headers={"host": "h.example"})[0] == 404
+
+
+def test_cancel_stops() -> None:
+    sim, oracle, caller, fleet = cluster(seed=4, work=30.0)
+    jid = caller.submit(stages=[{**TASK, "long-running": True}])
+    sim.run(seconds=2.0)
+    assert sum(len(m.running) for m in fleet) == 3
+    assert caller.cancel(jid=jid) == 200
+    sim.run(seconds=4.0)
+    assert sum(len(m.running) for m in fleet) == 0
+    assert caller.state(jid=jid) == (200, "cancelled")
+    assert oracle.broken == []
+
+
+def test_failing_job_ends_failed_within_budget() -> None:
+    sim, oracle, caller, _ = cluster(seed=5, fail=1.0)
+    jid = caller.submit(stages=[TASK])
+    finish(sim, oracle, caller, [jid])
+    assert caller.state(jid=jid) == (200, "failed")
+
+
+def storm(sim: Sim, fleet: list[SimMinion], kind: str) -> None:
+    """One failure of a kind, at a place the seed picks."""
+    ips = sim.core_ips
+    ip = sim.rng.choice(ips)
+    if kind == "kill":
+        sim.kill(ip=ip)
+        sim.at(delay=0.5, fn=lambda: sim.boot(ip=ip))
+    elif kind == "power":
+        sim.kill(ip=ip, power=True)
+        sim.at(delay=3.0, fn=lambda: sim.boot(ip=ip))
+    elif kind == "wipe":
+        sim.kill(ip=ip, power=True)
+        sim.wipe(ip=ip)
+        sim.at(delay=2.0, fn=lambda: sim.boot(ip=ip))
+    elif kind == "freeze":
+        sim.freeze(ip=ip, seconds=2.0 + sim.rng.random() * 3)
+    elif kind == "cut":
+        for other in ips:
+            if other != ip:
+                sim.cut(a=ip, b=other, one_way=sim.rng.random() < 0.4)
+        sim.at(delay=5.0, fn=sim.heal)
+    elif kind == "stall":
+        sim.stalls[ip] = sim.now + 3.3
+    elif kind == "minion-cut":
+        for m in sim.rng.sample(fleet, 2):
+            for other in ips:
+                sim.cut(a=m.mid, b=other, one_way=sim.rng.random() < 0.4)
+        sim.at(delay=sim.rng.choice([3.0, 9.0]), fn=sim.heal)
+    elif kind == "minion-crash":
+        live = [m for m in fleet if m.up]
+        sim.rng.choice(live).crash()
+    elif kind == "restart-all":
+        for one in ips:
+            sim.kill(ip=one, power=True)
+            sim.at(delay=1.0, fn=lambda one=one: sim.boot(ip=one))  # type: ignore[misc]
+    elif kind == "wipe-and-power":
+        for one in ips:
+            sim.kill(ip=one, power=True)
+            if one == ip:
+                sim.wipe(ip=one)
+            sim.at(delay=1.0, fn=lambda one=one: sim.boot(ip=one))  # type: ignore[misc]
+
+
+KINDS = ["kill", "power", "wipe", "freeze", "cut", "stall", "minion-cut", "minion-crash", "restart-all",
+         "wipe-and-power"]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("seed", [11, 12, 13])
+def test_rules_hold_through(kind: str, seed: int) -> None:
+    sim, oracle, caller, fleet = cluster(seed=seed * 100 + KINDS.index(kind), minions=8, edges=2)
+    jids = []
+    for i in range(24):
+        shape = [{**TASK, "task-count": 4}, {**TASK, "task-count": 2, "depends-on": [0]}]
+        if i % 5 == 0:
+            shape = [{**TASK, "task-count": 3, "cpus": 3000, "gang": True}]
+        jids.append(caller.submit(stages=shape))
+        sim.run(seconds=0.15)
+        if i == 8:
+            storm(sim, fleet, kind)
+    sim.run(seconds=8.0)
+    finish(sim, oracle, caller, [j for j in jids if j in oracle.accepted], limit=90.0)
+    lost = [j for j in oracle.accepted if caller.state(jid=j)[0] != 200]
+    assert lost == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_two_losses_one_after_the_other(seed: int) -> None:
+    sim, oracle, caller, fleet = cluster(seed=900 + seed, minions=6)
+    jids = []
+    for _ in range(2):
+        jids += [caller.submit(stages=[TASK]) for _ in range(6)]
+        sim.run(seconds=0.7)
+        storm(sim, fleet, sim.rng.choice(["wipe", "power", "freeze", "kill"]))
+        sim.run(seconds=9.0)
+    finish(sim, oracle, caller, [j for j in jids if j in oracle.accepted], limit=90.0)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_one_primary_at_a_time(seed: int) -> None:
+    sim, _, _, fleet = cluster(seed=700 + seed)
+    for kind in ("cut", "freeze", "power", "cut"):
+        storm(sim, fleet, kind)
+        for _ in range(200):
+            sim.run(seconds=0.05)
+            for g in range(3):
+                assert len(sim.serving(g=g)) <= 1
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -119,7 +119,7 @@
             m.move(Phase.KNOWN)
         if cap != m.cap or was != m.draining:
             self.dirty = True
-        settle(agent=self, m=m)
+        settle(agent=self, m=m, beat=True)
         self._tell(m=m)
         m.call = Call(key=call, at=hub.now, horizon=hub.now)
         answer(agent=self, m=m, fresh=True)
@@ -217,7 +217,7 @@
                 void.append([task, run])
         self.hub.send(uid=uid, kind=Kind.VERDICT, body={"g": g, "n": b["n"], "seq": b["seq"], "m": m.mid,
                                                         "f": m.fence, "x": void})
-        settle(agent=self, m=m)
+        settle(agent=self, m=m, beat=False)
         self._tell(m=m)
         self.dirty = True
 
--- a/yarrowloom/agent/answer.py
+++ b/yarrowloom/agent/answer.py
@@ -15,8 +15,8 @@
 FULL_MS = 500
 
 
-def settle(*, agent: "Agent", m: Minion) -> None:
-    """Compare what the beat lists with what is owed."""
+def settle(*, agent: "Agent", m: Minion, beat: bool) -> None:
+    """Compare what the beat lists with what is owed. Only a beat that has just come tells of orders sent before it."""
     now = agent.hub.now
     for r in list(m.runs.values()):
         row = m.running.get(r.task)
@@ -29,8 +29,8 @@
         elif m.ended(task=r.task, run=r.run):
             r.miss = 0
         elif r.live:
-            r.miss += 1
-        else:
+            r.miss += beat
+        elif beat:
             r.sent = False        # the order was not carried out: it goes out once more
     attached = all(g in m.met for g in agent.hub.groups())
     m.strays = {t: row[0] for t, row in m.running.items() if t not in m.runs} if attached else {}
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -12,6 +12,7 @@
 SWEEP_S = 1.0
 HOPS = 4
 BATCH = 64
+SHUT_S = 0.1          # after an agent had no room, views are given this long to catch up
 
 
 class PlacerHub(Protocol):
@@ -52,6 +53,7 @@
         self.over: dict[str, float] = {}
         self.asks: dict[int, Ask] = {}
         self.held: dict[str, Held] = {}
+        self.shut: dict[Shape, float] = {}
         self.gangs = Gangs(placer=self)
         self.rid = 0
         self.seq = 0
@@ -262,6 +264,8 @@
         else:
             for held in rows:
                 self.pool.put(held=held, now=self.hub.now)
+            if not rows:
+                self.shut[ask.shape] = self.hub.now + SHUT_S
             if b["to"] and len(ask.been) < HOPS and len(rows) < ask.n:
                 self.ask(shape=ask.shape, n=ask.n - len(rows), agent=b["to"], been=[*ask.been, b["to"]])
         self.dirty = True
@@ -307,6 +311,8 @@
         if not self.dirty or not self.rep.serving():
             return
         self.dirty = False
+        if len(self.shut) > 1000:
+            self.shut.clear()
         want: dict[Shape, int] = {}
         strict: dict[Shape, bool] = {}
         for (jid, key), since in sorted(self.ready.items(), key=self.rank):
@@ -333,7 +339,7 @@
             if a.gang is None:
                 busy[a.shape] = busy.get(a.shape, 0) + a.n
         for shape, n in want.items():
-            if shape not in busy:
+            if shape not in busy and self.hub.now >= self.shut.get(shape, 0.0):
                 self._seek(shape=shape, n=n, strict=strict[shape])
 
     def _seek(self, *, shape: Shape, n: int, strict: bool) -> None:
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -164,7 +164,7 @@
                 old = e
                 self.rep.learn(val)
                 if self.rep.camp is not self:
-                    for peer in {*old["w"], *val["w"], val["p"], val["b"]} - {""}:
+                    for peer in sorted({*old["w"], *val["w"], val["p"], val["b"]} - {""}):
                         self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": val})
 
     def decided(self, *, epoch: Epoch) -> None:
@@ -178,7 +178,7 @@
     def _install(self) -> None:
         assert self.value is not None
         self.sent = self.rep.hub.now
-        for peer in {*self.value["w"], self.value["b"], *self.rep.hub.everyone()} - {"", *self.ok}:
+        for peer in sorted({*self.value["w"], self.value["b"], *self.rep.hub.everyone()} - {"", *self.ok}):
             self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": self.value})
 
     def _installed(self, *, uid: str, n: int) -> None:
