--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,11 +1,13 @@
 """Whole jobs in the simulated cluster, with and without failures; the oracle judges the rules."""
 
+from typing import Any
+
 import pytest
 
 from tests.simfleet import Oracle, SimCaller, SimMinion, cluster
 from tests.simnet import Sim
 
-TASK = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
+TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
 
 
 def finish(sim: Sim, oracle: Oracle, caller: SimCaller, jids: list[str], limit: float = 60.0) -> None:
@@ -116,7 +118,7 @@
     sim, oracle, caller, fleet = cluster(seed=seed * 100 + KINDS.index(kind), minions=8, edges=2)
     jids = []
     for i in range(24):
-        shape = [{**TASK, "task-count": 4}, {**TASK, "task-count": 2, "depends-on": [0]}]
+        shape: list[dict[str, Any]] = [{**TASK, "task-count": 4}, {**TASK, "task-count": 2, "depends-on": [0]}]
         if i % 5 == 0:
             shape = [{**TASK, "task-count": 3, "cpus": 3000, "gang": True}]
         jids.append(caller.submit(stages=shape))
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -149,6 +149,10 @@
     def configured(self) -> None:
         """A newer configuration is in force here."""
 
+    def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
+        """A call of this node has ended."""
+        raise NotImplementedError
+
     def route(self, *, name: str) -> dict[str, Any] | None:
         """A route by name."""
         return self.table.routes.get(name) if self.table is not None else None
--- a/yarrowloom/node/chief.py
+++ b/yarrowloom/node/chief.py
@@ -7,7 +7,7 @@
 from ..wire.frame import Kind
 
 if TYPE_CHECKING:
-    from .core import CoreNode
+    from .hub import CoreHub
 
 LEASE_S = 1.5                       # how long one word of the chief lets an agent act
 DEAD_S = LEASE_S * 1.05 + 0.3       # silence after which its minions go to others
@@ -18,7 +18,7 @@
     """Volatile; one lives while this node serves group 0. Invariant: a minion is given to another agent only once
     the former agent's word from any chief has run out."""
 
-    def __init__(self, *, node: "CoreNode", late: str) -> None:
+    def __init__(self, *, node: "CoreHub", late: str) -> None:
         self.node = node
         now = node.now
         # `late`: the primary before this one, whose agent acted on that duty's promise alone, which has run out.
--- a/yarrowloom/node/control.py
+++ b/yarrowloom/node/control.py
@@ -10,9 +10,9 @@
 from ..wire.http import JSON, Request, Response
 
 if TYPE_CHECKING:
-    from .core import CoreNode
+    from .hub import CoreHub
 
-Handler = Callable[["CoreNode", Any, Request, str], None]
+Handler = Callable[["CoreHub", Any, Request, str], None]
 CALLS: list[tuple[str, re.Pattern[str], Handler]] = []
 CONF_TTL = 3.5
 BEAT_TTL = 0.75
@@ -26,7 +26,7 @@
     return wrap
 
 
-def dispatch(*, node: "CoreNode", call: Any, req: Request) -> None:
+def dispatch(*, node: "CoreHub", call: Any, req: Request) -> None:
     """Find the handler and let it answer."""
     path = req.path.split("?", 1)[0]
     known = False
@@ -46,7 +46,7 @@
 
 
 @declare("PUT", r"/minions/([^/]+)")
-def beat(node: "CoreNode", call: Any, req: Request, mid: str) -> None:
+def beat(node: "CoreHub", call: Any, req: Request, mid: str) -> None:
     """A minion's beat: to its agent, here or elsewhere."""
     try:
         doc = orjson.loads(req.body)
@@ -62,7 +62,7 @@
 
 
 @declare("DELETE", r"/minions/([^/]+)")
-def leave(node: "CoreNode", call: Any, req: Request, mid: str) -> None:
+def leave(node: "CoreHub", call: Any, req: Request, mid: str) -> None:
     """A minion ends."""
     if mid in node.agent.minions and node.trusted():
         node.agent.leave(mid=mid, call=call)
@@ -71,18 +71,18 @@
 
 
 @declare("PUT", r"/config")
-def put_config(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+def put_config(node: "CoreHub", call: Any, req: Request, _arg: str) -> None:
     """A complete configuration."""
     _change(node=node, call=call, req=req)
 
 
 @declare("PATCH", r"/config")
-def patch_config(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+def patch_config(node: "CoreHub", call: Any, req: Request, _arg: str) -> None:
     """A change of named items."""
     _change(node=node, call=call, req=req)
 
 
-def _change(*, node: "CoreNode", call: Any, req: Request) -> None:
+def _change(*, node: "CoreHub", call: Any, req: Request) -> None:
     try:
         text = req.body.decode()
     except UnicodeDecodeError:
@@ -93,24 +93,24 @@
 
 
 @declare("GET", r"/config")
-def get_config(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+def get_config(node: "CoreHub", call: Any, req: Request, _arg: str) -> None:
     """The newest configuration, whole."""
     node.calls.start(g=0, op="getconf", b={}, done=("http", call), ttl=CONF_TTL)
 
 
 @declare("POST", r"/evacuation/([^/]+)")
-def evac_start(node: "CoreNode", call: Any, req: Request, site: str) -> None:
+def evac_start(node: "CoreHub", call: Any, req: Request, site: str) -> None:
     """Nothing more is to be sent to a site's minions."""
     node.calls.start(g=0, op="evac", b={"site": site, "on": True}, done=("http", call), ttl=CONF_TTL)
 
 
 @declare("DELETE", r"/evacuation/([^/]+)")
-def evac_end(node: "CoreNode", call: Any, req: Request, site: str) -> None:
+def evac_end(node: "CoreHub", call: Any, req: Request, site: str) -> None:
     """The evacuation is taken back."""
     node.calls.start(g=0, op="evac", b={"site": site, "on": False}, done=("http", call), ttl=CONF_TTL)
 
 
 @declare("GET", r"/state")
-def state(node: "CoreNode", call: Any, req: Request, _arg: str) -> None:
+def state(node: "CoreHub", call: Any, req: Request, _arg: str) -> None:
     """What this node knows, for the operator's command line."""
     node.respond(call=call, res=Response(status=200, body=orjson.dumps(node.describe()), headers=JSON))
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -1,279 +1,34 @@
 """The core node: witness, records, chief, agent and placing node in one process; all state machines, no sockets."""
 
+from collections.abc import Callable
 from typing import Any
 
-from ..agent import Agent
-from ..base.errs import YarrowError
 from ..base.log import Log
 from ..base.startup import Startup
-from ..fleet.registry import Registry
-from ..job.state import Jobs
-from ..place import Placer
-from ..record import Epoch, Replica
 from ..wire.frame import Kind, dump
-from ..wire.http import Request, Response
-from .base import JOB_GROUPS, NodeBase
+from ..wire.http import Request
+from .base import NodeBase
 from .calls import NOT_PRIMARY
-from .chief import LEASE_S, Chief
-from .control import BEAT_TTL, dispatch, refusal
+from .chief import LEASE_S
+from .control import dispatch
+from .hub import CoreHub
 
 REC = frozenset({Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED, Kind.INSTALL, Kind.INSTALLED, Kind.CKPT,
                  Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG, Kind.YIELD})
 THAW_S = 0.5
-OWNER_S = 3.0
 
 
-class CoreNode(NodeBase):
-    """Invariants: a replica's effects leave in the order of their events; a placer lives exactly while its group is
-    served here; the agent acts only while `trusted`."""
+class CoreNode(CoreHub):
+    """Inputs and effects. Invariant: effects leave in the order of their events."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
                  rand: float = 0.5) -> None:
-        super().__init__(startup=startup, uid=uid, boot=boot, kind="core", log=log)
-        self.now = now
-        self._rand = rand
-        self.reg = Registry()
-        self.jobs = {g: Jobs() for g in self.groups()}
-        self.reps: dict[int, Replica] = {}
-        for g in range(JOB_GROUPS + 1):
-            state = self.reg if g == 0 else self.jobs[g]
-            first_epoch = self._genesis(g=g) if first else None
-            if first_epoch is not None:
-                self.eps[g] = first_epoch
-            self.reps[g] = Replica(g=g, hub=self, state=state, epoch=first_epoch)
-        self.placers: dict[int, Placer] = {}
-        self.chief: Chief | None = None
-        hold = min(startup.bound(name="max-hold-ms", default=6000), max(4.0 * startup.beat_ms, 5000.0))
-        self.agent = Agent(hub=self, hold_ms=int(hold), lag_ms=startup.beat_ms,
-                           stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)))
-        self.lease = -9.0
-        self.roster: dict[str, float] = {}
-        self.owner: dict[str, tuple[str, float]] = {}
-        self.before: dict[int, str] = {}
-        self.ticked = now
-        self._effects = {"near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
-                         "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
-                         "stops": self._stops, "orders": self._orders, "endsok": self._endsok,
-                         "giveback": self._giveback, "selfown": self._selfown}
-
-    # -- what the state machines ask
-
-    def groups(self) -> range:
-        """Job groups."""
-        return range(1, JOB_GROUPS + 1)
-
-    def _genesis(self, *, g: int) -> Epoch:
-        seeds = [s.replace("#?", "#0") for s in self.seeds()]
-        n = len(seeds)
-        return {"n": 0, "p": seeds[g % n], "b": seeds[(g + 1) % n] if n > 1 else "", "w": seeds, "t": ""}
-
-    def jitter(self) -> float:
-        """0 to 1, from a small generator of its own."""
-        self._rand = (self._rand * 997.0 + 0.123456789) % 1.0
-        return self._rand
-
-    def write(self, *, rec: dict[str, Any], done: tuple[Any, ...]) -> None:
-        """To disk."""
-        self.out.writes.append((dump(body=rec), done))
-
-    def partners(self) -> list[str]:
-        """Members that may be a backup: alive ones first, other sites before the own, the least loaded first."""
-        load: dict[str, int] = {}
-        for e in self.eps.values():
-            load[e["p"]] = load.get(e["p"], 0) + 1
-            load[e["b"]] = load.get(e["b"], 0) + 1
-        known = self.members or {s.replace("#?", "#0"): {"site": ""} for s in self.seeds()}
-        rows = [(not self._up(uid=u), i.get("site") == self.startup.site, load.get(u, 0), u)
-                for u, i in known.items() if u != self.uid]
-        return [u for *_, u in sorted(rows)]
-
-    def _up(self, *, uid: str) -> bool:
-        return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
-
-    def witnesses(self, *, have: list[str]) -> list[str]:
-        """Widen to all core nodes, replace the absent by the present, never shrink."""
-        up = [u for u in have if u in self.members and self._up(uid=u)]
-        up += [u for u in sorted(self.members) if u not in have and self._up(uid=u)]
-        return sorted(up[:9]) if len(up) >= max(len(have), 3) else have
-
-    def everyone(self) -> list[str]:
-        """All core members known."""
-        return sorted(set(self.members) | {self.uid}) if self.members else [
-            s.replace("#?", "#0") for s in self.seeds()]
-
-    def elected(self, *, g: int) -> None:
-        """This node now serves the group."""
-        e = self.reps[g].epoch
-        assert e is not None
-        was = self.before.get(g, "")
-        self.note(event="primary", group=g, epoch=e["n"], backup=e["b"])
-        self._spread(g=g)
-        if g == 0:
-            self.chief = Chief(node=self, late=was if was != self.uid else "")
-            self._publish()
-        else:
-            self.placers[g] = Placer(g=g, hub=self, rep=self.reps[g], jobs=self.jobs[g],
-                                     far=self.startup.bound(name="spread-factor", default=2),
-                                     status_s=self.startup.bound(name="status_s", default=120))
-
-    def deposed(self, *, g: int) -> None:
-        """It no longer does."""
-        self.placers.pop(g, None)
-        if g == 0:
-            self.chief = None
-
-    def _spread(self, *, g: int) -> None:
-        e = self.reps[g].epoch
-        for uid in self.cores():
-            if uid != self.uid:
-                self.send(uid=uid, kind=Kind.NEWS, body={"eps": [[g, e]]})
-
-    def trusted(self) -> bool:
-        """The agent may act: group 0's primary gave its word lately, or is this node."""
-        return self.now < self.lease or (self.chief is not None and self.reps[0].serving())
-
-    def evacuated(self, *, site: str) -> bool:
-        """Nothing may start there."""
-        return site in self.evac
-
-    def gone(self, *, mid: str, fence: int) -> None:
-        """A minion is no more."""
-        self.agent.disown(mid=mid)
-        self.calls.start(g=0, op="gone", b={"m": mid, "f": fence}, done=("none",), ttl=30.0)
-
-    def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
-        """Answer a call of another node."""
-        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "s": status, "d": doc})
-
-    def learn(self, *, eps: list[Any]) -> None:
-        """Epochs go to the replicas first, which report what is news."""
-        for g, e in eps:
-            self.reps[g].learn(e)
-
-    def installed(self, *, g: int, epoch: Epoch) -> None:
-        """A newer epoch is decided."""
-        old = self.eps.get(g)
-        if old is not None:
-            self.before[g] = old["p"]
-        super().learn(eps=[[g, epoch]])
-        self.push()
-
-    # -- group 0
-
-    def commit0(self, *, ev: dict[str, Any], then: tuple[Any, ...] | None = None, news: bool = False) -> None:
-        """Commit to group 0; what changes news goes out once durable."""
-        self.reps[0].commit(ev=ev, then=then)
-        if news:
-            self.reps[0].barrier(then=("news", self._registry()))
-
-    def _registry(self) -> dict[str, Any]:
-        return {"reg": {"mods": self.reg.mods, "evac": list(self.reg.evac), "members": dict(self.reg.members)}}
-
-    def _publish(self) -> None:
-        doc = self._registry()
-        if self.reg.conf is not None:
-            doc["conf"] = self.reg.conf
-        self.take_news(doc=doc)
-
-    def _serve0(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
-        rep, chief = self.reps[0], self.chief
-        assert chief is not None
-        if op == "conf":
-            try:
-                ev = self.reg.judge(method=b["m"], base=b["base"], body=b["body"].encode())
-            except YarrowError as err:
-                status, doc = refusal(err=err)
-                rep.barrier(then=("reply", uid, rid, status, doc))
-                return
-            if ev is not None:
-                rep.commit(ev=ev, then=("news", {"conf": ev["doc"]}))
-                self.note(event="config-accepted", stamp=ev["doc"]["config-version"])
-            rep.barrier(then=("reply", uid, rid, 200, {}))
-        elif op == "getconf":
-            rep.barrier(then=("reply", uid, rid, 200 if self.reg.conf else 404, self.reg.conf or {}))
-        elif op == "evac":
-            self.commit0(ev={"t": "evac", "site": b["site"], "on": b["on"]}, news=True)
-            rep.barrier(then=("reply", uid, rid, 200, {}))
-        elif op == "who":
-            chief.who(uid=uid, rid=rid, b=b)
-        elif op == "gone":
-            rep.commit(ev={"t": "gone", "m": b["m"], "f": b["f"]}, then=("reply", uid, rid, 200, {}))
-        elif op == "leave":
-            row = self.reg.minions.get(b["m"])
-            if row is None:
-                self.reply(uid=uid, rid=rid, status=200, doc={})
-            else:
-                self.send(uid=row["o"], kind=Kind.CALL, body={"rid": rid, "g": -1, "op": "leave", "b": b, "for": uid})
-
-    # -- beats
-
-    def agent_beat(self, *, mid: str, doc: dict[str, Any], call: Any) -> None:
-        """A beat of an owned minion; what cannot be read is refused."""
-        try:
-            self.agent.beat(mid=mid, doc=doc, call=call)
-        except (ValueError, TypeError, KeyError, IndexError, AttributeError) as err:
-            self.log.warn("beat-malformed", minion=mid, why=repr(err))
-            self.respond(call=call, res=Response.of(400, {"error": "not a beat"}))
-
-    def beat_elsewhere(self, *, mid: str, doc: dict[str, Any], call: Any) -> None:
-        """Hand a beat to the minion's agent."""
-        owner, at = self.owner.get(mid, ("", -9.0))
-        if owner and owner != self.uid and self.now - at < OWNER_S:
-            self.calls.start(g=-1, to=owner, op="beat", b={"m": mid, "d": doc}, done=("beat", call, mid, owner),
-                             ttl=BEAT_TTL)
-            return
-        b = {"m": mid, "site": str(doc.get("zone", "")), "svc": str(doc.get("backend", "")),
-             "labels": [str(x) for x in doc.get("labels", [])]}
-        self.calls.start(g=0, op="who", b=b, done=("who", call, mid, doc), ttl=BEAT_TTL)
-
-    def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
-        """A call of this node has ended."""
-        kind = done[0]
-        if kind == "http":
-            self.respond(call=done[1], res=Response.of(status or 503, doc or {"error": "no primary in reach"}))
-        elif kind == "who":
-            _, call, mid, beat = done
-            if status != 200:
-                self.respond(call=call, res=Response(status=503))
-            elif doc["o"] == self.uid:
-                if mid in self.agent.minions:
-                    self.agent_beat(mid=mid, doc=beat, call=call)
-                else:
-                    self.respond(call=call, res=Response(status=503))
-            else:
-                self.owner[mid] = (doc["o"], self.now)
-                if len(self.owner) > 20000:
-                    self.owner.clear()
-                self.calls.start(g=-1, to=doc["o"], op="beat", b={"m": mid, "d": beat},
-                                 done=("beat", call, mid, doc["o"]), ttl=BEAT_TTL)
-        elif kind == "beat":
-            _, call, mid, owner = done
-            if status != 200:
-                self.owner.pop(mid, None)
-                self.respond(call=call, res=Response(status=503))
-                return
-            ctl = self.members.get(owner, {}).get("ctl") or self.info.get(owner, {}).get("ctl")
-            if ctl:
-                doc = {**doc, "beat-target": ctl}
-            self.respond(call=call, res=Response.of(200, doc))
-
-    def respond(self, *, call: Any, res: Response) -> None:
-        """Answer a call: over HTTP, or to the node that handed the beat over."""
-        if isinstance(call, tuple) and call[0] == "far":
-            self.reply(uid=call[1], rid=call[2], status=res.status, doc=self.load(body=res.body) if res.body else {})
-        else:
-            super().respond(call=call, res=res)
-
-    def _handed(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
-        if op == "leave":
-            if b["m"] in self.agent.minions:
-                self.agent.leave(mid=b["m"], call=("far", uid, rid))
-            else:
-                self.reply(uid=uid, rid=rid, status=200, doc={})
-        elif b["m"] in self.agent.minions and self.trusted():
-            self.agent_beat(mid=b["m"], doc=b["d"], call=("far", uid, rid))
-        else:
-            self.reply(uid=uid, rid=rid, status=503, doc={})
+        super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand)
+        self._effects: dict[str, Callable[..., None]] = {
+            "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
+            "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
+            "stops": self._stops, "orders": self._orders, "endsok": self._endsok, "giveback": self._giveback,
+            "selfown": self._selfown}
 
     # -- effects
 
@@ -492,13 +247,3 @@
         for rep in self.reps.values():
             out += [dump(body=rec) for rec in rep.checkpoint()]
         return out
-
-    def describe(self) -> dict[str, Any]:
-        """A summary for the operator."""
-        return {"uid": self.uid, "site": self.startup.site, "config": self.table.stamp if self.table else 0,
-                "evacuated": sorted(self.evac), "members": self.members,
-                "groups": {str(g): {"role": r.role.value, "epoch": r.epoch, "serving": r.serving()}
-                           for g, r in self.reps.items()},
-                "minions": {m.mid: {"phase": m.phase.value, "free": m.free(), "runs": len(m.runs)}
-                            for m in self.agent.minions.values()},
-                "backlog": {str(g): len(p.ready) for g, p in self.placers.items()}}
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -5,6 +5,7 @@
 
 from ..wire.frame import Kind
 from .epoch import Ballot, Epoch, majority
+from .parts import PROMISE_S
 
 if TYPE_CHECKING:
     from .replica import Replica
@@ -187,6 +188,5 @@
             return
         self.ok.add(uid)
         if majority(votes=self.ok, among=val["w"]) and (not val["b"] or val["b"] in self.ok):
-            from .replica import PROMISE_S
             self.rep.until = self.sent + PROMISE_S
             self.rep.activate()
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -1,88 +1,11 @@
 """One member's part in one group: witness always; primary or backup when the epoch says so."""
 
-import enum
-from typing import Any, Protocol
+from typing import Any
 
 from ..wire.frame import Kind
-from .ballot import Campaign, Phase
-from .epoch import Epoch, Witness, addr_of
-
-PROMISE_S = 1.2       # how long one word of the backup lets the primary act
-SILENCE_S = PROMISE_S * 1.05 + 0.15
-SUSPECT_S = 0.9       # a backup or disk that has not answered this long is replaced
-PING_S = 0.2
-RESEND_S = 0.3
-SPARES = 6
-REST_S = 3.0          # a primary that gave up its duty lets others try this long
-
-
-class Reducer(Protocol):
-    """The state of a group: changes only by events."""
-
-    def apply(self, ev: dict[str, Any]) -> Any:
-        """Take one event; what it returns are effects as data."""
-
-    def dump(self) -> Any:
-        """All of it as plain data."""
-
-    def load(self, doc: Any) -> None:
-        """Replace all of it."""
-
-
-class Hub(Protocol):
-    """What a replica needs of its node."""
-
-    now: float
-    uid: str
-
-    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
-        """To another node, or to itself."""
-
-    def write(self, *, rec: dict[str, Any], done: tuple[Any, ...]) -> None:
-        """To disk; `done` comes back as an effect once synced."""
-
-    def effect(self, *, eff: tuple[Any, ...]) -> None:
-        """Carry out an effect that is now durable."""
-
-    def partners(self) -> list[str]:
-        """Members that may be a backup, best first."""
-
-    def witnesses(self, *, have: list[str]) -> list[str]:
-        """The set that should keep epochs, given the one that does."""
-
-    def everyone(self) -> list[str]:
-        """All core members known."""
-
-    def jitter(self) -> float:
-        """0 to 1."""
-
-    def installed(self, *, g: int, epoch: Epoch) -> None:
-        """A newer epoch is decided."""
-
-    def elected(self, *, g: int) -> None:
-        """This node now serves the group."""
-
-    def deposed(self, *, g: int) -> None:
-        """It no longer does."""
-
-
-class Role(enum.Enum):
-    """A member's part."""
-
-    IDLE = "idle"
-    BACKUP = "backup"
-    LAPSED = "lapsed"      # named primary, has the state, but not serving
-    TAKING = "taking"      # campaigning for the next epoch
-    PRIMARY = "primary"
-
-
-MOVES: dict[Role, frozenset[Role]] = {
-    Role.IDLE: frozenset({Role.BACKUP, Role.LAPSED}),
-    Role.BACKUP: frozenset({Role.TAKING, Role.IDLE, Role.LAPSED, Role.BACKUP}),
-    Role.LAPSED: frozenset({Role.TAKING, Role.IDLE, Role.BACKUP, Role.LAPSED}),
-    Role.TAKING: frozenset({Role.PRIMARY, Role.IDLE, Role.BACKUP, Role.LAPSED, Role.TAKING}),
-    Role.PRIMARY: frozenset({Role.TAKING, Role.IDLE, Role.BACKUP, Role.LAPSED}),
-}
+from .ballot import Campaign
+from .epoch import Epoch, Witness
+from .parts import MOVES, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, Hub, Reducer, Role
 
 
 class Replica:
@@ -426,5 +349,3 @@
         elif m["seq"] == self.seq:
             self.hub.write(rec={"k": "none", "g": self.g}, done=("send", uid, int(Kind.LOGOK), ok))
 
-
-__all__ = ["Campaign", "Hub", "Phase", "Reducer", "Replica", "Role", "addr_of"]
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -50,7 +50,7 @@
 
 
 @dataclass
-class Frame(betterproto.Message):
+class Frame(betterproto.Message):  # type: ignore[misc]
     """Invariant: `seq` rises per sender life (`boot`) and receiver; a receiver drops what does not rise."""
 
     kind: int = betterproto.uint32_field(1)
