--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -152,3 +152,20 @@
             sim.run(seconds=0.05)
             for g in range(3):
                 assert len(sim.serving(g=g)) <= 1
+
+
+def test_planned_replacement_then_a_lost_disk() -> None:
+    """Four members for a while must not leave four witnesses, of which two losses would take half."""
+    sim, oracle, caller, _ = cluster(seed=41)
+    spare = "10.0.0.9"
+    sim.boot(ip=spare)
+    sim.run(seconds=4.0)
+    sim.kill(ip=sim.core_ips[1])
+    sim.run(seconds=6.0)
+    for ip in (sim.core_ips[0], sim.core_ips[2], spare):
+        sim.kill(ip=ip, power=True)
+    sim.wipe(ip=spare)
+    for ip in (sim.core_ips[0], sim.core_ips[2], spare):
+        sim.boot(ip=ip)
+    assert sim.until(cond=lambda: all(len(sim.serving(g=g)) == 1 for g in range(3)), limit=10.0)
+    finish(sim, oracle, caller, [caller.submit(stages=[TASK])])
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,100 @@
+"""The reducer of jobs: single cases that once went wrong, and seeded streams against a plain oracle."""
+
+import random
+from typing import Any
+
+import orjson
+import pytest
+
+from yarrowloom.job import Jobs, parse
+from yarrowloom.job.state import ENDED
+
+
+def job(*, stages: list[dict[str, Any]], **more: Any) -> dict[str, Any]:
+    doc = parse(body=orjson.dumps({"task-spec": "x", "stages": stages, **more}))
+    return {**doc, "q": "q", "svc": "s", "mt": 3, "at": 0}
+
+
+def end(*, run: int, how: str, i: int = 0, mt: int = 3) -> dict[str, Any]:
+    return {"t": "end", "id": "a", "u": "0.0", "i": i, "run": run, "how": how, "v": "", "mt": mt}
+
+
+def start(*, run: int, i: int = 0, m: str = "m") -> dict[str, Any]:
+    return {"t": "start", "id": "a", "u": "0.0", "x": [[i, run, m]]}
+
+
+@pytest.mark.parametrize("how", ["lost", "void", "stopped", "lapsed"])
+def test_only_failures_count_against_the_budget(how: str) -> None:
+    jobs = Jobs()
+    jobs.apply({"t": "job", "id": "a", "j": job(stages=[{"task-count": 1}])})
+    jobs.apply(start(run=1))
+    jobs.apply(end(run=1, how="failed"))
+    jobs.apply(start(run=2))
+    jobs.apply(end(run=2, how=how, mt=1))
+    assert jobs.jobs["a"]["st"] == "active"
+
+
+def test_gang_failure_counts_once_and_waits_for_all() -> None:
+    jobs = Jobs()
+    jobs.apply({"t": "job", "id": "a", "j": job(stages=[{"task-count": 2, "gang": True}])})
+    jobs.apply({"t": "start", "id": "a", "u": "0.0", "x": [[0, 1, "m"], [1, 1, "n"]]})
+    assert jobs.apply(end(run=1, how="failed", i=0)) == []
+    assert jobs.apply(end(run=1, how="failed", i=1)) == [("ready", "a", "0.0")]
+    assert jobs.jobs["a"]["u"]["0.0"]["f"][0] == 1
+
+
+def test_gang_done_stands_for_all() -> None:
+    jobs = Jobs()
+    jobs.apply({"t": "job", "id": "a", "j": job(stages=[{"task-count": 2, "gang": True}])})
+    jobs.apply({"t": "start", "id": "a", "u": "0.0", "x": [[0, 1, "m"], [1, 1, "n"]]})
+    assert ("over", "a") in jobs.apply(end(run=1, how="done", i=1))
+    assert jobs.jobs["a"]["st"] == "complete"
+    assert jobs.on == {}
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_stream_against_oracle(seed: int) -> None:
+    """Random events: states move only by the table, a reload changes nothing, ends count once."""
+    rng = random.Random(seed)
+    jobs = Jobs()
+    runs: dict[tuple[str, str, int], int] = {}
+    done: set[tuple[str, str, int]] = set()
+    for step in range(300):
+        pick = rng.random()
+        if pick < 0.1:
+            stages = [{"task-count": rng.randint(1, 3), "depends-on": [0] if s and rng.random() < 0.5 else [],
+                       "gang": rng.random() < 0.3} for s in range(rng.randint(1, 3))]
+            jobs.apply({"t": "job", "id": f"{step:x}", "j": job(stages=stages)})
+        elif pick < 0.15 and jobs.jobs:
+            jobs.apply({"t": "cancel", "id": rng.choice(sorted(jobs.jobs))})
+        elif pick < 0.2 and jobs.on:
+            mid = rng.choice(sorted(jobs.on))
+            jobs.apply({"t": "lost", "m": mid, "x": None, "v": {}})
+            assert mid not in jobs.on
+        elif pick < 0.6:
+            for jid, row in list(jobs.jobs.items()):
+                if row["st"] in ENDED or rng.random() < 0.5:
+                    continue
+                for key, unit in row["u"].items():
+                    deps = row["steps"][int(key.split(".")[1])]["deps"]
+                    if any(row["u"][f"0.{d}"]["left"] for d in deps) or set(unit["s"]) != {0}:
+                        continue
+                    run = max(unit["r"]) + 1
+                    x = [[i, run, f"m{rng.randint(0, 4)}"] for i in range(len(unit["s"]))]
+                    jobs.apply({"t": "start", "id": jid, "u": key, "x": x})
+                    runs.update({(jid, key, i): run for i in range(len(x))})
+        elif runs:
+            jid, key, i = rng.choice(sorted(runs))
+            run = runs[jid, key, i] - (rng.random() < 0.2)
+            how = rng.choice(["done", "done", "failed", "stopped", "lapsed", "broken"])
+            jobs.apply({"t": "end", "id": jid, "u": key, "i": i, "run": run, "how": how, "v": "", "mt": 3})
+            if how == "done":
+                done.add((jid, key, i))
+        twin = Jobs()
+        twin.load(jobs.dump())
+        assert twin.dump() == jobs.dump()
+        assert twin.on == jobs.on
+        assert {q: n for q, n in twin.pending.items() if n} == {q: n for q, n in jobs.pending.items() if n}
+    for jid, row in jobs.jobs.items():
+        if row["st"] == "complete":
+            assert any(k[0] == jid for k in done)
--- a/yarrowloom/job/state.py
+++ b/yarrowloom/job/state.py
@@ -202,7 +202,7 @@
                 unit["fr"] = ev["run"]
                 unit["f"][at] += 1
             if job["st"] not in ENDED:
-                if unit["f"][at] >= max(1, ev["mt"]):
+                if ev["how"] == "failed" and not step["last"] and unit["f"][at] >= max(1, ev["mt"]):
                     out += self._halt(jid=jid, st=State.FAILED)
                 elif not step["gang"] or RUN not in unit["s"]:
                     out.append(("ready", jid, key))
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -17,6 +17,7 @@
 from .control import BEAT_TTL, refusal
 
 OWNER_S = 3.0
+WITNESSES = 9
 
 
 class CoreHub(NodeBase):
@@ -83,10 +84,11 @@
         return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
 
     def witnesses(self, *, have: list[str]) -> list[str]:
-        """Widen to all core nodes, replace the absent by the present, never shrink."""
+        """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer."""
         up = [u for u in have if u in self.members and self._up(uid=u)]
         up += [u for u in sorted(self.members) if u not in have and self._up(uid=u)]
-        return sorted(up[:9]) if len(up) >= max(len(have), 3) else have
+        size = min(len(up) - 1 + len(up) % 2, WITNESSES)
+        return sorted(up[:size]) if size >= max(len(have), 3) else have
 
     def everyone(self) -> list[str]:
         """All core members known."""
