--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -87,6 +87,10 @@
         """Log an event."""
         self.log.info(event, **fields)
 
+    def trace(self, *, event: str, **fields: object) -> None:
+        """Log detail."""
+        self.log.debug(event, **fields)
+
     # -- epochs and news
 
     def primary(self, *, g: int) -> tuple[str, int] | None:
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -27,6 +27,9 @@
     def note(self, *, event: str, **fields: object) -> None:
         """Log."""
 
+    def trace(self, *, event: str, **fields: object) -> None:
+        """Log in detail."""
+
 
 class Desk:
     """Invariants: a start is durable before its order leaves; a unit is in `ready` exactly if it has a task to
@@ -89,6 +92,9 @@
                 stops.append(eff[1:])
             elif kind == "over":
                 self.over[eff[1]] = self.hub.now
+                job = self.jobs.jobs[eff[1]]
+                self.hub.trace(event="job-end", id=eff[1], queue=job["q"], state=job["st"],
+                               ms=int(self.hub.wall * 1000) - job["at"])
                 self.timed.discard(eff[1])
                 for key in [k for k in self.ready if k[0] == eff[1]]:
                     del self.ready[key]
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -161,6 +161,11 @@
             x.append([i, run, held.mid])
             self.held[task_name(jid=jid, unit=key, idx=i)] = held
             orders.append([jid, key, i, run, held])
+        job = self.jobs.jobs[jid]
+        step = job["steps"][int(key.split(".")[1])]
+        self.hub.trace(event="start", id=jid, unit=key, queue=job["q"], n=len(x), of=len(unit["s"]), est=step["est"],
+                       wait=round(self.hub.now - self.ready.get((jid, key), self.hub.now), 2), near=step["near"],
+                       far=sum(bool(step["near"]) and step["near"] not in self.links[h.mid].labels for _, h in batch))
         self.effects(self.rep.commit(ev={"t": "start", "id": jid, "u": key, "x": x}, then=("orders", self.g, orders)))
 
     def orders(self, rows: list[Any]) -> None:
