Orders that were stopped and never carried out are sent back; waiting tasks hold later ranks back

Redirects now keep a request's strict nearness. One job group, so that ranks compare across all jobs.

--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,203 @@
+"""The agent alone: exclusive leases, orders only through it, what becomes of orders that went astray."""
+
+import random
+from typing import Any
+
+import orjson
+
+from yarrowloom.agent import Agent
+from yarrowloom.wire.frame import Kind
+from yarrowloom.wire.http import Response
+
+
+class FakeHub:
+    """Collects what an agent says."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.uid = "me"
+        self.sent: list[tuple[str, Kind, dict[str, Any]]] = []
+        self.answers: dict[Any, Response] = {}
+        self.trust = True
+        self.shut: set[str] = set()
+        self.lost: list[str] = []
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        self.sent.append((uid, kind, orjson.loads(orjson.dumps(body))))
+
+    def respond(self, *, call: Any, res: Response) -> None:
+        self.answers[call] = res
+
+    def trusted(self) -> bool:
+        return self.trust
+
+    def primary(self, *, g: int) -> tuple[str, int] | None:
+        return f"p{g}", 1
+
+    def evacuated(self, *, site: str) -> bool:
+        return site in self.shut
+
+    def groups(self) -> range:
+        return range(1, 3)
+
+    def cores(self) -> list[str]:
+        return ["me", "p1", "p2"]
+
+    def note(self, *, event: str, **fields: object) -> None:
+        pass
+
+    def gone(self, *, mid: str, fence: int) -> None:
+        self.lost.append(mid)
+
+    def last(self, kind: Kind) -> dict[str, Any]:
+        return [b for _, k, b in self.sent if k is kind][-1]
+
+
+JOB = "0000000000000001"      # of group 2
+TASK = f"{JOB}.0.0.0"
+
+
+class Rig:
+    """An agent with one known minion that both groups have attached."""
+
+    def __init__(self, *, cap: tuple[int, int, int] = (4000, 8000, 2)) -> None:
+        self.hub = FakeHub()
+        self.agent = Agent(hub=self.hub, hold_ms=4000, stop_ms=400, lag_ms=1400)
+        self.cap = cap
+        self.seq = 0
+        self.agent.own(mid="i", fence=5, info={})
+        self.beat()
+        assert orjson.loads(self.hub.answers[1].body)["fence-no"] == 5
+        assert "started" not in orjson.loads(self.hub.answers[1].body)
+        self.beat()
+        self.attach(g=1)
+        self.attach(g=2)
+
+    def beat(self, *, running: list[Any] | None = None, ends: list[Any] | None = None, state: str = "ready") -> Any:
+        self.seq += 1
+        cpu, mem, gpu = self.cap
+        self.agent.beat(mid="i", call=self.seq, doc={
+            "backend": "s", "zone": "z", "state": state, "call-seq": self.seq, "labels": ["a", "r"],
+            "capacity": {"cpus": cpu, "mem-mb": mem, "gpus": gpu}, "running": running or [], "finished": ends or []})
+        return self.wait()
+
+    def wait(self) -> Any:
+        """The answer to the last beat, after time enough."""
+        for _ in range(30):
+            if self.seq in self.hub.answers:
+                res = self.hub.answers[self.seq]
+                return orjson.loads(res.body) if res.body else {"status": res.status}
+            self.hub.now += 0.05
+            self.agent.tick()
+        raise AssertionError("never answered")
+
+    def attach(self, *, g: int, x: list[Any] | None = None, seq: int = 1, n: int = 1) -> None:
+        self.agent.attach(uid=f"p{g}", b={"g": g, "n": n, "seq": seq, "m": "i", "f": 5, "x": x or []})
+
+    def ask(self, *, g: int, n: int = 1, cpu: int = 1000, gpu: int = 0) -> list[Any]:
+        self.agent.lease(uid=f"p{g}", b={"g": g, "rid": 1, "svc": "s", "cpu": cpu, "mem": 10, "gpu": gpu, "req": "",
+                                         "near": "", "n": n, "been": ["me"], "apart": 0, "avoid": {}})
+        rows: list[Any] = self.hub.last(Kind.GRANT)["x"]
+        return rows
+
+    def order(self, *, lid: int, g: int = 2, task: str = TASK, run: int = 1, n: int = 1, seq: int = 1) -> None:
+        self.agent.order(uid=f"p{g}", b={"g": g, "n": n, "x": [["i", seq, lid, task, run, "spec", "", 500]]})
+
+
+def test_two_placing_nodes_never_get_one_room() -> None:
+    rng = random.Random(7)
+    rig = Rig()
+    held: list[tuple[int, int, int, int]] = []
+    for _ in range(400):
+        g = rng.randint(1, 2)
+        if held and rng.random() < 0.45:
+            owner, lid, *_ = held.pop(rng.randrange(len(held)))
+            rig.agent.giveback(b={"g": owner, "x": [["i", lid]]})
+        else:
+            cpu, gpu = rng.choice([500, 1500, 3000]), rng.choice([0, 0, 1])
+            held += [(g, lid, cpu, gpu) for lid, _, _ in rig.ask(g=g, n=rng.randint(1, 3), cpu=cpu, gpu=gpu)]
+        assert len({lid for _, lid, _, _ in held}) == len(held)
+        assert sum(h[2] for h in held) <= 4000
+        assert sum(h[3] for h in held) <= 2
+
+
+def test_order_goes_only_on_a_lease_of_the_newest_attachment() -> None:
+    rig = Rig()
+    (lid, _, _), = rig.ask(g=2)
+    rig.order(lid=lid + 7)
+    assert rig.hub.last(Kind.NAK)["x"] == [["i", 1, TASK, 1]]
+    rig.order(lid=lid, n=0)
+    assert TASK not in rig.agent.minions["i"].runs
+    rig.order(lid=lid)
+    assert rig.beat()["started"] == [[TASK, 1, "spec", ""]]
+
+
+def test_sent_order_survives_a_new_attachment() -> None:
+    rig = Rig()
+    (lid, _, _), = rig.ask(g=2)
+    rig.order(lid=lid)
+    assert "started" in rig.beat()
+    rig.attach(g=2, seq=2, x=[[TASK, 1, 1000, 10, 0]])
+    assert rig.hub.last(Kind.VERDICT)["x"] == []
+
+
+def test_unlisted_order_of_a_former_agent_never_started() -> None:
+    rig = Rig()
+    rig.attach(g=2, seq=2, x=[[TASK, 1, 1000, 10, 0]])
+    assert rig.hub.last(Kind.VERDICT)["x"] == [[TASK, 1]]
+
+
+def test_stopped_order_that_was_not_carried_out_is_sent_back() -> None:
+    """Once it hung for ever: neither sent again nor stopped, and its gang waited."""
+    rig = Rig()
+    (lid, _, _), = rig.ask(g=2)
+    rig.order(lid=lid)
+    assert "started" in rig.beat()
+    rig.agent.stop(b={"g": 2, "x": [["i", TASK, 1]]})
+    rig.beat()
+    assert rig.hub.last(Kind.NAK)["x"] == [["i", 1, TASK, 1]]
+    assert rig.agent.minions["i"].runs == {}
+
+
+def test_end_is_noted_only_when_its_group_has_it() -> None:
+    rig = Rig()
+    (lid, _, _), = rig.ask(g=2)
+    rig.order(lid=lid)
+    rig.beat()
+    rig.beat(running=[[TASK, 1, "", 50]])
+    assert rig.beat(ends=[[1, TASK, 1, "done", ""]])["last-seen"] == 0
+    assert rig.hub.last(Kind.ENDS)["x"] == [[1, TASK, 1, "done", ""]]
+    rig.agent.endsok(body={"m": "i", "f": 5, "x": [[1, TASK, 1]]})
+    assert rig.beat()["last-seen"] == 1
+
+
+def test_nothing_starts_on_a_draining_or_evacuated_minion_or_without_trust() -> None:
+    for how in ("drain", "evac", "trust"):
+        rig = Rig()
+        (lid, _, _), = rig.ask(g=2)
+        rig.order(lid=lid)
+        if how == "evac":
+            rig.hub.shut.add("z")
+        if how == "trust":
+            rig.hub.trust = False
+        out = rig.beat(state="draining" if how == "drain" else "ready")
+        assert "started" not in out
+        if how != "trust":
+            assert rig.hub.last(Kind.NAK)["x"][0][2] == TASK
+            assert rig.ask(g=1) == []
+
+
+def test_silent_minion_is_lost_only_after_its_longest_hold() -> None:
+    rig = Rig()
+    heard = rig.hub.now       # a hold counts from when its beat was sent
+    rig.beat()
+    while rig.agent.minions["i"].phase.value != "lost":
+        rig.hub.now += 0.05
+        rig.agent.tick()
+    assert rig.hub.now - heard >= 4.0 * 1.02
+    assert rig.hub.last(Kind.LOST)["m"] == "i"
+    assert rig.hub.lost == []
+    for g in (1, 2):
+        rig.agent.lostok(b={"g": g, "m": "i", "f": 5})
+    rig.agent.tick()
+    assert rig.hub.lost == ["i"]
--- a/yarrowloom/agent/answer.py
+++ b/yarrowloom/agent/answer.py
@@ -11,6 +11,7 @@
 IDLE_WAIT_S = 0.6     # a minion that runs nothing has nothing to tell: its beat may wait for an order
 ENDS_WAIT_S = 0.08    # a beat with ends waits this long for their acknowledgement and the next orders
 LATE_S = 0.85         # an answer later than a second would be dropped
+GONE_BEATS = 4
 BUSY_MS = 200
 FULL_MS = 500
 
@@ -30,8 +31,12 @@
             r.miss = 0
         elif r.live:
             r.miss += beat
+        elif beat and r.stop:
+            agent.refuse(m=m, r=r)    # neither carried out nor wanted any more
         elif beat:
             r.sent = False        # the order was not carried out: it goes out once more
+        if r.miss >= GONE_BEATS and len(m.ends) < 400:
+            agent.refuse(m=m, r=r)    # it ran, and runs no more, and no end of it is listed
     attached = all(g in m.met for g in agent.hub.groups())
     m.strays = {t: row[0] for t, row in m.running.items() if t not in m.runs} if attached else {}
     if m.draining:
--- a/yarrowloom/agent/choice.py
+++ b/yarrowloom/agent/choice.py
@@ -16,7 +16,9 @@
     False
     """
     return bool(row[0] >= b["cpu"] and row[1] >= b["mem"] and row[2] >= b["gpu"]
-                and (not b["req"] or b["req"] in row[3]))
+                and (not b["req"] or b["req"] in row[3])
+                and (not b.get("strict") or b["near"] in row[3])
+                and not any(label in row[3] for label in b.get("shun", ())))
 
 
 def rack(*, labels: list[str]) -> str:
@@ -34,6 +36,8 @@
             if cpu >= b["cpu"] and mem >= b["mem"] and gpu >= b["gpu"]:
                 free[m.mid] = [cpu, mem, gpu]
                 rows.append(m)
+    if b.get("shun"):
+        rows = [m for m in rows if not any(label in m.labels for label in b["shun"])]
     if b.get("near") and b.get("strict"):
         rows = [m for m in rows if b["near"] in m.labels]
     if b.get("tight"):
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -14,7 +14,7 @@
 from ..wire.http import Response
 from .calls import Calls
 
-JOB_GROUPS = 2
+JOB_GROUPS = 1
 HEART_S = 0.25
 ALIVE_S = 1.2
 WATCHERS = 4
--- a/yarrowloom/place/gang.py
+++ b/yarrowloom/place/gang.py
@@ -73,7 +73,8 @@
     def _next(self, att: Try) -> None:
         uid, n = att.plan[att.asked]
         att.asked += 1
-        self.placer.ask(shape=att.shape, n=n, agent=uid, been=[uid], gang=att, mark=MARK_S, tight=att.tight, all=True)
+        self.placer.ask(shape=att.shape, n=n, agent=uid, been=[uid], gang=att,
+                        more={"mark": MARK_S, "tight": att.tight, "all": True})
 
     def granted(self, *, ask: Ask, rows: list[Held]) -> None:
         """An agent answered for its part."""
--- a/yarrowloom/place/leases.py
+++ b/yarrowloom/place/leases.py
@@ -54,6 +54,7 @@
     agent: str
     been: list[str]
     gang: Any = None
+    more: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True)
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -13,6 +13,9 @@
 SWEEP_S = 1.0
 HOPS = 4
 BATCH = 64
+BLOCK_S = 0.1         # work that has waited this long keeps what comes after it off its room
+BLOCK_MOST_S = 8.0    # if it finds no room even so long, it stops holding others back
+LATE = 3.0            # past this many aims a job earns nothing any more
 SHUT_S = 0.1          # after an agent had no room, views are given this long to catch up
 
 
@@ -45,14 +48,17 @@
             if not rows:
                 self.shut[ask.shape] = self.hub.now + SHUT_S
             if b["to"] and len(ask.been) < HOPS and len(rows) < ask.n:
-                self.ask(shape=ask.shape, n=ask.n - len(rows), agent=b["to"], been=[*ask.been, b["to"]])
+                self.ask(shape=ask.shape, n=ask.n - len(rows), agent=b["to"], been=[*ask.been, b["to"]],
+                         more=ask.more)
         self.dirty = True
         self.pump()
 
-    def ask(self, *, shape: Shape, n: int, agent: str, been: list[str], gang: Any = None, **more: Any) -> None:
+    def ask(self, *, shape: Shape, n: int, agent: str, been: list[str], gang: Any = None,
+            more: dict[str, Any]) -> None:
         """Send a request for room: metadata only."""
         self.rid += 1
-        self.asks[self.rid] = Ask(rid=self.rid, shape=shape, n=n, at=self.hub.now, agent=agent, been=been, gang=gang)
+        self.asks[self.rid] = Ask(rid=self.rid, shape=shape, n=n, at=self.hub.now, agent=agent, been=been, gang=gang,
+                                  more=more)
         avoid: dict[str, int] = {}
         apart = 0
         if shape.unit:
@@ -71,14 +77,17 @@
     # -- placing
 
     def rank(self, item: tuple[tuple[str, str], float]) -> tuple[Any, ...]:
-        """Order of the backlog: rank, then the time by which it should be done."""
+        """Order of the backlog: what can still earn, by the queue's rank, then by the latest start within its aim."""
         (jid, key), _ = item
         job = self.jobs.jobs[jid]
         route = self.hub.route(name=job["q"]) or {}
-        base = job["at"] + (job["period"] * int(key.split(".")[0]) if job["times"] else 0)
-        est = sum(s["est"] for s in job["steps"])
-        aim = base + float(route.get("target-ms", 0)) + float(route.get("stretch", 1)) * est
-        return (int(route.get("rank", 9)), aim, jid, key)
+        k, at = key.split(".")
+        base = job["first"] + job["period"] * int(k) if job["times"] else job["at"]
+        est = [s["est"] for s in job["steps"]]
+        aim = max(float(route.get("target-ms", 0)) + float(route.get("stretch", 1)) * sum(est), 500.0)
+        rest = sum(est[int(at):])
+        wall = self.hub.wall * 1000
+        return (wall > base + LATE * aim, int(route.get("rank", 9)), base + aim - rest, jid, key)
 
     def service(self, *, job: dict[str, Any]) -> str:
         """Where the queue's tasks run now."""
@@ -94,61 +103,85 @@
             self.shut.clear()
         want: dict[Shape, int] = {}
         strict: dict[Shape, bool] = {}
-        for (jid, key), since in sorted(self.ready.items(), key=self.rank):
+        shuns: dict[Shape, tuple[str, ...]] = {}
+        blocked: dict[tuple[str, str], int] = {}
+        spare: list[Held] = []
+        for (late, grade, _, jid, key), since in sorted((self.rank(item), item[1]) for item in self.ready.items()):
             job = self.jobs.jobs[jid]
             unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
             idxs = [i for i, st in enumerate(unit["s"]) if st == WAIT]
             if not idxs:
                 del self.ready[jid, key]
                 continue
+            waited = self.hub.now - since
+            urgent = not late and BLOCK_S < waited < BLOCK_MOST_S
             shape = Shape(self.service(job=job), step["cpu"], step["mem"], step["gpu"], step["req"], step["near"],
                           f"{jid}/{key}" if step["apart"] or step["gang"] else "")
+            shun = tuple(sorted(req for (svc, req), top in blocked.items() if svc == shape.svc and top < grade))
+            if "" in shun:
+                spare += self.pool.idle.pop(shape, [])
+                continue
             if step["gang"]:
                 self.gangs.want(shape=shape, jid=jid, key=key, n=len(unit["s"]), step=step, since=since)
                 continue
-            self._start(jid=jid, key=key, idxs=idxs, shape=shape)
+            spare += self._start(jid=jid, key=key, idxs=idxs, shape=shape, shun=shun)
             if not idxs:
                 del self.ready[jid, key]
                 continue
             want[shape] = want.get(shape, 0) + len(idxs)
-            patient = bool(step["near"]) and self.hub.now - since < min(step["est"], 4000) / 2000 * (self.far - 1)
+            patient = bool(step["near"]) and waited < min(step["est"], 4000) / 2000 * (self.far - 1)
             strict[shape] = strict.get(shape, True) and patient
-        busy: dict[Shape, int] = {}
-        for a in self.asks.values():
-            if a.gang is None:
-                busy[a.shape] = busy.get(a.shape, 0) + a.n
+            shuns[shape] = shun
+            if urgent and not patient:
+                self._block(blocked=blocked, shape=shape, grade=grade)
+        self.release(spare)
+        busy = {a.shape for a in self.asks.values() if a.gang is None}
         for shape, n in want.items():
             if shape not in busy and self.hub.now >= self.shut.get(shape, 0.0):
-                self._seek(shape=shape, n=n, strict=strict[shape])
+                self._seek(shape=shape, n=n, strict=strict[shape], shun=shuns[shape], spare=spare)
 
-    def _seek(self, *, shape: Shape, n: int, strict: bool) -> None:
+    def _block(self, *, blocked: dict[tuple[str, str], int], shape: Shape, grade: int) -> None:
+        """Later ranks take no room that this waits for, if there is a minion that could ever hold it."""
+        rows = self.pool.rows(svc=shape.svc, now=self.hub.now)
+        if any(copies(row=[*row[4], row[3]], shape=shape) for _, row in rows):
+            blocked.setdefault((shape.svc, shape.req), grade)
+
+    def _seek(self, *, shape: Shape, n: int, strict: bool, shun: tuple[str, ...], spare: list[Held]) -> None:
         room: dict[str, int] = {}
         known = False
         for uid, row in self.pool.rows(svc=shape.svc, now=self.hub.now):
             near = bool(shape.near) and shape.near in row[3]
             known = known or near
             got = copies(row=row, shape=shape)
-            if got and (near or not strict):
+            if got and (near or not strict) and not any(label in row[3] for label in shun):
                 room[uid] = room.get(uid, 0) + got * (1000 if near else 1)
         if strict and not known:
-            self._seek(shape=shape, n=n, strict=False)
+            self._seek(shape=shape, n=n, strict=False, shun=shun, spare=spare)
             return
+        if not room and not strict:
+            for held in spare:     # room just given back, which no view shows yet
+                if held.shape.svc == shape.svc:
+                    room[held.agent] = room.get(held.agent, 0) + 1
         if room:
             uid = max(sorted(room), key=lambda u: room[u])
-            self.ask(shape=shape, n=min(n, BATCH), agent=uid, been=[uid], strict=strict)
+            self.ask(shape=shape, n=min(n, BATCH), agent=uid, been=[uid], more={"strict": strict, "shun": shun})
 
-    def _start(self, *, jid: str, key: str, idxs: list[int], shape: Shape) -> None:
-        """Bind idle leases to waiting tasks; `idxs` keeps what is left."""
+    def _start(self, *, jid: str, key: str, idxs: list[int], shape: Shape, shun: tuple[str, ...]) -> list[Held]:
+        """Bind idle leases to waiting tasks; `idxs` keeps what is left. Returns leases that others need more."""
         rows = self.pool.idle.get(shape)
-        batch = []
+        batch, spare = [], []
         while rows and idxs:
             held = rows.pop()
             link = self.links.get(held.mid)
             if link is None or link.seq != held.seq:
                 continue
+            if any(label in link.labels for label in shun):
+                spare.append(held)
+                continue
             batch.append((idxs.pop(0), held))
         if batch:
             self.start(jid=jid, key=key, batch=batch)
+        return spare
 
     def start(self, *, jid: str, key: str, batch: list[tuple[int, Held]]) -> None:
         """Record starts; the orders follow once durable."""
