--- a/yarrowloom/place/gang.py
+++ b/yarrowloom/place/gang.py
@@ -65,6 +65,8 @@
                     plan.append((uid, min(left, by[uid])))
                     left -= plan[-1][1]
             if left:
+                p.hub.trace(event="gang-no-room", id=jid, unit=key, n=n, short=left, req=shape.req,
+                            gpu=shape.gpu, tight=step["tight"])
                 return
         att = Try(jid=jid, key=key, n=n, shape=shape, plan=plan, tight=tight)
         self.open[jid, key] = att
@@ -96,6 +98,8 @@
             p.ready.pop((att.jid, att.key), None)
         else:
             p.release(att.rows)
+            p.hub.trace(event="gang-put-off", id=att.jid, unit=att.key, n=att.n, got=len(att.rows), asked=ask.agent,
+                        live=live, fresh=fresh)
             self.pause[att.jid, att.key] = p.hub.now + PAUSE_S
             if len(self.pause) > 1000:
                 self.pause.clear()
