last-seen moves after a takeover; gangs that waited long book minions

Cause: a new agent began at last-seen 0 and waited for numbers that its predecessor had let the minion forget, so ends piled up in every beat and beats were answered without waiting for orders. Bookings keep work of the same or a later rank off the least used minions for a gang that waited 2 s.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -201,3 +201,13 @@
         rig.agent.lostok(b={"g": g, "m": "i", "f": 5})
     rig.agent.tick()
     assert rig.hub.lost == ["i"]
+
+
+def test_ends_before_a_takeover_do_not_hold_last_seen_back() -> None:
+    """A new agent sees only ends from 40 on: the earlier numbers were forgotten under its predecessor."""
+    rig = Rig()
+    rig.beat(ends=[[40, TASK, 1, "done", ""], [41, TASK, 2, "done", ""]])
+    rig.agent.endsok(body={"m": "i", "f": 5, "x": [[41, TASK, 2]]})
+    assert rig.beat(ends=[[40, TASK, 1, "done", ""], [41, TASK, 2, "done", ""]])["last-seen"] == 0
+    rig.agent.endsok(body={"m": "i", "f": 5, "x": [[40, TASK, 1]]})
+    assert rig.beat(ends=[[40, TASK, 1, "done", ""], [41, TASK, 2, "done", ""]])["last-seen"] == 41
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -161,7 +161,7 @@
         if m is None or m.fence != body["f"]:
             return
         for num, task, run in body["x"]:
-            if num > m.seen:
+            if num in m.ends:
                 m.acked.add(num)
             self._clear(m=m, task=task, run=run)
         m.note()
@@ -383,7 +383,7 @@
         view: dict[str, list[Any]] = {}
         for m in self.minions.values():
             if self.open(m=m):
-                view.setdefault(m.svc, []).append([*m.free(), m.labels, list(m.cap)])
+                view.setdefault(m.svc, []).append([*m.free(), m.labels, list(m.cap), m.mid])
         body = {"u": self.hub.uid, "v": view}
         for uid in self.hub.cores():
             self.hub.send(uid=uid, kind=Kind.ROOM, body=body)
--- a/yarrowloom/agent/choice.py
+++ b/yarrowloom/agent/choice.py
@@ -10,14 +10,14 @@
 def fits(*, row: list[Any], b: dict[str, Any]) -> bool:
     """Whether a minion's row of a room view could take one task.
 
-    >>> fits(row=[4000, 100, 0, ["a", "r1"], [4000, 100, 0]], b={"cpu": 500, "mem": 10, "gpu": 0, "req": "a"})
+    >>> fits(row=[4000, 100, 0, ["a", "r1"], [4000, 100, 0], "m"], b={"cpu": 500, "mem": 10, "gpu": 0, "req": "a"})
     True
-    >>> fits(row=[4000, 100, 0, ["b", "r1"], [4000, 100, 0]], b={"cpu": 500, "mem": 10, "gpu": 0, "req": "a"})
+    >>> fits(row=[4000, 100, 0, ["b", "r1"], [4000, 100, 0], "m"], b={"cpu": 500, "mem": 10, "gpu": 0, "req": "a"})
     False
     """
     return bool(row[0] >= b["cpu"] and row[1] >= b["mem"] and row[2] >= b["gpu"]
                 and (not b["req"] or b["req"] in row[3])
-                and (not b.get("strict") or b["near"] in row[3])
+                and (not b.get("strict") or b["near"] in row[3]) and row[5] not in b.get("off", ())
                 and not any(label in row[3] for label in b.get("shun", ())))
 
 
@@ -36,6 +36,8 @@
             if cpu >= b["cpu"] and mem >= b["mem"] and gpu >= b["gpu"]:
                 free[m.mid] = [cpu, mem, gpu]
                 rows.append(m)
+    if b.get("off"):
+        rows = [m for m in rows if m.mid not in b["off"]]
     if b.get("shun"):
         rows = [m for m in rows if not any(label in m.labels for label in b["shun"])]
     if b.get("near") and b.get("strict"):
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -139,12 +139,14 @@
                 self.ends[num] = (str(row[1]), int(row[2]), str(row[3]), str(row[4]) if len(row) > 4 else "")
 
     def note(self) -> None:
-        """Move `seen` over ends that are acknowledged."""
-        while self.seen + 1 in self.acked:
-            self.seen += 1
-            self.acked.discard(self.seen)
-            self.ends.pop(self.seen, None)
-            self.told.pop(self.seen, None)
+        """Move `seen` over ends that are acknowledged. A number not listed was forgotten under an earlier agent."""
+        for num in sorted(self.ends):
+            if num not in self.acked:
+                break
+            self.seen = num
+            self.acked.discard(num)
+            del self.ends[num]
+            self.told.pop(num, None)
 
     def ended(self, *, task: str, run: int) -> bool:
         """Whether the beats listed an end of this run that is not yet noted."""
--- a/yarrowloom/place/gang.py
+++ b/yarrowloom/place/gang.py
@@ -11,6 +11,9 @@
 MARK_S = 2.0
 PAUSE_S = 0.15
 AT_ONCE = 4
+BOOK_AFTER_S = 2.0    # a gang that waited this long has minions kept free for it
+BOOK_MOST_S = 10.0
+BOOKS = 2
 
 
 @dataclass(kw_only=True)
@@ -28,13 +31,68 @@
     asked: int = 0
 
 
+@dataclass(kw_only=True)
+class Book:
+    """Minions that work of the same or a later rank keeps off, so that their room comes free for one gang."""
+
+    mids: frozenset[str]
+    grade: int
+    until: float
+
+
 class Gangs:
-    """Attempts in hand."""
+    """Attempts in hand, and bookings of gangs that waited long. Invariant: bookings share no minion."""
 
     def __init__(self, *, placer: "Placer") -> None:
         self.placer = placer
         self.open: dict[tuple[str, str], Try] = {}
         self.pause: dict[tuple[str, str], float] = {}
+        self.books: dict[tuple[str, str], Book] = {}
+        self.rest: dict[tuple[str, str], float] = {}
+
+    def off(self, *, grade: int) -> frozenset[str]:
+        """Minions that work of this rank is to keep off."""
+        out: frozenset[str] = frozenset()
+        for book in self.books.values():
+            if grade >= book.grade:
+                out |= book.mids
+        return out
+
+    def sweep(self) -> None:
+        """Drop bookings that served their end or lasted too long."""
+        now, ready = self.placer.hub.now, self.placer.ready
+        for unit, book in list(self.books.items()):
+            if unit not in ready or now > book.until:
+                del self.books[unit]
+                self.rest[unit] = now + BOOK_MOST_S / 2
+        if len(self.rest) > 1000:
+            self.rest.clear()
+
+    def book(self, *, shape: Shape, unit: tuple[str, str], n: int, tight: bool, grade: int) -> None:
+        """Keep the least used minions (of one rack, where asked) free for a gang."""
+        p, now = self.placer, self.placer.hub.now
+        if unit in self.books or len(self.books) >= BOOKS or now < self.rest.get(unit, 0.0):
+            return
+        taken = frozenset(mid for b in self.books.values() for mid in b.mids)
+        racks: dict[str, list[tuple[float, str, int]]] = {}
+        for _, row in p.pool.rows(svc=shape.svc, now=now):
+            top = copies(row=[*row[4], row[3]], shape=shape)
+            if top and row[5] not in taken:
+                used = sum(1 - have / cap for have, cap in zip(row[:3], row[4], strict=True) if cap)
+                name = row[3][1] if tight and len(row[3]) > 1 else ""
+                racks.setdefault(name, []).append((used / top, row[5], top))
+        best: tuple[float, list[str]] | None = None
+        for name in sorted(racks):
+            left, cost, mids = n, 0.0, []
+            for used, mid, top in sorted(racks[name]):
+                if left > 0:
+                    mids.append(mid)
+                    left, cost = left - top, max(cost, used)
+            if left <= 0 and (best is None or cost < best[0]):
+                best = (cost, mids)
+        if best is not None:
+            self.books[unit] = Book(mids=frozenset(best[1]), grade=grade, until=now + BOOK_MOST_S)
+            p.hub.trace(event="gang-booked", id=unit[0], unit=unit[1], n=n, minions=len(best[1]))
 
     def want(self, *, shape: Shape, jid: str, key: str, n: int, step: dict[str, Any], since: float) -> None:
         """A gang waits: try if the views show room for all of it."""
--- a/yarrowloom/place/leases.py
+++ b/yarrowloom/place/leases.py
@@ -95,7 +95,7 @@
 def copies(*, row: list[Any], shape: Shape) -> int:
     """How many tasks of a shape a row has room for.
 
-    >>> copies(row=[4000, 100, 2, ["a"], [0, 0, 0]], shape=Shape("s", 1000, 50, 1, "", "", ""))
+    >>> copies(row=[4000, 100, 2, ["a"], [0, 0, 0], "m"], shape=Shape("s", 1000, 50, 1, "", "", ""))
     2
     """
     if shape.req and shape.req not in row[3]:
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -6,7 +6,7 @@
 from ..record.replica import Replica
 from ..wire.frame import Kind
 from .desk import Desk, PlacerHub
-from .gang import Gangs
+from .gang import BOOK_AFTER_S, Gangs
 from .leases import Ask, Held, Shape, copies
 
 ASK_S = 0.6
@@ -106,6 +106,8 @@
         shuns: dict[Shape, tuple[str, ...]] = {}
         blocked: dict[tuple[str, str], int] = {}
         spare: list[Held] = []
+        offs: dict[Shape, frozenset[str]] = {}
+        self.gangs.sweep()
         for (late, grade, _, jid, key), since in sorted((self.rank(item), item[1]) for item in self.ready.items()):
             job = self.jobs.jobs[jid]
             unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
@@ -123,8 +125,11 @@
                 continue
             if step["gang"]:
                 self.gangs.want(shape=shape, jid=jid, key=key, n=len(unit["s"]), step=step, since=since)
+                if waited > BOOK_AFTER_S and (jid, key) in self.ready:
+                    self.gangs.book(shape=shape, unit=(jid, key), n=len(unit["s"]), tight=step["tight"], grade=grade)
                 continue
-            spare += self._start(jid=jid, key=key, idxs=idxs, shape=shape, shun=shun)
+            off = self.gangs.off(grade=grade)
+            spare += self._start(jid=jid, key=key, idxs=idxs, shape=shape, shun=shun, off=off)
             if not idxs:
                 del self.ready[jid, key]
                 continue
@@ -132,13 +137,14 @@
             patient = bool(step["near"]) and waited < min(step["est"], 4000) / 2000 * (self.far - 1)
             strict[shape] = strict.get(shape, True) and patient
             shuns[shape] = shun
+            offs[shape] = off
             if urgent and not patient:
                 self._block(blocked=blocked, shape=shape, grade=grade)
         self.release(spare)
         busy = {a.shape for a in self.asks.values() if a.gang is None}
         for shape, n in want.items():
             if shape not in busy and self.hub.now >= self.shut.get(shape, 0.0):
-                self._seek(shape=shape, n=n, strict=strict[shape], shun=shuns[shape], spare=spare)
+                self._seek(shape=shape, n=n, strict=strict[shape], shun=shuns[shape], off=offs[shape], spare=spare)
 
     def _block(self, *, blocked: dict[tuple[str, str], int], shape: Shape, grade: int) -> None:
         """Later ranks take no room that this waits for, if there is a minion that could ever hold it."""
@@ -146,17 +152,18 @@
         if any(copies(row=[*row[4], row[3]], shape=shape) for _, row in rows):
             blocked.setdefault((shape.svc, shape.req), grade)
 
-    def _seek(self, *, shape: Shape, n: int, strict: bool, shun: tuple[str, ...], spare: list[Held]) -> None:
+    def _seek(self, *, shape: Shape, n: int, strict: bool, shun: tuple[str, ...], off: frozenset[str],
+              spare: list[Held]) -> None:
         room: dict[str, int] = {}
         known = False
         for uid, row in self.pool.rows(svc=shape.svc, now=self.hub.now):
             near = bool(shape.near) and shape.near in row[3]
             known = known or near
             got = copies(row=row, shape=shape)
-            if got and (near or not strict) and not any(label in row[3] for label in shun):
+            if got and (near or not strict) and row[5] not in off and not any(x in row[3] for x in shun):
                 room[uid] = room.get(uid, 0) + got * (1000 if near else 1)
         if strict and not known:
-            self._seek(shape=shape, n=n, strict=False, shun=shun, spare=spare)
+            self._seek(shape=shape, n=n, strict=False, shun=shun, off=off, spare=spare)
             return
         if not room and not strict:
             for held in spare:     # room just given back, which no view shows yet
@@ -164,9 +171,11 @@
                     room[held.agent] = room.get(held.agent, 0) + 1
         if room:
             uid = max(sorted(room), key=lambda u: room[u])
-            self.ask(shape=shape, n=min(n, BATCH), agent=uid, been=[uid], more={"strict": strict, "shun": shun})
+            self.ask(shape=shape, n=min(n, BATCH), agent=uid, been=[uid], more={
+                "strict": strict, "shun": shun, "off": sorted(off)})
 
-    def _start(self, *, jid: str, key: str, idxs: list[int], shape: Shape, shun: tuple[str, ...]) -> list[Held]:
+    def _start(self, *, jid: str, key: str, idxs: list[int], shape: Shape, shun: tuple[str, ...],
+               off: frozenset[str]) -> list[Held]:
         """Bind idle leases to waiting tasks; `idxs` keeps what is left. Returns leases that others need more."""
         rows = self.pool.idle.get(shape)
         batch, spare = [], []
@@ -175,7 +184,7 @@
             link = self.links.get(held.mid)
             if link is None or link.seq != held.seq:
                 continue
-            if any(label in link.labels for label in shun):
+            if held.mid in off or any(label in link.labels for label in shun):
                 spare.append(held)
                 continue
             batch.append((idxs.pop(0), held))
