Runs that stand still move on; holds of three beats; load generator, state command, loopback test

A run whose percent has not moved for several times a percent's time is stopped and its minion left out for 3 s.

--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,123 @@
+"""One core, one edge, a stand-in minion and operator over real loopback sockets; nothing here sleeps."""
+
+import pathlib
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import httpcore
+import orjson
+import pytest
+import trio
+
+from tests.simfleet import HOST, config
+from yarrowloom.base.errs import UsageError
+from yarrowloom.base.log import Log
+from yarrowloom.base.startup import ENV, check
+from yarrowloom.load import Load, report
+from yarrowloom.node.shell import open_core, open_edge
+
+
+def ports(n: int) -> list[int]:
+    socks = [socket.socket() for _ in range(n)]
+    for s in socks:
+        s.bind(("127.0.0.1", 0))
+    out: list[int] = [s.getsockname()[1] for s in socks]
+    for s in socks:
+        s.close()
+    return out
+
+
+def settings(*, binds: dict[str, str], inner: int, seed: str, data: str | None) -> dict[str, Any]:
+    return {"node-name": "n", "role": "r", "ip": "127.0.0.1", "zone": "z", "zones": {"z": "r"}, "bind-addrs": binds,
+            "internal-ports": [inner, inner + 15], "seed-nodes": [seed], "bootstrap": True, "data-dir": data,
+            "limits": {"disk-mb": 16}, "beat-interval-ms": 1000, "bounds": {}, "something-new": 1}
+
+
+async def call(pool: httpcore.AsyncConnectionPool, method: str, url: str, doc: Any = None, **heads: str) -> Any:
+    res = await pool.request(method, url, content=orjson.dumps(doc) if doc is not None else b"",
+                             headers={k.replace("_", "-"): v for k, v in heads.items()})
+    return res.status, orjson.loads(res.content) if res.content else None
+
+
+async def minion(pool: httpcore.AsyncConnectionPool, ctl: str) -> None:
+    """Every task it is told to start has ended by its next beat."""
+    seq, num, seen = 0, 0, 0
+    ends: list[list[Any]] = []
+    while True:
+        seq += 1
+        status, doc = await call(pool, "PUT", f"http://{ctl}/minions/i-1", {
+            "backend": "svc", "address": "a", "zone": "z", "state": "ready", "call-seq": seq, "labels": ["a", "r"],
+            "capacity": {"cpus": 8000, "mem-mb": 8000, "gpus": 0}, "running": [], "finished": ends})
+        if status != 200:
+            continue
+        seen = max(seen, doc.get("last-seen", 0))
+        ends = [e for e in ends if e[0] > seen]
+        for task, run, _, _ in doc.get("started", []):
+            num += 1
+            ends.append([num, task, run, "done", ""])
+
+
+def test_whole_path_over_sockets(tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    ctl, front, ready, inner = ports(4)
+    seed = f"127.0.0.1:{ctl}"
+    core = check(doc=settings(binds={"control": seed}, inner=inner, seed=seed, data=str(tmp_path)))
+    edge = check(doc=settings(binds={"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"}, inner=inner,
+                              seed=seed, data=None))
+    monkeypatch.setenv(ENV, str(tmp_path / "none"))
+
+    async def main() -> None:
+        log = Log(name="loopback", level="error")
+        async with trio.open_nursery() as nursery, httpcore.AsyncConnectionPool() as pool:
+            nursery.start_soon(open_core(startup=core, log=log).run)
+            nursery.start_soon(open_edge(startup=edge, log=log).run)
+            status = 0
+            with trio.fail_after(30):
+                while status != 200:
+                    try:
+                        status, _ = await call(pool, "PUT", f"http://{seed}/config", config(version=2), If_Match="0")
+                    except httpcore.ConnectError:
+                        await trio.lowlevel.checkpoint()
+                assert (await call(pool, "PUT", f"http://{seed}/config", config(version=2), If_Match="0"))[0] == 200
+                assert (await call(pool, "PUT", f"http://{seed}/config", config(version=3), If_Match="1"))[0] == 412
+                bad, doc = await call(pool, "PUT", f"http://{seed}/config", {"config-version": 3}, If_Match="2")
+                assert bad == 400 and len(doc["findings"]) == 2
+                nursery.start_soon(minion, pool, seed)
+                while (await call(pool, "GET", f"http://127.0.0.1:{ready}/readiness"))[0] != 200:
+                    pass
+                load = Load(addrs=(f"127.0.0.1:{front}",), host=HOST, prefix="/fast/", jobs=5, rate=1000.0)
+                await load.run()
+                out = report(load=load)
+                assert out["accepted"] == 5 and out["lost"] == 0 and out["failed"] == 0
+                url = f"http://127.0.0.1:{front}/fast/"
+                assert await call(pool, "GET", url, Host=HOST) == (200, {"pending": 0})
+                assert (await call(pool, "GET", url + "0123456789abcdef", Host=HOST))[0] == 410
+                assert (await call(pool, "POST", url + "0123456789abcdef", {"stages": 1}, Host=HOST))[0] == 400
+                assert (await call(pool, "POST", url + "0123", {"stages": 1}, Host="other"))[0] == 404
+                big = {"task-spec": "x" * 300_000}
+                assert (await call(pool, "POST", url + "0123456789abcdef", big, Host=HOST))[0] == 413
+                assert (await call(pool, "GET", f"http://{seed}/state"))[1]["config"] == 2
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_unreachable_target_ends_with_a_clear_error() -> None:
+    (port,) = ports(1)
+    load = Load(addrs=(f"127.0.0.1:{port}",), host=HOST, prefix="/fast/", jobs=1, rate=100.0)
+    with pytest.raises(UsageError) as got:
+        trio.run(load.run)
+    assert got.value.exit_code == 64
+
+
+def test_unusable_settings_end_the_start_with_all_findings(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "local.json"
+    path.write_text('{"node-name": 3, "internal-ports": [9, 1], "seed-nodes": ["x"]}')
+    root = pathlib.Path(__file__).resolve().parent.parent
+    res = subprocess.run([sys.executable, "yarrowloom.py", "core"], cwd=root, env={
+        "PATH": "/usr/bin", ENV: str(path), "PYTHONPATH": ":".join(sys.path)}, capture_output=True, text=True,
+        check=False)
+    assert res.returncode == 78
+    for place in ("node-name", "internal-ports", "seed-nodes[0]", "bind-addrs"):
+        assert place in res.stderr
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -230,7 +230,8 @@
     def open(self, *, m: Minion) -> bool:
         """Whether room of this minion may be granted."""
         late = self.hub.now - m.heard > 2.0 * self.lag_ms / 1000 + 0.5
-        return (m.phase is Phase.KNOWN and not m.draining and not late and not self.hub.evacuated(site=m.site)
+        return (m.phase is Phase.KNOWN and not m.draining and not late and self.hub.now >= m.grey
+                and not self.hub.evacuated(site=m.site)
                 and all(g in m.met for g in self.hub.groups()))
 
     def lease(self, *, uid: str, b: dict[str, Any]) -> None:
--- a/yarrowloom/agent/answer.py
+++ b/yarrowloom/agent/answer.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..wire.http import Response
-from .minion import Minion, Phase
+from .minion import Minion, Phase, Run
 
 if TYPE_CHECKING:
     from .agent import Agent
@@ -12,6 +12,9 @@
 ENDS_WAIT_S = 0.08    # a beat with ends waits this long for their acknowledgement and the next orders
 LATE_S = 0.85         # an answer later than a second would be dropped
 GONE_BEATS = 4
+STILL_S = 1.5         # a run without progress this long, and STILL_X times a percent's time, is moved
+STILL_X = 5.0
+GREY_S = 3.0          # and its minion gets nothing new for this long
 BUSY_MS = 200
 FULL_MS = 500
 
@@ -24,7 +27,12 @@
         if row is not None and row[0] == r.run:
             if not r.live:
                 r.live, r.since, r.spec = True, now, ""
+            if row[2] != r.pct or not r.moved:
+                r.moved = now
             r.miss, r.pct = 0, row[2]
+            if beat and stands_still(r=r, now=now):
+                r.stop = True         # it goes on elsewhere
+                m.grey = now + GREY_S
             if row[1]:
                 r.saved = row[1]
         elif m.ended(task=r.task, run=r.run):
@@ -43,6 +51,19 @@
         _drain(agent=agent, m=m)
 
 
+def stands_still(*, r: Run, now: float) -> bool:
+    """No progress for several times as long as a percent took so far.
+
+    >>> stands_still(r=Run(task="t", run=1, g=1, lid=1, since=1.0, pct=50.0, moved=2.0), now=3.0)
+    False
+    >>> stands_still(r=Run(task="t", run=1, g=1, lid=1, since=1.0, pct=50.0, moved=2.0), now=4.0)
+    True
+    """
+    if not 0 < r.pct < 100:
+        return False
+    return now - r.moved > max(STILL_S, STILL_X * (r.moved - r.since) / r.pct)
+
+
 def _drain(*, agent: "Agent", m: Minion) -> None:
     """Stop what cannot end before the minion leaves, so that it goes on elsewhere."""
     now = agent.hub.now
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -55,6 +55,7 @@
     stop: bool = False
     since: float = 0.0
     pct: float = 0.0
+    moved: float = 0.0
     miss: int = 0
     est: int = 0
 
@@ -99,7 +100,7 @@
     lostok: set[int] = field(default_factory=set)
     losing: float = 0.0
     call: Call | None = None
-    polls: int = 0
+    grey: float = 0.0
 
     def move(self, phase: Phase) -> None:
         """Change phase by the table."""
--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -27,6 +27,34 @@
         startup = load(path=path)
         return f"{path}: fit for use by {startup.name}"
 
+    def state(self, addr: str) -> str:
+        """Show what the core node at a control address (HOST:PORT) knows."""
+        import httpcore
+        import orjson
+
+        from .base.errs import UsageError
+        try:
+            res = httpcore.request("GET", f"http://{addr}/state", extensions={
+                "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
+            raise UsageError(text=f"{addr}: not reached ({type(err).__name__})") from err
+        if res.status != 200:
+            raise UsageError(text=f"{addr}: answered {res.status}; is it a control address?")
+        return orjson.dumps(orjson.loads(res.content), option=orjson.OPT_INDENT_2).decode()
+
+    def load(self, *addrs: str, host: str, prefix: str, jobs: int = 50, rate: float = 5.0, seed: int = 1) -> str:
+        """Send a seeded mix of jobs to front addresses and report latencies, losses and repeats."""
+        import trio
+
+        from .base.errs import UsageError
+        from .base.log import pair
+        from .load import Load, report
+        if not addrs or jobs < 1 or rate <= 0 or not str(prefix).startswith("/"):
+            raise UsageError(text="give front addresses, --host, a --prefix that begins with /, jobs and rate above 0")
+        load = Load(addrs=tuple(map(str, addrs)), host=str(host), prefix=str(prefix), jobs=jobs, rate=rate, seed=seed)
+        trio.run(load.run)
+        return " ".join(pair(key=k, val=v) for k, v in report(load=load).items())
+
 
 def main() -> None:
     """Entry."""
--- /dev/null
+++ b/yarrowloom/load/run.py
@@ -0,0 +1,117 @@
+"""Sends jobs at a steady rate, asks for their states, and tells latencies, losses and repeats."""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
+import orjson
+import trio
+
+from ..base.errs import Finding, UsageError
+
+DEADLINE_S = 3.0
+POLL_S = 0.2
+TRIES = 4
+
+
+def quantile(*, vals: list[float], q: float) -> float:
+    """The nearest-rank quantile; 0 of nothing.
+
+    >>> quantile(vals=[3.0, 1.0, 2.0], q=0.5)
+    2.0
+    """
+    rows = sorted(vals)
+    return rows[min(len(rows) - 1, max(0, int(q * len(rows) + 0.5) - 1))] if rows else 0.0
+
+
+@dataclass(kw_only=True)
+class Load:
+    """What is to be sent. Invariant: the seed alone fixes the jobs."""
+
+    addrs: tuple[str, ...]
+    host: str
+    prefix: str
+    jobs: int = 50
+    rate: float = 5.0
+    seed: int = 1
+    wait_s: float = 60.0
+    accept_ms: list[float] = field(default_factory=list)
+    done_ms: list[float] = field(default_factory=list)
+    refused: int = 0
+    lost: list[str] = field(default_factory=list)
+    failed: int = 0
+    repeats: int = 0
+    unreached: int = 0
+
+    def job(self, *, rng: random.Random) -> tuple[str, dict[str, Any]]:
+        """One job of the mix: small, wide, in steps, or a gang."""
+        step: dict[str, Any] = {"task-count": rng.choice([1, 2, 4, 8]), "cpus": rng.choice([250, 500, 1000]),
+                                "mem-mb": 64, "estimate-ms": rng.choice([200, 800, 2000])}
+        stages = [step]
+        kind = rng.random()
+        if kind < 0.3:
+            stages.append({**step, "depends-on": [0], "checkpoints": True})
+        elif kind < 0.4:
+            step["gang"] = True
+        return f"{rng.getrandbits(64):016x}", {"task-spec": "load", "stages": stages}
+
+    async def run(self) -> None:
+        """Send all, wait for all."""
+        rng = random.Random(self.seed)
+        rows = [(self.job(rng=rng), rng.choice(self.addrs)) for _ in range(self.jobs)]
+        async with httpcore.AsyncConnectionPool(max_connections=100, network_backend=None) as pool:
+            async with trio.open_nursery() as nursery:
+                for (jid, doc), addr in rows:
+                    nursery.start_soon(self._one, pool, addr, jid, doc)
+                    await trio.sleep(1 / self.rate)
+        if self.unreached and not self.accept_ms and not self.refused:
+            raise UsageError(text="no target answered", findings=[
+                Finding(place=a, text="not reached or no such queue") for a in self.addrs])
+
+    async def _call(self, *, pool: httpcore.AsyncConnectionPool, addr: str, method: str, jid: str,
+                    body: bytes = b"") -> tuple[int, Any]:
+        try:
+            res = await pool.request(method, f"http://{addr}{self.prefix}{jid}", content=body, headers={
+                "Host": self.host, "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+                "Content-Type": "application/json"}, extensions={"timeout": dict.fromkeys(
+                    ("connect", "read", "write", "pool"), DEADLINE_S)})
+            return res.status, orjson.loads(res.content) if res.content else None
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, orjson.JSONDecodeError):
+            return 0, None
+
+    async def _one(self, pool: httpcore.AsyncConnectionPool, addr: str, jid: str, doc: dict[str, Any]) -> None:
+        begun = trio.current_time()
+        body = orjson.dumps(doc)
+        for again in range(TRIES):
+            self.repeats += again > 0
+            status, _ = await self._call(pool=pool, addr=addr, method="POST", jid=jid, body=body)
+            if status not in (0, 502, 504):
+                break
+        if status != 200:
+            self.unreached += status in (0, 404)
+            self.refused += status in (429, 503)
+            return
+        self.accept_ms.append((trio.current_time() - begun) * 1000)
+        while trio.current_time() - begun < self.wait_s:
+            status, got = await self._call(pool=pool, addr=addr, method="GET", jid=jid)
+            if status == 410:
+                self.lost.append(jid)
+                return
+            state = got.get("state") if status == 200 and isinstance(got, dict) else ""
+            if state in ("complete", "failed", "cancelled"):
+                self.failed += state != "complete"
+                self.done_ms.append((trio.current_time() - begun) * 1000)
+                return
+            await trio.sleep(POLL_S)
+        self.lost.append(jid)
+
+
+def report(*, load: Load) -> dict[str, Any]:
+    """What became of the jobs."""
+    out: dict[str, Any] = {"sent": load.jobs, "accepted": len(load.accept_ms), "refused": load.refused,
+                           "unreached": load.unreached, "repeats": load.repeats, "failed": load.failed,
+                           "lost": len(load.lost)}
+    for name, vals in (("accept", load.accept_ms), ("done", load.done_ms)):
+        out |= {f"{name}-p{int(q * 100)}-ms": round(quantile(vals=vals, q=q), 1) for q in (0.5, 0.95, 0.99)}
+    return out
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -40,7 +40,7 @@
             self.reps[g] = Replica(g=g, hub=self, state=state, epoch=first_epoch)
         self.placers: dict[int, Placer] = {}
         self.chief: Chief | None = None
-        hold = min(startup.bound(name="max-hold-ms", default=6000), max(4.0 * startup.beat_ms, 5000.0))
+        hold = min(startup.bound(name="max-hold-ms", default=6000), max(3.0 * startup.beat_ms, 4000.0))
         self.agent = Agent(hub=self, hold_ms=int(hold), lag_ms=startup.beat_ms,
                            stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)))
         self.lease = -9.0
