--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -202,6 +202,7 @@
             parts = split_name(task=task)
             job = self.jobs.jobs.get(parts[0]) if parts is not None else None
             held = self.held.pop(task, None)
+            self.gone(task=task, run=run)
             if parts is not None and job is not None and "u" in job:
                 if how == "alone":
                     self.hub.note(event="gang-alone", task=task, run=run)
@@ -243,6 +244,10 @@
         for uid, part in by.items():
             self.hub.send(uid=uid, kind=Kind.RETURN, body={"g": self.g, "x": part})
 
+    def gone(self, *, task: str, run: int) -> None:
+        """A run is over."""
+        raise NotImplementedError
+
     def pump(self) -> None:
         """Place what can be placed; the placer knows how."""
         raise NotImplementedError
--- a/yarrowloom/place/gang.py
+++ b/yarrowloom/place/gang.py
@@ -92,6 +92,7 @@
                 best = (cost, mids)
         if best is not None:
             self.books[unit] = Book(mids=frozenset(best[1]), grade=grade, until=now + BOOK_MOST_S)
+            p.evictor.minions(mids=self.books[unit].mids, svc=shape.svc, grade=grade)
             p.hub.trace(event="gang-booked", id=unit[0], unit=unit[1], n=n, minions=len(best[1]))
 
     def want(self, *, shape: Shape, jid: str, key: str, n: int, step: dict[str, Any], since: float) -> None:
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -6,6 +6,7 @@
 from ..record.replica import Replica
 from ..wire.frame import Kind
 from .desk import Desk, PlacerHub
+from .evict import AFTER_S, Evictor
 from .gang import BOOK_AFTER_S, Gangs
 from .leases import Ask, Held, Shape, copies
 
@@ -25,6 +26,7 @@
     def __init__(self, *, g: int, hub: PlacerHub, rep: Replica, jobs: Jobs, far: float, status_s: float) -> None:
         super().__init__(g=g, hub=hub, rep=rep, jobs=jobs, far=far, status_s=status_s)
         self.gangs = Gangs(placer=self)
+        self.evictor = Evictor(placer=self)
 
     def grant(self, *, uid: str, b: dict[str, Any]) -> None:
         """An agent's decision."""
@@ -89,6 +91,14 @@
         wall = self.hub.wall * 1000
         return (wall > base + LATE * aim, int(route.get("rank", 9)), base + aim - rest, jid, key)
 
+    def gone(self, *, task: str, run: int) -> None:
+        """A run is over."""
+        self.evictor.ended(task=task, run=run)
+
+    def grade(self, *, job: dict[str, Any]) -> int:
+        """The queue's rank; 0 goes first."""
+        return int((self.hub.route(name=job["q"]) or {}).get("rank", 9))
+
     def service(self, *, job: dict[str, Any]) -> str:
         """Where the queue's tasks run now."""
         route = self.hub.route(name=job["q"])
@@ -138,6 +148,8 @@
             strict[shape] = strict.get(shape, True) and patient
             shuns[shape] = shun
             offs[shape] = off
+            if not late and waited > AFTER_S:
+                self.evictor.tasks(shape=shape, n=len(idxs), grade=grade, strict=patient)
             if urgent and not patient:
                 self._block(blocked=blocked, shape=shape, grade=grade)
         self.release(spare)
