--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -170,3 +170,28 @@
         sim.boot(ip=ip)
     assert sim.until(cond=lambda: all(len(sim.serving(g=g)) == 1 for g in range(JOB_GROUPS + 1)), limit=10.0)
     finish(sim, oracle, caller, [caller.submit(stages=[TASK])])
+
+
+@pytest.mark.parametrize("cores", [3, 5])
+def test_restart_of_all_after_a_seed_has_a_new_identity(cores: int) -> None:
+    """Without members to read yet, a backup must not copy to uids that the seeds no longer have."""
+    sim, oracle, caller, _ = cluster(seed=43 + cores, cores=cores)
+    jid = caller.submit(stages=[TASK])
+    sim.run(seconds=3.0)
+    for ip in sim.core_ips[:2]:
+        sim.kill(ip=ip, power=True)
+        sim.wipe(ip=ip)
+        sim.run(seconds=2.0)
+        sim.boot(ip=ip)
+        sim.run(seconds=8.0)
+    for _ in range(2):
+        primary = sim.serving(g=0)[0]
+        for ip in sim.core_ips:
+            sim.kill(ip=ip, power=True)
+        sim.wipe(ip=primary)
+        for ip in sim.core_ips:
+            sim.boot(ip=ip)
+        assert sim.until(cond=lambda: all(len(sim.serving(g=g)) == 1 for g in range(JOB_GROUPS + 1)), limit=8.0)
+        sim.run(seconds=6.0)
+    finish(sim, oracle, caller, [jid, caller.submit(stages=[TASK])])
+    assert sim.ask(ip=sim.core_ips[0], method="GET", path="/config")[1]["config-version"] == 3
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -187,6 +187,7 @@
             known = {addr_of(uid=u) for u in out} | {addr_of(uid=self.uid)}
             out += [s for s in self.seeds() if addr_of(uid=s) not in known]
             out += [u for u in self.members if u != self.uid]
+            out += [u for e in self.eps.values() for u in (*e["w"], e["p"], e["b"]) if u and u != self.uid]
         return list(dict.fromkeys(out))
 
     def heart(self) -> dict[str, Any]:
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -10,6 +10,7 @@
 from ..job.state import Jobs
 from ..place import Placer
 from ..record import Epoch, Replica
+from ..record.epoch import addr_of
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
 from .base import JOB_GROUPS, NodeBase
@@ -75,11 +76,23 @@
         for e in self.eps.values():
             load[e["p"]] = load.get(e["p"], 0) + 1
             load[e["b"]] = load.get(e["b"], 0) + 1
-        known = self.members or {s.replace("#?", "#0"): {"site": ""} for s in self.seeds()}
-        rows = [(not self._up(uid=u), i.get("site") == self.startup.site, load.get(u, 0), u)
-                for u, i in known.items() if u != self.uid]
+        rows = [(not self._up(uid=u), site == self.startup.site, load.get(u, 0), u)
+                for u, site in self.peers().items() if u != self.uid]
         return [u for *_, u in sorted(rows)]
 
+    def peers(self) -> dict[str, str]:
+        """Core nodes and their sites as far as known. After a restart of all there are no members yet, only what
+        epochs name and whose hearts are heard; a uid that gave way to another at its address does not count."""
+        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], e["b"]) if u}
+        heard = {u for u, i in self.info.items() if i["kind"] == "core" and self.alive(uid=u)} | {self.uid}
+        new = {addr_of(uid=u): u for u in heard}
+        out = {}
+        for u in sorted(named | heard | set(self.members)):
+            if new.get(addr_of(uid=u), u) == u:
+                row = self.members.get(u) or self.info.get(u) or {}
+                out[u] = str(row.get("site", ""))
+        return out
+
     def _up(self, *, uid: str) -> bool:
         return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
 
@@ -92,8 +105,7 @@
 
     def everyone(self) -> list[str]:
         """All core members known."""
-        return sorted(set(self.members) | {self.uid}) if self.members else [
-            s.replace("#?", "#0") for s in self.seeds()]
+        return sorted(self.peers())
 
     def elected(self, *, g: int) -> None:
         """This node now serves the group."""
