--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -195,3 +195,15 @@
         sim.run(seconds=6.0)
     finish(sim, oracle, caller, [jid, caller.submit(stages=[TASK])])
     assert sim.ask(ip=sim.core_ips[0], method="GET", path="/config")[1]["config-version"] == 3
+
+
+def test_beyond_the_most_jobs_in_hand_is_refused_at_once_and_never_runs(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("yarrowloom.place.desk.LIVE_MOST", 3)
+    sim, oracle, caller, _ = cluster(seed=51, work=3.0)
+    jids = []
+    for _ in range(6):
+        jids.append(caller.submit(stages=[TASK]))
+        sim.run(seconds=0.3)
+    assert len(oracle.accepted) == 3 and len(oracle.refused) == 3
+    finish(sim, oracle, caller, [j for j in jids if j in oracle.accepted])
+    assert all(caller.state(jid=j)[0] == 410 for j in oracle.refused)
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,152 @@
+"""Frames, jobs and configurations under seeded fuzzing: whole or refused, never guessed at, never a crash."""
+
+import random
+from typing import Any
+
+import orjson
+import pytest
+
+from yarrowloom.base.errs import InvalidError, StampError, StartupError, YarrowError
+from yarrowloom.base.startup import check as check_startup
+from yarrowloom.fleet import conf
+from yarrowloom.fleet.registry import Registry
+from yarrowloom.job import parse
+from yarrowloom.wire.frame import Frame, Splitter, pack
+
+
+def noise(*, rng: random.Random, doc: Any, depth: int = 0) -> Any:
+    """The document with some parts replaced, dropped or doubled."""
+    if rng.random() < 0.08:
+        return rng.choice([None, True, -1, 0, 1.5, 1 << 62, "", "x", [], {}, [[]], {"a": 1}])
+    if isinstance(doc, dict):
+        out = {k: noise(rng=rng, doc=v, depth=depth + 1) for k, v in doc.items() if rng.random() > 0.05}
+        return out if rng.random() > 0.05 else {**out, "strange": 1}
+    if isinstance(doc, list):
+        rows = [noise(rng=rng, doc=v, depth=depth + 1) for v in doc if rng.random() > 0.05]
+        return rows + rows[:1] if rng.random() < 0.05 else rows
+    return doc
+
+
+JOB = {"task-spec": "x", "stages": [{"task-count": 2, "cpus": 5, "gang": True, "affinity": "r"},
+                                    {"task-count": 1, "depends-on": [0], "checkpoints": True}],
+       "first-run-ms": 5, "period-ms": 7, "repeat-count": 2}
+CONF = {"config-version": 4, "route-table": [
+    {"name": "a", "host-name": "h", "path-prefix": "/a/", "deadline-ms": 5, "backend": "s", "rank": 1},
+    {"name": "b", "host-name": "h", "path-prefix": "/b/", "deadline-ms": 5, "backend": "s"}],
+    "service-table": [{"name": "s"}], "limits": {"max-body-bytes": 9}}
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_frames_in_any_pieces(seed: int) -> None:
+    rng = random.Random(seed)
+    sent = [Frame(kind=rng.randint(1, 53), src=f"a{i}", uid="u#1", boot=rng.getrandbits(50), seq=i + 1,
+                  body=rng.randbytes(rng.randint(0, 2000))) for i in range(8)]
+    raw = b"".join(pack(frame=f) for f in sent)
+    cut, got, at = Splitter(), [], 0
+    while at < len(raw):
+        n = rng.randint(1, 700)
+        got += cut.feed(raw[at:at + n])
+        at += n
+    assert got == sent
+    torn = bytearray(raw)
+    torn[rng.randrange(len(torn))] ^= 1 << rng.randint(0, 7)
+    try:
+        Splitter().feed(bytes(torn))
+    except ValueError:
+        pass
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_jobs_are_whole_or_refused_with_places(seed: int) -> None:
+    rng = random.Random(seed)
+    body = orjson.dumps(noise(rng=rng, doc=JOB)) if seed % 10 else rng.randbytes(40)
+    try:
+        job = parse(body=body)
+    except InvalidError as err:
+        assert err.findings and all(f.place for f in err.findings)
+        return
+    for at, step in enumerate(job["steps"]):
+        assert step["n"] >= 1 and all(0 <= d < at for d in step["deps"])
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_configurations_are_valid_or_refused_with_places(seed: int) -> None:
+    rng = random.Random(seed)
+    doc = noise(rng=rng, doc=CONF)
+    try:
+        good = conf.check(doc=doc)
+    except InvalidError as err:
+        assert err.findings
+        return
+    table = conf.Table(doc=good)
+    names = {s["name"] for s in good["service-table"]}
+    assert all(r["backend"] in names and r["deadline-ms"] > 0 for r in table.routes.values())
+    assert len({(r["host-name"], r["path-prefix"]) for r in table.routes.values()}) == len(table.routes)
+
+
+@pytest.mark.parametrize("change", [
+    {"route-table": [{**CONF["route-table"][0], "backend": "none"}]},                       # type: ignore[index]
+    {"route-table": [CONF["route-table"][0], {**CONF["route-table"][0], "name": "c"}]},     # type: ignore[index]
+    {"route-table": [{**CONF["route-table"][0], "deadline-ms": 0}]},                        # type: ignore[index]
+    {"config-version": 0}, {"service-table": None}, {"limits": {"max-body-bytes": 0}}])
+def test_each_clause_of_validity(change: dict[str, Any]) -> None:
+    conf.check(doc=CONF)
+    with pytest.raises(InvalidError):
+        conf.check(doc={**CONF, **change})
+
+
+def test_registry_races_repeats_and_rising_versions() -> None:
+    reg = Registry()
+
+    def put(*, base: str, doc: Any, method: str = "PUT") -> str:
+        try:
+            ev = reg.judge(method=method, base=base, body=orjson.dumps(doc))
+        except (InvalidError, StampError) as err:
+            return err.code
+        if ev is None:
+            return "again"
+        reg.apply(ev)
+        return "ok"
+
+    assert put(base="x", doc=CONF) == "invalid"
+    assert put(base="1", doc=CONF) == "stale-base"
+    assert put(base="0", doc=CONF) == "ok"
+    assert put(base="0", doc=CONF) == "again"
+    assert put(base="0", doc={**CONF, "config-version": 9}) == "stale-base"
+    assert put(base="4", doc=CONF) == "invalid"
+    assert put(base="4", doc={"config-version": 6, "removals": {"route-table": ["b"]}}, method="PATCH") == "ok"
+    assert reg.conf is not None and [r["name"] for r in reg.conf["route-table"]] == ["a"]
+    assert put(base="4", doc={"config-version": 7, "removals": {"route-table": ["a"]}}, method="PATCH") == "stale-base"
+    assert put(base="0", doc=CONF) == "again"
+    twin = Registry()
+    twin.load(reg.dump())
+    assert twin.dump() == reg.dump()
+
+
+def test_fences_only_rise_and_a_late_loss_does_not_touch_a_new_owner() -> None:
+    reg = Registry()
+    seen = 0
+    for owner in ("a", "b", "a"):
+        reg.apply({"t": "own", "ms": [["m", owner, {"site": "z"}]]})
+        assert reg.minions["m"]["f"] > seen
+        seen = reg.minions["m"]["f"]
+    reg.apply({"t": "gone", "m": "m", "f": seen - 1})
+    assert "m" in reg.minions
+    reg.apply({"t": "gone", "m": "m", "f": seen})
+    reg.apply({"t": "own", "ms": [["m", "c", {}]]})
+    assert reg.minions["m"]["f"] > seen
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_settings_are_read_or_refused_with_all_findings(seed: int) -> None:
+    rng = random.Random(seed)
+    doc = {"node-name": "n", "role": "r", "ip": "10.0.0.1", "zone": "z", "zones": {"z": "r"}, "bootstrap": True,
+           "bind-addrs": {"control": "10.0.0.1:80"}, "internal-ports": [10, 20], "seed-nodes": ["10.0.0.1:80"],
+           "data-dir": "/d", "limits": {"disk-mb": 4}, "beat-interval-ms": 1000, "bounds": {"drain-ms": 5}}
+    check_startup(doc=doc)
+    try:
+        check_startup(doc=noise(rng=rng, doc=doc))
+    except StartupError as err:
+        assert err.findings and err.exit_code == 78
+    except YarrowError as err:
+        raise AssertionError("another code") from err
--- /dev/null
+++ b/tests/test_ring.py
@@ -0,0 +1,69 @@
+"""The disk ring against an oracle: what was synced comes back, in order, and nothing that is not a prefix of it."""
+
+import pathlib
+import random
+
+import pytest
+
+from yarrowloom.store import Ring
+
+
+def fill(*, rng: random.Random, ring: Ring, kept: list[bytes], n: int) -> None:
+    """Append batches; on each turn of the ring a checkpoint stands for all before."""
+    for _ in range(n):
+        bodies = [rng.randbytes(rng.randint(0, 300)) for _ in range(rng.randint(1, 4))]
+        if ring.full(extra=ring.room(bodies=bodies)):
+            ring.rotate()
+            mark = b"checkpoint %d" % len(kept)
+            ring.append(bodies=[mark, *bodies])
+            kept[:] = [mark, *bodies]
+        else:
+            ring.append(bodies=bodies)
+            kept += bodies
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_synced_records_come_back(seed: int, tmp_path: pathlib.Path) -> None:
+    rng = random.Random(seed)
+    kept: list[bytes] = []
+    for _ in range(4):
+        ring = Ring(folder=str(tmp_path), files=4, size=4096)
+        got = ring.load()
+        assert got[len(got) - len(kept):] == kept
+        ring.rotate()
+        mark = b"start"
+        ring.append(bodies=[mark])
+        kept = [mark]
+        fill(rng=rng, ring=ring, kept=kept, n=rng.randint(1, 60))
+        ring.close()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_torn_or_foreign_bytes_end_the_journal_and_are_not_guessed_at(seed: int, tmp_path: pathlib.Path) -> None:
+    rng = random.Random(1000 + seed)
+    ring = Ring(folder=str(tmp_path), files=4, size=4096)
+    assert ring.load() == []
+    ring.rotate()
+    kept: list[bytes] = []
+    fill(rng=rng, ring=ring, kept=kept, n=rng.randint(1, 80))
+    ring.close()
+    whole = Ring(folder=str(tmp_path), files=4, size=4096).load()
+    path = rng.choice(sorted(tmp_path.glob("ring-*")))
+    raw = bytearray(path.read_bytes())
+    at = rng.randrange(len(raw))
+    end = min(len(raw), at + rng.randint(1, 64))
+    raw[at:end] = rng.choice([bytes(end - at), rng.randbytes(end - at)])
+    path.write_bytes(bytes(raw))
+    got = Ring(folder=str(tmp_path), files=4, size=4096).load()
+    runs = [whole[i:i + len(got)] for i in range(len(whole) - len(got) + 1)]
+    assert got in runs        # a stretch of what was written, nothing else
+
+
+def test_a_foreign_file_is_passed_over(tmp_path: pathlib.Path) -> None:
+    (tmp_path / "ring-1").write_bytes(b"something else entirely" * 100)
+    ring = Ring(folder=str(tmp_path), files=4, size=4096)
+    assert ring.load() == []
+    ring.rotate()
+    ring.append(bodies=[b"x"])
+    ring.close()
+    assert Ring(folder=str(tmp_path), files=4, size=4096).load() == [b"x"]
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -7,6 +7,8 @@
 from ..wire.frame import Kind
 from .leases import Ask, Held, Link, Pool, Shape
 
+LIVE_MOST = 5000      # jobs in hand; what comes beyond is refused at once and never runs
+
 
 class PlacerHub(Protocol):
     """What a placing node needs of its node."""
@@ -121,6 +123,9 @@
         jid = b.get("id", "")
         job = self.jobs.jobs.get(jid)
         if op == "put":
+            if job is None and len(self.jobs.jobs) - len(self.over) >= LIVE_MOST:
+                self.hub.reply(uid=uid, rid=rid, status=429, doc={"error": "too many jobs in hand"})
+                return
             if job is None:
                 now = self.hub.wall
                 ev = {"t": "job", "id": jid, "j": {**b["j"], "q": b["q"], "at": int(now * 1000)}}
