--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -211,7 +211,8 @@
             elif task in m.running and m.running[task][0] == run:
                 les = self._lease(m=m, g=g, cpu=cpu, mem=mem, gpu=gpu)
                 les.task = task
-                m.runs[task] = Run(task=task, run=run, g=g, lid=les.lid, sent=True, live=True, since=self.hub.now)
+                m.runs[task] = Run(task=task, run=run, g=g, lid=les.lid, sent=True, live=True, since=self.hub.now,
+                                   first=m.running[task][2])
                 m.strays.pop(task, None)
             elif not m.ended(task=task, run=run):
                 void.append([task, run])
--- a/yarrowloom/agent/answer.py
+++ b/yarrowloom/agent/answer.py
@@ -26,7 +26,7 @@
         row = m.running.get(r.task)
         if row is not None and row[0] == r.run:
             if not r.live:
-                r.live, r.since, r.spec = True, now, ""
+                r.live, r.since, r.spec, r.first = True, now, "", row[2]
             if row[2] != r.pct or not r.moved:
                 r.moved = now
             r.miss, r.pct = 0, row[2]
@@ -52,16 +52,21 @@
 
 
 def stands_still(*, r: Run, now: float) -> bool:
-    """No progress for several times as long as a percent took so far.
+    """No progress for several times as long as a percent took so far; the wait grows with each run of the task, so
+    that work whose percents take long is not moved for ever.
 
     >>> stands_still(r=Run(task="t", run=1, g=1, lid=1, since=1.0, pct=50.0, moved=2.0), now=3.0)
     False
     >>> stands_still(r=Run(task="t", run=1, g=1, lid=1, since=1.0, pct=50.0, moved=2.0), now=4.0)
     True
+    >>> stands_still(r=Run(task="t", run=1, g=1, lid=1, since=1.0, pct=50.0, first=50.0, est=200000), now=4.0)
+    False
     """
     if not 0 < r.pct < 100:
         return False
-    return now - r.moved > max(STILL_S, STILL_X * (r.moved - r.since) / r.pct)
+    gained = r.pct - r.first
+    each = (r.moved - r.since) / gained if gained > 0 else r.est / 100_000
+    return now - max(r.moved, r.since) > max(STILL_S, STILL_X * each) * r.run
 
 
 def _drain(*, agent: "Agent", m: Minion) -> None:
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -56,6 +56,7 @@
     since: float = 0.0
     pct: float = 0.0
     moved: float = 0.0
+    first: float = 0.0        # percent when first listed; a restored run begins above 0
     miss: int = 0
     est: int = 0
 
