--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -207,3 +207,13 @@
     assert len(oracle.accepted) == 3 and len(oracle.refused) == 3
     finish(sim, oracle, caller, [j for j in jids if j in oracle.accepted])
     assert all(caller.state(jid=j)[0] == 410 for j in oracle.refused)
+
+
+def test_a_gangs_room_is_free_as_soon_as_it_ends() -> None:
+    """Leases of a gang went back before their ends were acknowledged, were not taken, and lay idle for 3 s."""
+    sim, oracle, caller, _ = cluster(seed=61, minions=3, work=0.5)
+    wide = [{**TASK, "task-count": 3, "cpus": 4000, "gang": True}]
+    jids = [caller.submit(stages=wide) for _ in range(4)]
+    begun = sim.now
+    finish(sim, oracle, caller, jids)
+    assert sim.now - begun < 4 * 2.0
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -203,6 +203,7 @@
 
     def ends(self, *, uid: str, b: dict[str, Any]) -> None:
         """Ends that an agent passes on; acknowledged once durable."""
+        free: list[Held] = []
         for _num, task, run, how, saved in b["x"]:
             parts = split_name(task=task)
             job = self.jobs.jobs.get(parts[0]) if parts is not None else None
@@ -215,9 +216,11 @@
                       "mt": self.tries(job=job)}
                 self.effects(self.rep.commit(ev=ev))
             if held is not None:
-                self._idle(held=held)
+                free.append(held)
         rows = [[num, task, run] for num, task, run, _, _ in b["x"]]
         self.rep.barrier(then=("endsok", self.g, uid, b["m"], b["f"], rows))
+        for held in free:     # after the acknowledgement, which frees the lease of its run
+            self._idle(held=held)
         self.pump()
 
     def _idle(self, *, held: Held) -> None:
