--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -163,7 +163,7 @@
                "state": self.state, "cold-left-ms": 0, "call-seq": seq, "clock-ms": int(sent * 1000),
                "capacity": {"cpus": self.cap[0], "mem-mb": self.cap[1], "gpus": self.cap[2]},
                "labels": list(self.labels),
-               "running": [[t, r["run"], "", 50] for t, r in self.running.items()],
+               "running": [[t, r["run"], "", r["pct"](sent)] for t, r in self.running.items()],
                "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500]}
 
         def back(res: Response) -> None:
@@ -211,10 +211,12 @@
                 continue
             self.top[task] = run
             self.oracle.started(m=self, task=task, run=run, spec=spec, saved=saved)
-            self.running[task] = {"run": run}
             last = self.oracle.step_of(task).get("long-running")
             how = "failed" if self.sim.rng.random() < self.fail else "done"
             dur = 1e9 if last else self.work * (0.5 + self.sim.rng.random())
+            begun = self.sim.now
+            self.running[task] = {"run": run, "pct": (lambda at: 50) if last else (
+                lambda at, begun=begun, dur=dur: min(99, int(100 * (at - begun) / dur)))}
             self.sim.at(delay=dur, fn=lambda task=task, run=run, how=how: self.finish(  # type: ignore[misc]
                 task=task, run=run, how=how))
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -137,13 +137,13 @@
     (lid, _, _), = rig.ask(g=2)
     rig.order(lid=lid)
     assert "started" in rig.beat()
-    rig.attach(g=2, seq=2, x=[[TASK, 1, 1000, 10, 0]])
+    rig.attach(g=2, seq=2, x=[[TASK, 1, 1000, 10, 0, 500]])
     assert rig.hub.last(Kind.VERDICT)["x"] == []
 
 
 def test_unlisted_order_of_a_former_agent_never_started() -> None:
     rig = Rig()
-    rig.attach(g=2, seq=2, x=[[TASK, 1, 1000, 10, 0]])
+    rig.attach(g=2, seq=2, x=[[TASK, 1, 1000, 10, 0, 500]])
     assert rig.hub.last(Kind.VERDICT)["x"] == [[TASK, 1]]
 
 
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,72 @@
+"""News down the tree: many edges, relays, evacuations, configurations that never go back."""
+
+from tests.simfleet import HOST, SimMinion, cluster, config
+from tests.simnet import Sim
+from yarrowloom.node.base import FANOUT
+from yarrowloom.node.edge import EdgeNode
+
+
+def edges(sim: Sim) -> list[EdgeNode]:
+    out = []
+    for ip in sim.edge_ips:
+        node = sim.procs[ip].node
+        assert isinstance(node, EdgeNode)
+        node.now = sim.now
+        out.append(node)
+    return out
+
+
+def test_a_change_reaches_every_edge_through_relays_and_none_goes_back() -> None:
+    sim, _, _, _ = cluster(seed=71, edges=3 * FANOUT, minions=1)
+    sim.run(seconds=3.0)
+    assert sum(bool(n.via) for n in edges(sim)) >= 3
+    assert all(n.ready() for n in edges(sim))
+    status, _ = sim.ask(ip=sim.core_ips[0], method="PUT", path="/config", doc=config(version=9, more=400),
+                        headers={"if-match": "3"})
+    assert status == 200
+    sim.run(seconds=1.0)
+    assert {n.table.stamp for n in edges(sim) if n.table} == {9}
+    for node in edges(sim):
+        node.take_news(doc={"conf": config(version=3)})
+        assert node.table is not None and node.table.stamp == 9
+
+
+def test_edges_leave_a_relay_that_is_down_or_cut_off() -> None:
+    sim, _, _, _ = cluster(seed=72, edges=3 * FANOUT, minions=1)
+    sim.run(seconds=3.0)
+    relays = sorted({u.split(":")[0] for n in edges(sim) for u in n.via})
+    sim.kill(ip=relays[0])
+    for core in sim.core_ips:
+        sim.cut(a=relays[1], b=core)
+    sim.run(seconds=4.0)
+    live = [n for n in edges(sim) if n.startup.ip not in relays[:2]]
+    assert all(n.ready() for n in live)
+    cut = sim.procs[relays[1]].node
+    assert isinstance(cut, EdgeNode) and not cut.ready()
+
+
+def test_nothing_starts_in_an_evacuated_site_until_it_is_taken_back() -> None:
+    sim, oracle, caller, fleet = cluster(seed=73)
+    status, _ = sim.ask(ip=sim.core_ips[1], method="POST", path="/evacuation/z0")
+    assert status == 200
+    sim.run(seconds=1.0)
+    for _ in range(8):
+        caller.submit(stages=[{"task-count": 4, "cpus": 1000, "mem-mb": 10, "long-running": True}])
+    sim.run(seconds=3.0)
+
+    def busy(m: SimMinion) -> bool:
+        return bool(m.running)
+
+    assert not any(busy(m) for m in fleet if m.site == "z0") and any(busy(m) for m in fleet)
+    assert sim.ask(ip=sim.core_ips[2], method="DELETE", path="/evacuation/z0")[0] == 200
+    sim.run(seconds=3.0)
+    assert any(busy(m) for m in fleet if m.site == "z0")
+    assert oracle.broken == []
+
+
+def test_an_edge_without_configuration_says_so_at_once() -> None:
+    sim = Sim(seed=74)
+    sim.run(seconds=2.0)
+    assert not edges(sim)[0].ready()
+    status, _ = sim.ask(ip=sim.edge_ips[0], method="GET", path="/fast/", headers={"host": HOST})
+    assert status == 503
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -200,7 +200,7 @@
             if les.g == g and not les.task:
                 del m.leases[lid]
         void = []
-        for task, run, cpu, mem, gpu in b["x"]:
+        for task, run, cpu, mem, gpu, est in b["x"]:
             have = m.runs.get(task)
             if have is not None and have.run == run:
                 if have.stop or have.sent or have.live:
@@ -212,7 +212,7 @@
                 les = self._lease(m=m, g=g, cpu=cpu, mem=mem, gpu=gpu)
                 les.task = task
                 m.runs[task] = Run(task=task, run=run, g=g, lid=les.lid, sent=True, live=True, since=self.hub.now,
-                                   first=m.running[task][2])
+                                   first=m.running[task][2], est=est)
                 m.strays.pop(task, None)
             elif not m.ended(task=task, run=run):
                 void.append([task, run])
--- a/yarrowloom/agent/answer.py
+++ b/yarrowloom/agent/answer.py
@@ -62,10 +62,10 @@
     >>> stands_still(r=Run(task="t", run=1, g=1, lid=1, since=1.0, pct=50.0, first=50.0, est=200000), now=4.0)
     False
     """
-    if not 0 < r.pct < 100:
+    if not 0 < r.pct < 100 or r.est < 0:
         return False
     gained = r.pct - r.first
-    each = (r.moved - r.since) / gained if gained > 0 else r.est / 100_000
+    each = (r.moved - r.since) / gained if gained > 0 else r.est / 100_000 or 1.0
     return now - max(r.moved, r.since) > max(STILL_S, STILL_X * each) * r.run
 
 
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -42,7 +42,7 @@
 @dataclass(kw_only=True)
 class Run:
     """A start that the record holds. Invariant: `sent` only after the order was put into an answer; `live` once a
-    beat listed it; it stays until its end is acknowledged by the group."""
+    beat listed it; it stays until its end is acknowledged by the group. `est` is below 0 for tasks that last."""
 
     task: str
     run: int
--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -70,5 +70,8 @@
         for item in err.findings:
             print(f"  {item}", file=sys.stderr)
         sys.exit(err.exit_code)
+    except BrokenPipeError:
+        sys.stderr.close()
+        sys.exit(0)
     except KeyboardInterrupt:
         sys.exit(130)
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -7,7 +7,7 @@
 from ..base.startup import Startup
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
-from .base import NodeBase
+from .base import FANOUT, NodeBase, ring
 from .calls import NOT_PRIMARY
 from .chief import LEASE_S
 from .control import dispatch
@@ -172,6 +172,10 @@
         news = self.newer(have=b["have"])
         if news:
             body["news"] = news
+        if b["kind"] == "edge":
+            fed = sorted(u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u))[:FANOUT]
+            if b["u"] not in fed:
+                body["via"] = ring(uid=b["u"], among=fed, n=2)
         if self.chief is not None and self.reps[0].serving():
             body.update(self.chief.heart(b=b))
             body["up"] = [u for u in self.members if self.alive(uid=u)]
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -15,6 +15,7 @@
 
 MARGIN_S = 0.15
 READY_S = 1.5
+VIA_S = 1.0           # relays that have been out of contact this long are left for the cores
 RETRY = (("retry-after", "1"),)
 
 
@@ -40,6 +41,8 @@
         super().__init__(startup=startup, uid=uid, boot=boot, kind="edge", log=log)
         self.limits = Limits()
         self.closing = False
+        self.via: list[str] = []
+        self.via_at = -9.0
         self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._parsed)
 
     def configured(self) -> None:
@@ -152,13 +155,34 @@
         """One frame."""
         m = self.load(body=body)
         if kind is Kind.HEARTOK:
-            self.contact = self.now
+            self.contact = max(self.contact, self.now - m.get("age", 0.0))
+            if m.get("via"):
+                self.via, self.via_at = m["via"], self.now
+            elif uid in self.via and m.get("age", 0.0) < VIA_S:
+                self.via_at = self.now
             self.take_news(doc=m.get("news", {}))
+        elif kind is Kind.HEART:
+            self._relay(b=m)
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.REPLY:
             self.calls.reply(m=m)
 
+    def _relay(self, *, b: dict[str, Any]) -> None:
+        """Feed news to another edge, telling how old the own contact with the cores is."""
+        self.hear(b=b)
+        body: dict[str, Any] = {"t": b["t"], "age": max(0.0, self.now - self.contact)}
+        news = self.newer(have=b["have"])
+        if news:
+            body["news"] = news
+        self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
+
+    def targets(self) -> list[str]:
+        """Relays named by a core that feeds enough edges, as long as they are in contact; else the ring."""
+        if self.via and self.now - self.via_at < VIA_S:
+            return self.via
+        return super().targets()
+
     def gap(self, *, uid: str) -> None:
         """Frames were lost: calls repeat by themselves."""
 
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -236,7 +236,8 @@
         """A call of this node has ended."""
         kind = done[0]
         if kind == "http":
-            self.respond(call=done[1], res=Response.of(status or 503, doc or {"error": "no primary in reach"}))
+            self.respond(call=done[1], res=Response.of(status, doc) if status else Response.of(
+                503, {"error": "no primary in reach"}))
         elif kind == "who":
             _, call, mid, beat = done
             if status != 200:
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -165,7 +165,8 @@
             job = self.jobs.jobs[jid]
             step, unit = job["steps"][int(key.split(".")[1])], job["u"][key]
             task = task_name(jid=jid, unit=key, idx=i)
-            rows.append([task, unit["r"][i], step["cpu"], step["mem"], step["gpu"]])
+            rows.append([task, unit["r"][i], step["cpu"], step["mem"], step["gpu"],
+                         -1 if step["last"] else step["est"]])
             self.held.pop(task, None)
             if job["st"] in ENDED:
                 ended.append([mid, task, unit["r"][i]])
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -238,7 +238,7 @@
                 continue
             by.setdefault(link.agent, []).append([
                 held.mid, link.seq, held.lid, task_name(jid=jid, unit=key, idx=i), run, job["spec"],
-                unit["v"][0 if step["gang"] else i], step["est"]])
+                unit["v"][0 if step["gang"] else i], -1 if step["last"] else step["est"]])
         for uid, part in by.items():
             self.hub.send(uid=uid, kind=Kind.ORDER, body={"g": self.g, "n": self.rep.base, "x": part})
         if late:
