--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -1,5 +1,7 @@
 """News down the tree: many edges, relays, evacuations, configurations that never go back."""
 
+from typing import Any
+
 from tests.simfleet import HOST, SimMinion, cluster, config
 from tests.simnet import Sim
 from yarrowloom.node.base import FANOUT
@@ -87,8 +89,8 @@
 def test_times_of_a_repeated_job_start_when_due() -> None:
     sim, oracle, caller, fleet = cluster(seed=76)
     first = int((sim.wall0 + sim.now + 2.0) * 1000)
-    jid = caller.submit(stages=[{"task-count": 1, "cpus": 10, "mem-mb": 1}], **{
-        "first-run-ms": first, "period-ms": 3000, "repeat-count": 3})
+    more: dict[str, Any] = {"first-run-ms": first, "period-ms": 3000, "repeat-count": 3}
+    jid = caller.submit(stages=[{"task-count": 1, "cpus": 10, "mem-mb": 1}], **more)
     seen: dict[str, float] = {}
     for _ in range(240):
         sim.run(seconds=0.05)
