--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -101,7 +101,8 @@
         return rows
 
     def order(self, *, lid: int, g: int = 2, task: str = TASK, run: int = 1, n: int = 1, seq: int = 1) -> None:
-        self.agent.order(uid=f"p{g}", b={"g": g, "n": n, "x": [["i", seq, lid, task, run, "spec", "", 500]]})
+        self.agent.order(uid=f"p{g}", b={"g": g, "n": n, "sp": {task.split(".")[0]: "spec"},
+                                         "x": [["i", seq, lid, task, run, "", 500]]})
 
 
 def test_two_placing_nodes_never_get_one_room() -> None:
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -7,15 +7,17 @@
 from ..wire.frame import Kind
 from ..wire.http import Response
 from .answer import answer, settle
-from .choice import fits, pick
+from .choice import fits, named, pick
 from .minion import Call, Lease, Minion, Phase, Run
 
 CLOCK = 1.02          # a minion's clock may be this much slow
 SLACK_S = 0.3
 RETELL_S = 0.5
 CLAIM_S = 0.3
-ROOM_S = 0.1
-ROOM_IDLE_S = 0.5
+ROOM_S = 0.02         # rows of room that changed go out at most this often
+ROOM_IDLE_S = 0.4     # and something goes out at least this often
+SCAN_S = 0.2          # how often every minion is looked at; what is due sooner is looked at each tick
+BEST = 4              # rows of a service in the summary that other agents get
 LEFT_S = 1.5
 IDLE_S = 3.0          # a lease that its holder neither uses nor returns lapses; holders return far sooner
 
@@ -65,8 +67,13 @@
         self.lag_ms = lag_ms
         self.minions: dict[str, Minion] = {}
         self.next = 1
-        self.dirty = True
+        self.stale: set[str] = set()             # minions whose room a placing node may not know
+        self.told: dict[int, tuple[str, int]] = {}    # by group: the primary that has been told all
+        self.shown: set[str] = set()             # minions told to be open
+        self.watch: set[str] = set()             # minions to be looked at each tick
+        self.scanned = -9.0
         self.roomed = 0.0
+        self.summed = 0.0
         self.views: dict[str, tuple[float, dict[str, list[Any]]]] = {}
 
     # -- ownership
@@ -80,14 +87,16 @@
             self.hub.respond(call=old.call.key, res=Response(status=503))
         self.minions[mid] = Minion(mid=mid, fence=fence, heard=self.hub.now, svc=info.get("svc", ""),
                                    site=info.get("site", ""), labels=info.get("labels", []))
-        self.dirty = True
+        self.stale.add(mid)
+        self.watch.add(mid)
 
     def disown(self, *, mid: str) -> None:
         """Group 0 gave it to another, or took it off the list."""
         m = self.minions.pop(mid, None)
         if m is not None and m.call is not None:
             self.hub.respond(call=m.call.key, res=Response(status=503))
-        self.dirty = True
+        self.stale.add(mid)
+        self.watch.discard(mid)
 
     def drop_all(self) -> None:
         """This agent is no longer counted in: what it held is void."""
@@ -117,8 +126,9 @@
             return
         if m.phase is Phase.FENCED:
             m.move(Phase.KNOWN)
-        if cap != m.cap or was != m.draining:
-            self.dirty = True
+        if cap != m.cap or was != m.draining or mid not in self.shown:
+            self.stale.add(mid)
+        self.watch.add(mid)
         settle(agent=self, m=m, beat=True)
         self._tell(m=m)
         m.call = Call(key=call, at=hub.now, horizon=hub.now)
@@ -130,7 +140,7 @@
         if m is not None and m.phase is not Phase.LOST:
             m.draining = True
             m.losing = m.losing or self.hub.now + LEFT_S
-            self.dirty = True
+            self.stale.add(mid)
         self.hub.respond(call=call, res=Response.of(200, {}))
 
     def _tell(self, *, m: Minion) -> None:
@@ -165,7 +175,6 @@
                 m.acked.add(num)
             self._clear(m=m, task=task, run=run)
         m.note()
-        self.dirty = True
         if m.call is not None:
             answer(agent=self, m=m)
 
@@ -174,7 +183,10 @@
         if r is not None and r.run == run:
             del m.runs[task]
             les = m.leases.get(r.lid)
-            if les is not None:
+            if les is not None and les.own:
+                m.reclaim(lid=r.lid)
+                self.stale.add(m.mid)
+            elif les is not None:
                 les.task, les.until = "", self.hub.now + IDLE_S
 
     # -- groups
@@ -198,7 +210,9 @@
                     self._clear(m=m, task=task, run=r.run)
         for lid, les in list(m.leases.items()):
             if les.g == g and not les.task:
-                del m.leases[lid]
+                m.reclaim(lid=lid)
+            elif les.g == g:
+                les.own = True        # the attachment lists its run, but no placing node knows the lease
         void = []
         for task, run, cpu, mem, gpu, est in b["x"]:
             have = m.runs.get(task)
@@ -206,11 +220,11 @@
                 if have.stop or have.sent or have.live:
                     continue
                 self._clear(m=m, task=task, run=run)
-                m.leases.pop(have.lid, None)
+                m.reclaim(lid=have.lid)
                 void.append([task, run])
             elif task in m.running and m.running[task][0] == run:
                 les = self._lease(m=m, g=g, cpu=cpu, mem=mem, gpu=gpu)
-                les.task = task
+                les.task, les.own = task, True
                 m.runs[task] = Run(task=task, run=run, g=g, lid=les.lid, sent=True, live=True, since=self.hub.now,
                                    first=m.running[task][2], est=est)
                 m.strays.pop(task, None)
@@ -220,12 +234,13 @@
                                                         "f": m.fence, "x": void})
         settle(agent=self, m=m, beat=False)
         self._tell(m=m)
-        self.dirty = True
+        self.stale.add(m.mid)
+        self.watch.add(m.mid)
 
     def _lease(self, *, m: Minion, g: int, cpu: int, mem: int, gpu: int, until: float = 0.0) -> Lease:
         les = Lease(lid=self.next, mid=m.mid, g=g, cpu=cpu, mem=mem, gpu=gpu, until=until or self.hub.now + IDLE_S)
         self.next += 1
-        m.leases[les.lid] = les
+        m.lend(les=les)
         return les
 
     def open(self, *, m: Minion) -> bool:
@@ -236,13 +251,15 @@
                 and all(g in m.met for g in self.hub.groups()))
 
     def lease(self, *, uid: str, b: dict[str, Any]) -> None:
-        """Grant room by a task's metadata, or name another agent that seems to have it."""
+        """Grant room by a task's metadata, on the minions that a cycle chose or (`on` empty) where it fits best; or
+        name another agent that seems to have it. What is left on the minions asked for goes back with the answer."""
         grants: list[Any] = []
         if self.hub.trusted():
-            for m in pick(agent=self, b=b):
+            for m in named(agent=self, b=b) if b.get("on") else pick(agent=self, b=b):
                 until = self.hub.now + b["mark"] if b.get("mark") else 0.0
                 les = self._lease(m=m, g=b["g"], cpu=b["cpu"], mem=b["mem"], gpu=b["gpu"], until=until)
                 grants.append([les.lid, m.mid, m.att[b["g"]][1]])
+                self.stale.add(m.mid)
         redir = ""
         if len(grants) < b["n"]:
             for other, (at, view) in sorted(self.views.items()):
@@ -250,24 +267,32 @@
                         fits(row=row, b=b) for row in view.get(b["svc"], [])):
                     redir = other
                     break
-        self.dirty = self.dirty or bool(grants)
-        self.hub.send(uid=uid, kind=Kind.GRANT, body={"g": b["g"], "rid": b["rid"], "x": grants, "to": redir})
+        left = [[mid, *self.minions[mid].free()] for mid, _ in b.get("on", ()) if mid in self.shown
+                and mid in self.minions]
+        self.hub.send(uid=uid, kind=Kind.GRANT, body={
+            "g": b["g"], "rid": b["rid"], "x": grants, "to": redir, "r": left, "size": [b["cpu"], b["mem"], b["gpu"]]})
 
     def giveback(self, *, b: dict[str, Any]) -> None:
-        """Leases that a group returns."""
+        """Leases that a group returns. One whose run has ended, by a beat's list, is free even before that end is
+        durable: nothing runs there any more."""
         for mid, lid in b["x"]:
             m = self.minions.get(mid)
             les = m.leases.get(lid) if m is not None else None
-            if m is not None and les is not None and not les.task and les.g == b["g"]:
-                del m.leases[lid]
-                self.dirty = True
+            if m is None or les is None or les.g != b["g"]:
+                continue
+            run = m.runs.get(les.task)
+            if not les.task or (run is not None and run.lid == lid and m.ended(task=run.task, run=run.run)):
+                m.reclaim(lid=lid)
+                self.stale.add(mid)
+                if run is not None:
+                    run.lid = 0
 
     def order(self, *, uid: str, b: dict[str, Any]) -> None:
         """Orders on leases; what cannot be carried out is sent back as never started."""
         nak = []
         touched = set()
         prim = self.hub.primary(g=b["g"])
-        for mid, seq, lid, task, run, spec, saved, est in b["x"]:
+        for mid, seq, lid, task, run, saved, est in b["x"]:
             m = self.minions.get(mid)
             if m is None or m.att.get(b["g"]) != (b["n"], seq) or (prim and prim[1] > b["n"]):
                 continue      # an attachment made since, or still to be made, settles it
@@ -276,7 +301,8 @@
                 nak.append([mid, seq, task, run])
                 continue
             les.task, les.until = task, 0.0
-            m.runs[task] = Run(task=task, run=run, g=b["g"], lid=lid, spec=spec, saved=saved, est=est)
+            m.runs[task] = Run(task=task, run=run, g=b["g"], lid=lid, spec=b["sp"][task.split(".", 1)[0]], saved=saved,
+                               est=est)
             touched.add(mid)
         if nak:
             self.hub.send(uid=uid, kind=Kind.NAK, body={"g": b["g"], "n": b["n"], "x": nak})
@@ -329,11 +355,16 @@
         if not hub.trusted():
             return
         claims: dict[int, list[Any]] = {}
-        for m in list(self.minions.values()):
+        if now - self.scanned > SCAN_S:
+            self.scanned = now
+            look, self.watch = list(self.minions.values()), set()
+        else:
+            look = [self.minions[mid] for mid in sorted(self.watch) if mid in self.minions]
+        for m in look:
             if m.phase is not Phase.LOST and (now - m.heard > self.hold_ms / 1000 * CLOCK + SLACK_S
                                               or (m.losing and now > m.losing)):
                 m.move(Phase.LOST)
-                self.dirty = True
+                self.stale.add(m.mid)
                 hub.note(event="minion-lost", minion=m.mid, runs=len(m.runs), left=bool(m.losing))
             if m.phase is Phase.LOST:
                 self._lose(m=m)
@@ -343,8 +374,7 @@
             prim = hub.primary(g=g)
             if prim is not None:
                 hub.send(uid=prim[0], kind=Kind.CLAIM, body={"g": g, "x": rows})
-        if (self.dirty and now - self.roomed > ROOM_S) or now - self.roomed > ROOM_IDLE_S:
-            self._room()
+        self.share()
 
     def _keep(self, *, m: Minion, claims: dict[int, list[Any]]) -> None:
         now = self.hub.now
@@ -359,16 +389,21 @@
                 claims.setdefault(g, []).append([m.mid, m.fence, m.svc, m.site, m.labels, list(m.cap)])
         for lid, les in list(m.leases.items()):
             if les.until and not les.task and now > les.until:
-                del m.leases[lid]
-                self.dirty = True
+                m.reclaim(lid=lid)
+                self.stale.add(m.mid)
+        if (m.mid in self.shown) != self.open(m=m):
+            self.stale.add(m.mid)
         if m.ends:
             self._tell(m=m)
         if m.call is not None and now >= m.call.horizon:
             answer(agent=self, m=m)
+        if m.ends or m.call is not None or any(g not in m.att for g in self.hub.groups()):
+            self.watch.add(m.mid)
 
     def _lose(self, *, m: Minion) -> None:
         now = self.hub.now
         left = [g for g in self.hub.groups() if g not in m.lostok]
+        self.watch.add(m.mid)
         if not left:
             self.hub.gone(mid=m.mid, fence=m.fence)
         elif now - m.claimed.get(-1, -9.0) > CLAIM_S:
@@ -379,13 +414,50 @@
                 if prim is not None:
                     self.hub.send(uid=prim[0], kind=Kind.LOST, body={"g": g, "m": m.mid, "f": m.fence, "v": saved})
 
-    def _room(self) -> None:
-        self.roomed = self.hub.now
-        self.dirty = False
+    def share(self) -> None:
+        """Tell placing nodes what changed of the room, and other agents a summary."""
+        now, hub = self.hub.now, self.hub
+        fresh = {g: prim for g in hub.groups() if (prim := hub.primary(g=g)) is not None}
+        due = self.stale and now - self.roomed > ROOM_S or now - self.roomed > ROOM_IDLE_S
+        if not due and fresh == self.told:
+            return
+        rows, shut = [], []
+        for mid in sorted(self.stale):
+            m = self.minions.get(mid)
+            if m is not None and self.open(m=m):
+                rows.append([mid, *m.free()])
+                self.shown.add(mid)
+            elif mid in self.shown:
+                self.shown.discard(mid)
+                shut.append(mid)
+        self.stale.clear()
+        self.roomed = now
+        for g, prim in fresh.items():
+            if self.told.get(g) == prim:
+                hub.send(uid=prim[0], kind=Kind.ROOM, body={"u": hub.uid, "g": g, "x": rows, "shut": shut})
+            else:
+                self._all(g=g, uid=prim[0])
+        self.told = fresh
+        if now - self.summed > ROOM_IDLE_S:
+            self.summed = now
+            body = {"u": hub.uid, "v": self.summary()}
+            for uid in hub.cores():
+                if uid != hub.uid:
+                    hub.send(uid=uid, kind=Kind.ROOM, body=body)
+
+    def _all(self, *, g: int, uid: str) -> None:
+        rows = [[mid, *self.minions[mid].free()] for mid in sorted(self.shown) if mid in self.minions]
+        self.hub.send(uid=uid, kind=Kind.ROOM, body={"u": self.hub.uid, "g": g, "x": rows, "shut": []})
+
+    def roomget(self, *, uid: str, g: int) -> None:
+        """A placing node lost count: tell it all."""
+        self._all(g=g, uid=uid)
+
+    def summary(self) -> dict[str, list[Any]]:
+        """By service, the open minions with the most room: enough for a redirect, which may be stale."""
         view: dict[str, list[Any]] = {}
-        for m in self.minions.values():
-            if self.open(m=m):
+        for mid in self.shown:
+            m = self.minions.get(mid)
+            if m is not None:
                 view.setdefault(m.svc, []).append([*m.free(), m.labels, list(m.cap), m.mid])
-        body = {"u": self.hub.uid, "v": view}
-        for uid in self.hub.cores():
-            self.hub.send(uid=uid, kind=Kind.ROOM, body=body)
+        return {svc: sorted(rows, key=lambda r: (-r[2], -r[0], r[5]))[:BEST] for svc, rows in view.items()}
--- a/yarrowloom/agent/choice.py
+++ b/yarrowloom/agent/choice.py
@@ -26,6 +26,24 @@
     return labels[1] if len(labels) > 1 else ""
 
 
+def named(*, agent: "Agent", b: dict[str, Any]) -> list["Minion"]:
+    """Of the minions that a cycle chose, those that can take what was planned (one entry a lease); all or none where
+    `all` is asked. The agent decides by its own table: the cycle's snapshot may be old."""
+    out: list[Minion] = []
+    for mid, n in b["on"]:
+        m = agent.minions.get(mid)
+        if m is None or m.svc != b["svc"] or (b["req"] and b["req"] not in m.labels) or b["g"] not in m.att or (
+                not agent.open(m=m)):
+            continue
+        free = m.free()
+        for need, have in ((b["cpu"], free[0]), (b["mem"], free[1]), (b["gpu"], free[2])):
+            n = min(n, have // need) if need else n if have >= 0 else 0
+        if b["apart"]:
+            n = min(n, b["apart"] - b["avoid"].get(mid, 0))
+        out += [m] * n
+    return [] if b.get("all") and len(out) < b["n"] else out
+
+
 def pick(*, agent: "Agent", b: dict[str, Any]) -> list["Minion"]:
     """Minions for up to n leases (one entry a lease), best first; all or none where `all` is asked."""
     free: dict[str, list[int]] = {}
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -27,7 +27,8 @@
 @dataclass(kw_only=True)
 class Lease:
     """Room on one minion, granted to one group. Invariant: counts against the minion until released; serves one
-    run at a time; without a run it lapses at `until`."""
+    run at a time; without a run it lapses at `until`. `own`: made for a run found at an attachment, so that no
+    placing node knows it and it ends with its run."""
 
     lid: int
     mid: str
@@ -37,6 +38,7 @@
     gpu: int
     until: float = 0.0
     task: str = ""
+    own: bool = False
 
 
 @dataclass(kw_only=True)
@@ -74,7 +76,7 @@
 class Minion:
     """Invariants: `seen` reaches an end only when its group has it on both disks; `fence` is group 0's newest for
     this minion; no order leaves unless phase is KNOWN and every group was attached once
-    under this fence (`met`); `att` holds the groups whose attachment stands now."""
+    under this fence (`met`); `att` holds the groups whose attachment stands now; `used` is the sum of `leases`."""
 
     mid: str
     fence: int
@@ -95,6 +97,7 @@
     runs: dict[str, Run] = field(default_factory=dict)
     strays: dict[str, int] = field(default_factory=dict)
     leases: dict[int, Lease] = field(default_factory=dict)
+    used: list[int] = field(default_factory=lambda: [0, 0, 0])
     att: dict[int, tuple[int, int]] = field(default_factory=dict)
     met: set[int] = field(default_factory=set)
     claimed: dict[int, float] = field(default_factory=dict)
@@ -112,12 +115,22 @@
         """Room that nobody holds; nothing while something unknown runs."""
         if self.strays:
             return (0, 0, 0)
-        cpu, mem, gpu = self.cap
-        for les in self.leases.values():
-            cpu -= les.cpu
-            mem -= les.mem
-            gpu -= les.gpu
-        return cpu, mem, gpu
+        return self.cap[0] - self.used[0], self.cap[1] - self.used[1], self.cap[2] - self.used[2]
+
+    def lend(self, *, les: Lease) -> None:
+        """A lease is granted."""
+        self.leases[les.lid] = les
+        for i, part in enumerate((les.cpu, les.mem, les.gpu)):
+            self.used[i] += part
+
+    def reclaim(self, *, lid: int) -> bool:
+        """A lease ends; False: it had ended before."""
+        les = self.leases.pop(lid, None)
+        if les is None:
+            return False
+        for i, part in enumerate((les.cpu, les.mem, les.gpu)):
+            self.used[i] -= part
+        return True
 
     def take(self, *, doc: dict[str, Any], now: float) -> None:
         """Take note of a beat's account; lists of the wrong shape count as empty."""
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -27,7 +27,7 @@
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
             "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
-            "stops": self._stops, "orders": self._orders, "endsok": self._endsok, "giveback": self._giveback,
+            "stops": self._stops, "orders": self._orders, "endsok": self._endsok,
             "selfown": self._selfown}
 
     # -- effects
@@ -77,9 +77,6 @@
     def _endsok(self, g: int, uid: str, mid: str, fence: int, rows: list[Any]) -> None:
         self.send(uid=uid, kind=Kind.ENDSOK, body={"g": g, "m": mid, "f": fence, "x": rows})
 
-    def _giveback(self, g: int, uid: str, mid: str, lid: int) -> None:
-        self.send(uid=uid, kind=Kind.RETURN, body={"g": g, "x": [[mid, lid]]})
-
     # -- inputs
 
     def http(self, *, call: Any, req: Request) -> None:
@@ -117,14 +114,19 @@
         elif kind is Kind.REPLY:
             self.calls.reply(m=m)
         elif kind is Kind.ROOM:
-            self.agent.views[m["u"]] = (self.now, m["v"])
-            for p in self.placers.values():
-                p.pool.views[m["u"]] = (self.now, m["v"])
-                p.dirty = True
+            self._room(m=m)
         else:
             self._jobs(uid=uid, kind=kind, m=m)
         self._flush()
 
+    def _room(self, *, m: dict[str, Any]) -> None:
+        if "v" in m:
+            self.agent.views[m["u"]] = (self.now, m["v"])
+        elif m["g"] in self.placers:
+            placer = self.placers[m["g"]]
+            placer.room.report(uid=m["u"], rows=m["x"], shut=m["shut"], now=self.now)
+            placer.pump()
+
     def _call(self, *, uid: str, m: dict[str, Any]) -> None:
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
         if g < 0:
@@ -147,6 +149,8 @@
             self.agent.order(uid=uid, b=m)
         elif kind is Kind.STOP:
             self.agent.stop(b=m)
+        elif kind is Kind.ROOMGET:
+            self.agent.roomget(uid=uid, g=m["g"])
         elif kind is Kind.ENDSOK:
             self.agent.endsok(body=m)
         elif kind is Kind.LOSTOK:
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -156,6 +156,11 @@
         for g, e in eps:
             self.reps[g].learn(e)
 
+    def configured(self) -> None:
+        """A newer configuration is in force here."""
+        for placer in self.placers.values():
+            placer.configured()
+
     def installed(self, *, g: int, epoch: Epoch) -> None:
         """A newer epoch is decided."""
         old = self.eps.get(g)
@@ -294,4 +299,5 @@
                            for g, r in self.reps.items()},
                 "minions": {m.mid: {"phase": m.phase.value, "free": m.free(), "runs": len(m.runs)}
                             for m in self.agent.minions.values()},
-                "backlog": {str(g): len(p.ready) for g, p in self.placers.items()}}
+                "backlog": {str(g): len(p.backlog) for g, p in self.placers.items()},
+                "placing": {str(g): p.figures() for g, p in self.placers.items()}}
--- /dev/null
+++ b/yarrowloom/place/binding.py
@@ -0,0 +1,238 @@
+"""Binding: what a cycle decided becomes leases of the agents, then durable starts, then orders."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..job.state import ENDED, RUN, WAIT, task_name
+from ..wire.frame import Kind
+from .cycle import Decision
+from .desk import Desk
+from .group import Group, Phase
+from .leases import Held
+from .room import Size
+
+ASK_S = 0.6
+MARK_S = 2.0          # an earmark for a gang lapses after this long at the agent
+HOPS = 4
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One binding of one group. Invariants: `plan` holds, by minion, the members not yet given a lease; a gang's
+    `rows` start only once no ask is open and none was refused; else all go back."""
+
+    group: Group
+    need: int
+    plan: dict[str, list[int]]
+    rows: list[tuple[int, Held]] = field(default_factory=list)
+    open: int = 0
+    bad: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class LeaseAsk:
+    """A request to one agent that has not been answered. `on` is (minion, attachment, how many)."""
+
+    rid: int
+    agent: str
+    at: float
+    size: Size
+    attempt: Attempt
+    on: list[tuple[str, int, int]]
+    n: int
+    been: list[str]
+
+
+class Binding(Desk):
+    """Invariant: an order leaves only after its start is durable, and only if nothing came in between; the room's
+    `fly` of a minion is the sum of the open asks on it."""
+
+    def __init__(self, **kw: Any) -> None:
+        self.asks: dict[int, LeaseAsk] = {}
+        self.rid = 0
+        super().__init__(**kw)
+
+    def bind(self, *, group: Group, decision: Decision) -> None:
+        """Cached leases serve at once, agents are asked for the rest, all in parallel: they answer at once, so no
+        attempt ever waits for another's."""
+        plan: dict[str, list[int]] = {}
+        for idx, mid in decision.placed:
+            plan.setdefault(mid, []).append(idx)
+        att = Attempt(group=group, need=len(decision.placed), plan=plan)
+        asks: dict[str, list[tuple[str, int, int]]] = {}
+        back: list[Held] = []
+        group.out.update(idx for idx, _ in decision.placed)
+        for mid, idxs in plan.items():
+            spot = self.room.spots[mid]
+            for held in self.pool.take(mid=mid, size=group.size, n=len(idxs)):
+                att.rows.append((idxs.pop(), held))
+            if idxs:
+                bare = spot.view.plus(spot.owed).plus(spot.fly, -1)
+                if not bare.holds(Size(0, 0, 0).plus(group.size, len(idxs))):
+                    back += self.pool.clear(mid=mid)
+                asks.setdefault(spot.agent, []).append((mid, spot.seq, len(idxs)))
+        self.release(back)
+        for uid, on in sorted(asks.items()):
+            for mid, _, n in on:
+                self.room.reserve(spot=self.room.spots[mid], size=group.size, n=n)
+            self._ask(att=att, agent=uid, on=on, n=sum(n for _, _, n in on), been=[uid])
+        self._settle(att=att)
+
+    def _ask(self, *, att: Attempt, agent: str, on: list[tuple[str, int, int]], n: int, been: list[str]) -> None:
+        """Send a request for room: metadata only."""
+        group = att.group
+        self.rid += 1
+        att.open += 1
+        self.asks[self.rid] = LeaseAsk(rid=self.rid, agent=agent, at=self.hub.now, size=group.size, attempt=att, on=on,
+                                       n=n, been=been)
+        body: dict[str, Any] = {
+            "g": self.g, "rid": self.rid, "svc": group.svc, "cpu": group.size.cpu, "mem": group.size.mem,
+            "gpu": group.size.gpu, "req": group.req, "near": group.near, "n": n, "been": been, "apart": group.apart,
+            "avoid": self._there(group=group) if group.apart else {}, "on": [[mid, k] for mid, _, k in on]}
+        if group.gang:
+            body.update(all=True, mark=MARK_S)
+        self.hub.send(uid=agent, kind=Kind.LEASE, body=body)
+
+    def _there(self, *, group: Group) -> dict[str, int]:
+        """Members that run, by minion."""
+        unit = self.jobs.jobs[group.jid]["u"][group.key]
+        out: dict[str, int] = {}
+        for i, st in enumerate(unit["s"]):
+            if st == RUN:
+                out[unit["m"][i]] = out.get(unit["m"][i], 0) + 1
+        return out
+
+    def grant(self, *, uid: str, b: dict[str, Any]) -> None:
+        """An agent's decision, with what it has left on the minions asked for."""
+        ask = self.asks.pop(b["rid"], None)
+        if ask is not None:
+            self._landed(ask=ask)
+        if b.get("r"):
+            self.room.report(uid=uid, rows=b["r"], shut=[], now=self.hub.now)
+        got: list[Held] = []
+        size = ask.size if ask is not None else Size(*b["size"])
+        for lid, mid, seq in b["x"]:
+            spot = self.room.spots.get(mid)
+            if spot is not None and spot.seq == seq:
+                got.append(Held(agent=uid, mid=mid, lid=lid, seq=seq, since=self.hub.now, size=size))
+        if ask is None:
+            self.release(got)
+            return
+        att = ask.attempt
+        for held in got:
+            idxs = att.plan.get(held.mid) or next((v for v in att.plan.values() if v), None)
+            if idxs:
+                att.rows.append((idxs.pop(), held))
+            else:
+                self.release([held])
+        if len(got) < ask.n:
+            if b["to"] and not att.group.gang and len(ask.been) < HOPS:
+                self._ask(att=att, agent=b["to"], on=[], n=ask.n - len(got), been=[*ask.been, b["to"]])
+            else:
+                att.bad = True
+        self._settle(att=att)
+        self.pump()
+
+    def _landed(self, *, ask: LeaseAsk) -> None:
+        """An ask is answered or given up: its room no longer flies."""
+        ask.attempt.open -= 1
+        for mid, seq, n in ask.on:
+            spot = self.room.spots.get(mid)
+            if spot is not None and spot.seq == seq:
+                self.room.reserve(spot=spot, size=ask.size, n=-n)
+
+    def _settle(self, *, att: Attempt) -> None:
+        """Start what may start; once nothing is open, what was refused waits again."""
+        group = att.group
+        live = group.phase is not Phase.GONE
+        fresh = [(i, h) for i, h in att.rows if (s := self.room.spots.get(h.mid)) is not None and s.seq == h.seq]
+        if not group.gang:
+            att.rows = []
+            if live and fresh:
+                self.start(group=group, batch=fresh)
+            else:
+                self.release([h for _, h in fresh])
+        if att.open:
+            return
+        if group.gang:
+            rows, att.rows = att.rows, []
+            if live and not att.bad and len(fresh) == att.need:
+                self.start(group=group, batch=sorted(fresh, key=lambda r: r[0]))
+            else:
+                self.release([h for _, h in fresh])
+                self.hub.trace(event="gang-put-off", id=group.jid, unit=group.key, n=att.need, got=len(rows))
+                att.bad = True
+                group.out.clear()
+        left = [i for idxs in att.plan.values() for i in idxs]
+        group.out.difference_update(left)
+        if live and (att.bad or left):       # the snapshot was old
+            if group.gang and group.phase is Phase.BOUND:
+                self.backlog.wake(group=group)
+                group.move(Phase.TURN)
+                self.backlog.park(group=group, now=self.hub.now)
+            else:
+                self.backlog.wake(group=group)
+        if live:
+            self.weigh(group=group)
+
+    def start(self, *, group: Group, batch: list[tuple[int, Held]]) -> None:
+        """Record starts; the orders follow once durable."""
+        jid, key = group.jid, group.key
+        job = self.jobs.jobs[jid]
+        unit = job["u"][key]
+        top = max(unit["r"]) if group.gang else 0
+        x: list[tuple[int, int, str]] = []
+        orders: list[Any] = []
+        for i, held in batch:
+            group.out.discard(i)
+            if unit["s"][i] != WAIT:
+                self.release([held])
+                continue
+            run = top + 1 if group.gang else unit["r"][i] + 1
+            x.append((i, run, held.mid))
+            self.held[task_name(jid=jid, unit=key, idx=i)] = held
+            orders.append([jid, key, i, run, held])
+        if not x:
+            return
+        self.hub.trace(event="start", id=jid, unit=key, queue=job["q"], n=len(x), of=len(unit["s"]), est=group.est,
+                       wait=round(self.hub.now - group.since, 2), near=group.near, cycles=group.tries)
+        self.nominator.drop(unit=(jid, key), now=self.hub.now)
+        self.effects(self.rep.commit(ev={"t": "start", "id": jid, "u": key, "x": x}, then=("orders", self.g, orders)))
+        for i in [row[0] for row in x]:
+            self._began(jid=jid, key=key, i=i)
+        self.weigh(group=group)
+
+    def orders(self, rows: list[Any]) -> None:
+        """Starts are durable: order them, unless something came in between."""
+        by: dict[str, list[Any]] = {}
+        specs: dict[str, dict[str, str]] = {}
+        late = []
+        for jid, key, i, run, held in rows:
+            job, spot = self.jobs.jobs.get(jid), self.room.spots.get(held.mid)
+            if job is None or "u" not in job or spot is None or spot.seq != held.seq:
+                continue
+            unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
+            if unit["s"][i] != RUN or unit["r"][i] != run:
+                continue
+            if job["st"] in ENDED:
+                late.append([held.mid, spot.seq, task_name(jid=jid, unit=key, idx=i), run])
+                continue
+            by.setdefault(spot.agent, []).append([
+                held.mid, spot.seq, held.lid, task_name(jid=jid, unit=key, idx=i), run,
+                unit["v"][0 if step["gang"] else i], -1 if step["last"] else step["est"]])
+            specs.setdefault(spot.agent, {})[jid] = job["spec"]
+        for uid, part in by.items():
+            self.hub.send(uid=uid, kind=Kind.ORDER, body={"g": self.g, "n": self.rep.base, "sp": specs[uid], "x": part})
+        if late:
+            self.void(rows=late)
+
+    def give_up(self) -> None:
+        """Asks that were not answered in time count as refused."""
+        now = self.hub.now
+        for rid, ask in list(self.asks.items()):
+            if now - ask.at <= ASK_S:
+                break
+            del self.asks[rid]
+            self._landed(ask=ask)
+            ask.attempt.bad = True
+            self._settle(att=ask.attempt)
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -1,13 +1,20 @@
-"""The desk of a placing node: what events, edges and agents bring; the placing itself is in `placer`."""
+"""The desk of a placing node: what events, edges and agents bring. Placing is in `placer`, binding in `binding`."""
 
+import heapq
+from collections import deque
 from typing import Any, Protocol
 
 from ..job.state import ENDED, RUN, WAIT, Jobs, split_name, task_name
 from ..record.replica import Replica
 from ..wire.frame import Kind
-from .leases import Ask, Held, Link, Pool, Shape
+from .group import Backlog, Group, Phase, Prio
+from .leases import Held, Pool
+from .preempt import Nominator, Preemptor, Victim
+from .room import Room, Size, Spot
 
 LIVE_MOST = 5000      # jobs in hand; what comes beyond is refused at once and never runs
+LATE = 3.0            # past this many aims a job earns nothing any more
+STOP_AGAIN_S = 1.0
 
 
 class PlacerHub(Protocol):
@@ -34,8 +41,8 @@
 
 
 class Desk:
-    """Invariants: a start is durable before its order leaves; a unit is in `ready` exactly if it has a task to
-    start; every task that is RUN is held by the link of its minion or awaits that minion's next attachment."""
+    """Invariants: a start is durable before its order leaves; a unit with a task to start has a group in `backlog`;
+    every task that is RUN is held by the spot of its minion or awaits that minion's next attachment."""
 
     def __init__(self, *, g: int, hub: PlacerHub, rep: Replica, jobs: Jobs, far: float, status_s: float) -> None:
         self.g = g
@@ -44,32 +51,40 @@
         self.jobs = jobs
         self.far = far
         self.status_s = status_s
-        self.links: dict[str, Link] = {}
-        self.pool = Pool()
-        self.ready: dict[tuple[str, str], float] = {}
-        self.timed: set[str] = set()
-        self.over: dict[str, float] = {}
-        self.asks: dict[int, Ask] = {}
+        self.room = Room()
+        self.pool = Pool(room=self.room)
+        self.backlog = Backlog()
+        self.preemptor = Preemptor(room=self.room)
+        self.nominator = Nominator(room=self.room)
         self.held: dict[str, Held] = {}
-        self.shut: dict[Shape, float] = {}
-        self.rid = 0
+        self.halting: dict[str, tuple[str, int, float]] = {}   # runs of ended jobs: minion, run, when told
+        self.timed: list[tuple[float, str]] = []               # heap of (due wall ms, job)
+        self.over: deque[tuple[float, str]] = deque()
+        self.live = 0                                          # jobs that are not ended
         self.seq = 0
-        self.swept = hub.now
-        self.dirty = True
         for jid, job in jobs.jobs.items():
             self._adopt(jid=jid, job=job)
 
     def _adopt(self, *, jid: str, job: dict[str, Any]) -> None:
         if job["st"] in ENDED:
-            self.over[jid] = self.hub.now
-            return
-        if job["times"] and job["k"] < job["times"]:
-            self.timed.add(jid)
-        for key, unit in job["u"].items():
-            if unit["left"] and self._turn(job=job, key=key) and WAIT in unit["s"]:
-                self.ready[jid, key] = self.hub.now
-
-    def _turn(self, *, job: dict[str, Any], key: str) -> bool:
+            self.over.append((self.hub.now, jid))
+        else:
+            self.live += 1
+            if job["times"] and job["k"] < job["times"]:
+                self._timed(jid=jid)
+        for key, unit in job.get("u", {}).items():
+            if job["st"] not in ENDED and unit["left"] and WAIT in unit["s"] and self._turn_has_come(job=job, key=key):
+                self.enter(jid=jid, key=key)
+            for i, st in enumerate(unit["s"]):
+                if st == RUN:
+                    self._began(jid=jid, key=key, i=i)
+
+    def _timed(self, *, jid: str) -> None:
+        job = self.jobs.jobs[jid]
+        heapq.heappush(self.timed, (job["first"] + job["period"] * job["k"], jid))
+
+    @staticmethod
+    def _turn_has_come(*, job: dict[str, Any], key: str) -> bool:
         k, s = key.split(".")
         step = job["steps"][int(s)]
         if any(job["u"][f"{k}.{d}"]["left"] for d in step["deps"]):
@@ -81,6 +96,68 @@
         route = self.hub.route(name=job["q"])
         return int(route.get("max-tries", 1)) if route is not None else int(job["mt"])
 
+    def service(self, *, job: dict[str, Any]) -> str:
+        """Where the queue's tasks run now."""
+        route = self.hub.route(name=job["q"])
+        return str(route["backend"]) if route is not None else str(job["svc"])
+
+    def rank(self, *, job: dict[str, Any]) -> int:
+        """The queue's rank; 0 goes first."""
+        return int((self.hub.route(name=job["q"]) or {}).get("rank", 9))
+
+    # -- groups
+
+    def aim(self, *, job: dict[str, Any]) -> float:
+        """Milliseconds within which a job earns all its worth."""
+        route = self.hub.route(name=job["q"]) or {}
+        chain: int = sum(s["est"] for s in job["steps"])
+        return max(float(route.get("target-ms", 0)) + float(route.get("stretch", 1)) * chain, 500.0)
+
+    def prio(self, *, jid: str, key: str, seen: float) -> tuple[Prio, float]:
+        """A group's place: what can still earn, the queue's rank, the latest start within the aim, first seen; and
+        when (wall seconds) it can earn nothing any more."""
+        job = self.jobs.jobs[jid]
+        k, at = key.split(".")
+        base = job["first"] + job["period"] * int(k) if job["times"] else job["at"]
+        aim = self.aim(job=job)
+        rest = sum(s["est"] for s in job["steps"][int(at):])
+        late_at = (base + LATE * aim) / 1000
+        return (self.hub.wall > late_at, self.rank(job=job), base + aim - rest, seen, jid, key), late_at
+
+    def enter(self, *, jid: str, key: str) -> None:
+        """A group has a member to start: both are known now."""
+        group = self.backlog.groups.get((jid, key))
+        now = self.hub.now
+        if group is None:
+            job = self.jobs.jobs[jid]
+            step = job["steps"][int(key.split(".")[1])]
+            prio, late_at = self.prio(jid=jid, key=key, seen=now)
+            group = Group(jid=jid, key=key, svc=self.service(job=job), size=Size(step["cpu"], step["mem"], step["gpu"]),
+                          prio=prio, since=now, seen=now, req=step["req"], near=step["near"], gang=step["gang"],
+                          tight=step["tight"], apart=step["apart"], est=step["est"], late_at=late_at)
+            self.backlog.add(group=group)
+        elif group.phase is Phase.BOUND:
+            group.since, group.tries = now, 0
+            self.backlog.wake(group=group)
+        self.weigh(group=group)
+
+    def weigh(self, *, group: Group) -> None:
+        """Count what of a group waits."""
+        unit = self.jobs.jobs[group.jid]["u"][group.key]
+        self.backlog.weigh(group=group, n=unit["s"].count(WAIT) - len(group.out))
+
+    def leave(self, *, jid: str) -> None:
+        """A job's groups are gone."""
+        for key in list(self.backlog.of.get(jid, ())):
+            self.nominator.drop(unit=(jid, key), now=self.hub.now)
+            self.backlog.remove(jid=jid, key=key)
+
+    def configured(self) -> None:
+        """A newer configuration: ranks, aims and services may differ."""
+        for (jid, key), group in list(self.backlog.groups.items()):
+            prio, group.late_at = self.prio(jid=jid, key=key, seen=group.seen)
+            self.backlog.rekey(group=group, prio=prio, svc=self.service(job=self.jobs.jobs[jid]))
+
     # -- effects of events
 
     def effects(self, effs: list[tuple[Any, ...]]) -> None:
@@ -89,79 +166,51 @@
         for eff in effs:
             kind = eff[0]
             if kind == "ready":
-                self.ready.setdefault((eff[1], eff[2]), self.hub.now)
+                self.enter(jid=eff[1], key=eff[2])
             elif kind == "stop":
                 stops.append(eff[1:])
+                if self.jobs.jobs[eff[2].split(".")[0]]["st"] in ENDED:
+                    self.halting[eff[2]] = (eff[1], eff[3], self.hub.now)
             elif kind == "over":
-                self.over[eff[1]] = self.hub.now
+                self.over.append((self.hub.now, eff[1]))
+                self.live -= 1
                 job = self.jobs.jobs[eff[1]]
                 self.hub.trace(event="job-end", id=eff[1], queue=job["q"], state=job["st"],
                                ms=int(self.hub.wall * 1000) - job["at"])
-                self.timed.discard(eff[1])
-                for key in [k for k in self.ready if k[0] == eff[1]]:
-                    del self.ready[key]
+                self.leave(jid=eff[1])
             elif kind == "timed":
-                self.timed.add(eff[1])
+                self._timed(jid=eff[1])
         if stops:
             self.rep.barrier(then=("stops", self.g, stops))
-        self.dirty = True
 
     def stops(self, rows: list[Any]) -> None:
         """Tell agents to stop runs."""
         by: dict[str, list[Any]] = {}
         for mid, task, run in rows:
-            link = self.links.get(mid)
-            if link is not None:
-                by.setdefault(link.agent, []).append([mid, task, run])
+            spot = self.room.spots.get(mid)
+            if spot is not None:
+                by.setdefault(spot.agent, []).append([mid, task, run])
         for uid, part in by.items():
             self.hub.send(uid=uid, kind=Kind.STOP, body={"g": self.g, "x": part})
 
-    # -- calls of edges
-
-    def call(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
-        """A caller's request; the answer waits until what it rests on is durable."""
-        jid = b.get("id", "")
-        job = self.jobs.jobs.get(jid)
-        if op == "put":
-            if job is None and len(self.jobs.jobs) - len(self.over) >= LIVE_MOST:
-                self.hub.reply(uid=uid, rid=rid, status=429, doc={"error": "too many jobs in hand"})
-                return
-            if job is None:
-                now = self.hub.wall
-                ev = {"t": "job", "id": jid, "j": {**b["j"], "q": b["q"], "at": int(now * 1000)}}
-                self.effects(self.rep.commit(ev=ev, then=("reply", uid, rid, 200, {})))
-                return
-            self.rep.barrier(then=("reply", uid, rid, 200 if job["q"] == b["q"] else 409, {}))
-        elif op == "count":
-            self.rep.barrier(then=("reply", uid, rid, 200, {"pending": self.jobs.pending.get(b["q"], 0)}))
-        elif job is None or job["q"] != b["q"]:
-            self.rep.barrier(then=("reply", uid, rid, 410, {}))
-        elif op == "get":
-            self.rep.barrier(then=("reply", uid, rid, 200, {"state": job["st"]}))
-        elif op == "del":
-            if job["st"] in ENDED:
-                self.rep.barrier(then=("reply", uid, rid, 200, {}))
-            else:
-                self.effects(self.rep.commit(ev={"t": "cancel", "id": jid}, then=("reply", uid, rid, 200, {})))
-
     # -- agents
 
     def claim(self, *, uid: str, b: dict[str, Any]) -> None:
         """An agent asks what this group has on its minions."""
-        for mid, fence, svc, site, labels, _cap in b["x"]:
-            link = self.links.get(mid)
-            if link is not None and link.fence > fence:
+        for mid, fence, svc, site, labels, cap in b["x"]:
+            spot = self.room.spots.get(mid)
+            if spot is not None and spot.fence > fence:
                 continue
             self.seq += 1
-            self.links[mid] = Link(agent=uid, fence=fence, seq=self.seq, svc=svc, site=site, labels=labels)
             self.pool.forget(mid=mid)
-            self.attach(mid=mid)
+            self.room.attach(spot=Spot(mid=mid, agent=uid, fence=fence, seq=self.seq, svc=svc, site=site,
+                                       labels=tuple(labels), cap=Size(*cap)))
+            self.attach(spot=self.room.spots[mid])
 
-    def attach(self, *, mid: str) -> None:
+    def attach(self, *, spot: Spot) -> None:
         """Tell the agent what the record has on a minion."""
-        link = self.links[mid]
         rows, ended = [], []
-        for jid, key, i in sorted(self.jobs.on.get(mid, ())):
+        for jid, key, i in sorted(self.jobs.on.get(spot.mid, ())):
             job = self.jobs.jobs[jid]
             step, unit = job["steps"][int(key.split(".")[1])], job["u"][key]
             task = task_name(jid=jid, unit=key, idx=i)
@@ -169,26 +218,28 @@
                          -1 if step["last"] else step["est"]])
             self.held.pop(task, None)
             if job["st"] in ENDED:
-                ended.append([mid, task, unit["r"][i]])
-        self.hub.send(uid=link.agent, kind=Kind.ATTACH, body={
-            "g": self.g, "n": self.rep.base, "seq": link.seq, "m": mid, "f": link.fence, "x": rows})
+                ended.append([spot.mid, task, unit["r"][i]])
+        self.hub.send(uid=spot.agent, kind=Kind.ATTACH, body={
+            "g": self.g, "n": self.rep.base, "seq": spot.seq, "m": spot.mid, "f": spot.fence, "x": rows})
         if ended:
             self.stops(ended)
 
     def gap(self, *, uid: str) -> None:
-        """Frames from an agent were lost: attach its minions anew."""
-        for mid, link in self.links.items():
-            if link.agent == uid:
-                self.seq += 1
-                link.seq = self.seq
-                self.pool.forget(mid=mid)
-                self.attach(mid=mid)
+        """Frames from an agent were lost: attach its minions anew, and have it tell all its room."""
+        for mid in sorted(self.room.of.get(uid, ())):
+            old = self.room.spots[mid]
+            self.seq += 1
+            self.pool.forget(mid=mid)
+            self.room.attach(spot=Spot(mid=mid, agent=uid, fence=old.fence, seq=self.seq, svc=old.svc, site=old.site,
+                                       labels=old.labels, cap=old.cap, streak=old.streak, last=old.last, shy=old.shy))
+            self.attach(spot=self.room.spots[mid])
+        self.hub.send(uid=uid, kind=Kind.ROOMGET, body={"g": self.g})
 
     def void(self, *, rows: list[Any]) -> None:
-        """Orders that never started: (minion, link seq or None, task, run)."""
+        """Orders that never started: (minion, attachment or None, task, run)."""
         for mid, seq, task, run in rows:
-            link, parts = self.links.get(mid), split_name(task=task)
-            if parts is None or link is None or (seq is not None and seq != link.seq):
+            spot, parts = self.room.spots.get(mid), split_name(task=task)
+            if parts is None or spot is None or (seq is not None and seq != spot.seq):
                 continue
             held = self.held.pop(task, None)
             if held is not None:
@@ -199,63 +250,81 @@
                 continue
             unit = job["u"][key]
             if unit["s"][i] == RUN and unit["r"][i] == run and unit["m"][i] == mid:
+                self._gone(task=task, run=run)
                 self.effects(self.rep.commit(ev={"t": "end", "id": jid, "u": key, "i": i, "run": run, "how": "void",
                                                  "v": "", "mt": 1}))
 
     def ends(self, *, uid: str, b: dict[str, Any]) -> None:
         """Ends that an agent passes on; acknowledged once durable."""
-        free: list[Held] = []
         for _num, task, run, how, saved in b["x"]:
             parts = split_name(task=task)
             job = self.jobs.jobs.get(parts[0]) if parts is not None else None
             held = self.held.pop(task, None)
-            self.gone(task=task, run=run)
             if parts is not None and job is not None and "u" in job:
-                if how == "alone":
-                    self.hub.note(event="gang-alone", task=task, run=run)
+                self._judge(mid=b["m"], job=job, parts=parts, run=run, how=how)
                 ev = {"t": "end", "id": parts[0], "u": parts[1], "i": parts[2], "run": run, "how": how, "v": saved,
                       "mt": self.tries(job=job)}
+                self._gone(task=task, run=run)
                 self.effects(self.rep.commit(ev=ev))
             if held is not None:
-                free.append(held)
+                self.pool.put(held=held, now=self.hub.now)
         rows = [[num, task, run] for num, task, run, _, _ in b["x"]]
         self.rep.barrier(then=("endsok", self.g, uid, b["m"], b["f"], rows))
-        for held in free:     # after the acknowledgement, which frees the lease of its run
-            self._idle(held=held)
         self.pump()
 
-    def _idle(self, *, held: Held) -> None:
-        link = self.links.get(held.mid)
-        if link is None or link.seq != held.seq:
+    def _judge(self, *, mid: str, job: dict[str, Any], parts: tuple[str, str, int], run: int, how: str) -> None:
+        """What an end tells of its minion."""
+        if how == "alone":
+            self.hub.note(event="gang-alone", task=".".join(map(str, parts)), run=run)
+        unit = job["u"].get(parts[1])
+        if unit is None or parts[2] >= len(unit["s"]) or unit["r"][parts[2]] != run or unit["s"][parts[2]] != RUN:
             return
-        far = held.shape.near and held.shape.near not in link.labels
-        if held.shape.unit or far:
-            self.rep.barrier(then=("giveback", self.g, held.agent, held.mid, held.lid))
-        else:
-            self.pool.put(held=held, now=self.hub.now)
+        if how == "done":
+            self.room.worked(mid=mid)
+        elif how == "failed" and not any(unit["f"]) and self.room.failed(mid=mid, jid=parts[0], now=self.hub.now):
+            self.hub.note(event="minion-shy", minion=mid, streak=self.room.spots[mid].streak)
 
     def lost(self, *, uid: str, b: dict[str, Any]) -> None:
         """An agent declares a minion gone."""
-        link = self.links.get(b["m"])
-        if link is None or link.fence <= b["f"]:
-            self.links.pop(b["m"], None)
-            self.pool.forget(mid=b["m"])
-            for jid, key, i in self.jobs.on.get(b["m"], ()):
-                self.held.pop(task_name(jid=jid, unit=key, idx=i), None)
-            self.effects(self.rep.commit(ev={"t": "lost", "m": b["m"], "x": None, "v": b["v"]}))
-        self.rep.barrier(then=("send", uid, int(Kind.LOSTOK), {"g": self.g, "m": b["m"], "f": b["f"]}))
+        mid = b["m"]
+        spot = self.room.spots.get(mid)
+        if spot is None or spot.fence <= b["f"]:
+            self.pool.forget(mid=mid)
+            self.room.drop(mid=mid)
+            for jid, key, i in sorted(self.jobs.on.get(mid, ())):
+                task = task_name(jid=jid, unit=key, idx=i)
+                self.held.pop(task, None)
+                self._gone(task=task, run=self.jobs.jobs[jid]["u"][key]["r"][i])
+            self.effects(self.rep.commit(ev={"t": "lost", "m": mid, "x": None, "v": b["v"]}))
+        self.rep.barrier(then=("send", uid, int(Kind.LOSTOK), {"g": self.g, "m": mid, "f": b["f"]}))
+        self.pump()
 
     def release(self, rows: list[Held]) -> None:
         """Give leases back."""
         by: dict[str, list[Any]] = {}
         for h in rows:
-            by.setdefault(h.agent, []).append([h.mid, h.lid])
+            spot = self.room.spots.get(h.mid)
+            if spot is not None and spot.seq == h.seq:
+                self.room.owe(spot=spot, size=h.size)
+                by.setdefault(h.agent, []).append([h.mid, h.lid])
         for uid, part in by.items():
             self.hub.send(uid=uid, kind=Kind.RETURN, body={"g": self.g, "x": part})
 
-    def gone(self, *, task: str, run: int) -> None:
+    # -- runs
+
+    def _began(self, *, jid: str, key: str, i: int) -> None:
+        """A run is in the record."""
+        job = self.jobs.jobs[jid]
+        step, unit = job["steps"][int(key.split(".")[1])], job["u"][key]
+        if step["ck"] and not step["gang"] and job["st"] not in ENDED:
+            self.preemptor.started(svc=self.service(job=job), rank=self.rank(job=job), victim=Victim(
+                task=task_name(jid=jid, unit=key, idx=i), run=unit["r"][i], mid=unit["m"][i],
+                size=Size(step["cpu"], step["mem"], step["gpu"])))
+
+    def _gone(self, *, task: str, run: int) -> None:
         """A run is over."""
-        raise NotImplementedError
+        self.preemptor.ended(task=task, run=run)
+        self.halting.pop(task, None)
 
     def pump(self) -> None:
         """Place what can be placed; the placer knows how."""
--- /dev/null
+++ b/yarrowloom/place/group.py
@@ -0,0 +1,235 @@
+"""Groups and their queue: a step of a job at one of its times is placed as one unit."""
+
+import enum
+import heapq
+from bisect import insort
+from dataclasses import dataclass, field
+
+from .room import Size
+
+
+class Phase(enum.Enum):
+    """Where a group stands."""
+
+    ACTIVE = "active"      # in the queue, waits for its cycle
+    TURN = "turn"          # popped: its cycle runs
+    PARKED = "parked"      # its last cycle failed: waits for room or for the end of its backoff
+    BOUND = "bound"        # every unscheduled member is on its way: nothing to place
+    GONE = "gone"
+
+
+MOVES: dict[Phase, frozenset[Phase]] = {
+    Phase.ACTIVE: frozenset({Phase.TURN, Phase.GONE}),
+    Phase.TURN: frozenset({Phase.ACTIVE, Phase.PARKED, Phase.BOUND, Phase.GONE}),
+    Phase.PARKED: frozenset({Phase.ACTIVE, Phase.TURN, Phase.GONE}),
+    Phase.BOUND: frozenset({Phase.ACTIVE, Phase.GONE}),
+    Phase.GONE: frozenset(),
+}
+Prio = tuple[bool, int, float, float, str, str]
+BACKOFF_S = 0.1
+BACKOFF_MOST_S = 2.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Group:
+    """A step's tasks. Invariants: `out` holds the members that a cycle placed and whose leases are not granted yet;
+    `prio` is its place in the queue: past use, the queue's rank, the latest start within its aim, the time first
+    seen, then its name."""
+
+    jid: str
+    key: str
+    svc: str
+    size: Size
+    prio: Prio
+    since: float
+    req: str = ""
+    near: str = ""
+    gang: bool = False
+    tight: bool = False
+    apart: int = 0
+    est: int = 0
+    late_at: float = 0.0           # wall seconds after which it earns nothing any more
+    out: set[int] = field(default_factory=set)
+    phase: Phase = Phase.ACTIVE
+    tries: int = 0                 # failed cycles in a row
+    again: float = 0.0             # end of its backoff
+    why: str = ""                  # of its last failed cycle
+    seen: float = 0.0
+    load: int = 0                  # members counted in the queue's load
+
+    @property
+    def rank(self) -> int:
+        """The queue's rank; 0 goes first."""
+        return self.prio[1]
+
+    def move(self, phase: Phase) -> None:
+        """Change phase by the table."""
+        assert phase is self.phase or phase in MOVES[self.phase], (self.phase, phase)
+        self.phase = phase
+
+
+@dataclass(slots=True)
+class Walk:
+    """A pass over one service's parked groups, made in slices of bounded work. Invariant: `none` holds sizes (with a
+    label) for which no open minion had room in this pass; what needs at least as much is passed over."""
+
+    on: bool = False
+    after: Prio | None = None
+    looks: int = 0
+    none: list[tuple[Size, str]] = field(default_factory=list)
+    top: dict[str, int] = field(default_factory=dict)    # by label: the earliest rank that waits for its room
+    passed: int = 0
+
+    def begin(self, *, top: dict[str, int]) -> None:
+        """From the first group on."""
+        self.on, self.after, self.none, self.top = True, None, [], top
+
+    def note(self, *, size: Size, req: str) -> None:
+        """No minion has room for this."""
+        self.none = [(s, r) for s, r in self.none if not (s.holds(size) and req in ("", r))][:15] + [(size, req)]
+
+    def skip(self, group: Group) -> bool:
+        """Whether a cycle of this group would find nothing."""
+        if any(not req and top < group.rank for req, top in self.top.items()):
+            return True
+        size, want = group.size, group.req
+        if any(size.holds(s) and req in ("", want) for s, req in self.none):
+            self.passed += 1
+            return True
+        return False
+
+
+class Backlog:
+    """Groups that wait. Invariants: an ACTIVE group stands in `active` under its `prio`, a PARKED one in its
+    service's list; entries whose group moved on are passed over. `load` sums up the work that waits, in core- and
+    accelerator-milliseconds by service and rank."""
+
+    def __init__(self) -> None:
+        self.groups: dict[tuple[str, str], Group] = {}
+        self.of: dict[str, set[str]] = {}
+        self.active: dict[str, list[tuple[Prio, str, str]]] = {}
+        self.parked: dict[str, list[tuple[Prio, str, str]]] = {}
+        self.wait: list[tuple[float, str, str]] = []
+        self.load: dict[tuple[str, int], list[int]] = {}
+
+    def __len__(self) -> int:
+        """Groups that wait for a cycle."""
+        return sum(g.phase in (Phase.ACTIVE, Phase.PARKED) for g in self.groups.values())
+
+    def add(self, *, group: Group) -> None:
+        """A group enters."""
+        self.groups[group.jid, group.key] = group
+        self.of.setdefault(group.jid, set()).add(group.key)
+        self._push(group)
+
+    def _push(self, group: Group) -> None:
+        heapq.heappush(self.active.setdefault(group.svc, []), (group.prio, group.jid, group.key))
+
+    def weigh(self, *, group: Group, n: int) -> None:
+        """`n` of the group's members wait now."""
+        if n != group.load:
+            row = self.load.setdefault((group.svc, group.rank), [0, 0])
+            row[0] += (n - group.load) * group.est * group.size.cpu
+            row[1] += (n - group.load) * group.est * group.size.gpu
+            group.load = n
+
+    def remove(self, *, jid: str, key: str) -> None:
+        """A group leaves."""
+        group = self.groups.pop((jid, key), None)
+        if group is not None:
+            self.weigh(group=group, n=0)
+            group.move(Phase.GONE)
+            keys = self.of[jid]
+            keys.discard(key)
+            if not keys:
+                del self.of[jid]
+
+    def wake(self, *, group: Group) -> None:
+        """Back to the active queue at once, its timestamp kept."""
+        if group.phase is not Phase.ACTIVE:
+            group.move(Phase.ACTIVE)
+            self._push(group)
+
+    def park(self, *, group: Group, now: float) -> None:
+        """A failed cycle: backoff doubles with each."""
+        group.move(Phase.PARKED)
+        group.again = now + min(BACKOFF_S * 2.0 ** min(group.tries, 10), BACKOFF_MOST_S)
+        group.tries += 1
+        insort(self.parked.setdefault(group.svc, []), (group.prio, group.jid, group.key))
+        heapq.heappush(self.wait, (group.again, group.jid, group.key))
+
+    def bind(self, *, group: Group) -> None:
+        """All members are on their way."""
+        group.move(Phase.BOUND)
+
+    def rekey(self, *, group: Group, prio: Prio, svc: str) -> None:
+        """Its priority or service changed."""
+        if prio == group.prio and svc == group.svc:
+            return
+        n = group.load
+        self.weigh(group=group, n=0)
+        group.prio, group.svc = prio, svc
+        self.weigh(group=group, n=n)
+        if group.phase is Phase.ACTIVE:
+            self._push(group)
+        elif group.phase is Phase.PARKED:
+            insort(self.parked.setdefault(svc, []), (prio, group.jid, group.key))
+
+    def due(self, *, now: float) -> list[Group]:
+        """Parked groups whose backoff has ended."""
+        out = []
+        while self.wait and self.wait[0][0] <= now:
+            _, jid, key = heapq.heappop(self.wait)
+            group = self.groups.get((jid, key))
+            if group is not None and group.phase is Phase.PARKED and group.again <= now:
+                out.append(group)
+        return out
+
+    def _live(self, row: tuple[Prio, str, str], svc: str, phase: Phase) -> Group | None:
+        group = self.groups.get((row[1], row[2]))
+        if group is None or group.phase is not phase or group.prio != row[0] or group.svc != svc:
+            return None
+        return group
+
+    def pop(self, *, svc: str, walk: "Walk") -> Group | None:
+        """The first waiting group of a service in order of priority: active ones, and, while the walk is on, parked
+        ones beyond its place that it doesn't pass over. None: nothing left, or the walk has no looks left."""
+        heap, rows = self.active.get(svc, []), self.parked.get(svc, [])
+        while walk.looks > 0:
+            while heap and self._live(heap[0], svc, Phase.ACTIVE) is None:
+                heapq.heappop(heap)
+            at = self._find(rows, walk.after) if walk.on else len(rows)
+            parked = None
+            while at < len(rows) and parked is None:
+                parked = self._live(rows[at], svc, Phase.PARKED)
+                if parked is None:
+                    del rows[at]
+            if parked is None:
+                walk.on = False
+            walk.looks -= 1
+            if parked is not None and (not heap or rows[at][0] < heap[0][0]):
+                walk.after = rows[at][0]
+                if walk.skip(parked):
+                    continue
+                del rows[at]
+                parked.move(Phase.TURN)
+                return parked
+            if not heap:
+                return None
+            group = self.groups[heapq.heappop(heap)[1:]]
+            group.move(Phase.TURN)
+            return group
+        return None
+
+    @staticmethod
+    def _find(rows: list[tuple[Prio, str, str]], after: Prio | None) -> int:
+        if after is None:
+            return 0
+        low, high = 0, len(rows)
+        while low < high:
+            mid = (low + high) // 2
+            if rows[mid][0] <= after:
+                low = mid + 1
+            else:
+                high = mid
+        return low
--- a/yarrowloom/place/leases.py
+++ b/yarrowloom/place/leases.py
@@ -1,104 +1,74 @@
-"""What a placing node holds of agents: links to minions, leases cached per resource shape, views of room."""
+"""Leases that a placing node holds of agents, cached per minion and size."""
 
+from collections import deque
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
 
-IDLE_S = 0.5          # the design's default: an idle lease goes back after this long
-VIEW_S = 1.5
-
-
-class Shape(NamedTuple):
-    """What a lease is good for. `unit` is set only where a lease serves one step alone."""
-
-    svc: str
-    cpu: int
-    mem: int
-    gpu: int
-    req: str
-    near: str
-    unit: str
-
-
-@dataclass(kw_only=True)
-class Link:
-    """A minion as attached through its agent. Invariant: leases and orders count only with the link's `seq`."""
+from .room import Room, Size
 
-    agent: str
-    fence: int
-    seq: int
-    svc: str
-    site: str
-    labels: list[str]
+IDLE_S = 0.5          # the design's default: an idle lease goes back after this long
 
 
-@dataclass(kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Held:
-    """A lease held. Invariant: in the pool, or bound to one run, never both."""
+    """A lease held. Invariant: idle in the pool, or bound to one run, or part of a gang's attempt; never two."""
 
     agent: str
     mid: str
     lid: int
     seq: int
+    size: Size
     since: float
-    shape: Shape
 
 
-@dataclass(kw_only=True)
-class Ask:
-    """A request for room that has not been answered."""
-
-    rid: int
-    shape: Shape
-    n: int
-    at: float
-    agent: str
-    been: list[str]
-    gang: Any = None
-    more: dict[str, Any] = field(default_factory=dict)
-
-
-@dataclass(kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Pool:
-    """Idle leases by shape, and the views of room that agents send around."""
+    """Idle leases. Invariant: the room's `idle` of a minion is the sum of its leases here."""
 
-    idle: dict[Shape, list[Held]] = field(default_factory=dict)
-    views: dict[str, tuple[float, dict[str, list[Any]]]] = field(default_factory=dict)
+    room: Room
+    by: dict[str, dict[Size, list[Held]]] = field(default_factory=dict)
+    old: deque[Held] = field(default_factory=deque)
 
-    def put(self, *, held: Held, now: float) -> None:
-        """Keep an idle lease for the next task of its shape."""
+    def put(self, *, held: Held, now: float) -> bool:
+        """Keep an idle lease for the next task of its size; False: its minion was attached anew, it is void."""
+        spot = self.room.spots.get(held.mid)
+        if spot is None or spot.seq != held.seq:
+            return False
         held.since = now
-        self.idle.setdefault(held.shape, []).append(held)
+        self.by.setdefault(held.mid, {}).setdefault(held.size, []).append(held)
+        self.old.append(held)
+        self.room.hold(spot=spot, size=held.size, n=1)
+        return True
+
+    def take(self, *, mid: str, size: Size, n: int) -> list[Held]:
+        """Up to `n` idle leases of a size, for runs."""
+        rows = self.by.get(mid, {}).get(size, [])
+        out = rows[len(rows) - n:] if n < len(rows) else list(rows)
+        del rows[len(rows) - len(out):]
+        if out:
+            self.room.hold(spot=self.room.spots[mid], size=size, n=-len(out))
+        return out
+
+    def clear(self, *, mid: str) -> list[Held]:
+        """All idle leases of a minion, to be given back."""
+        out: list[Held] = []
+        for size, rows in self.by.pop(mid, {}).items():
+            if rows:
+                self.room.hold(spot=self.room.spots[mid], size=size, n=-len(rows))
+                out += rows
+        return out
 
     def expire(self, *, now: float) -> list[Held]:
         """Take out what has been idle too long."""
         out: list[Held] = []
-        for shape, rows in list(self.idle.items()):
-            keep = [h for h in rows if now - h.since < IDLE_S]
-            out += [h for h in rows if now - h.since >= IDLE_S]
-            if keep:
-                self.idle[shape] = keep
-            else:
-                del self.idle[shape]
+        while self.old and now - self.old[0].since >= IDLE_S:
+            held = self.old.popleft()
+            rows = self.by.get(held.mid, {}).get(held.size, [])
+            if held in rows and now - held.since >= IDLE_S:
+                rows.remove(held)
+                self.room.hold(spot=self.room.spots[held.mid], size=held.size, n=-1)
+                out.append(held)
         return out
 
     def forget(self, *, mid: str) -> None:
-        """Leases on a minion that is attached anew are void."""
-        for shape, rows in list(self.idle.items()):
-            self.idle[shape] = [h for h in rows if h.mid != mid]
-
-    def rows(self, *, svc: str, now: float) -> list[tuple[str, list[Any]]]:
-        """Fresh rows of room for a service, with the agent that told them."""
-        return [(uid, row) for uid, (at, view) in sorted(self.views.items()) if now - at < VIEW_S
-                for row in view.get(svc, [])]
-
-
-def copies(*, row: list[Any], shape: Shape) -> int:
-    """How many tasks of a shape a row has room for.
-
-    >>> copies(row=[4000, 100, 2, ["a"], [0, 0, 0], "m"], shape=Shape("s", 1000, 50, 1, "", "", ""))
-    2
-    """
-    if shape.req and shape.req not in row[3]:
-        return 0
-    parts = [have // need for have, need in ((row[0], shape.cpu), (row[1], shape.mem), (row[2], shape.gpu)) if need]
-    return max(0, min(parts)) if parts else 64
+        """Leases on a minion that is attached anew, or gone, are void."""
+        self.by.pop(mid, None)
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -1,287 +1,288 @@
-"""The placing node of one job group: binds leases to waiting tasks, asks agents for room, records starts."""
+"""The placing node of one job group: takes groups from the queue, runs their cycles, binds or puts them back."""
 
+import heapq
 from typing import Any
 
-from ..job.state import ENDED, RUN, WAIT, Jobs, task_name
-from ..record.replica import Replica
+from ..job.state import ENDED, RUN, WAIT
 from ..wire.frame import Kind
-from .desk import Desk, PlacerHub
-from .evict import AFTER_S, Evictor
-from .gang import BOOK_AFTER_S, Gangs
-from .leases import Ask, Held, Shape, copies
+from . import cycle, desk
+from .binding import Binding
+from .cycle import Ask, Decision
+from .desk import LATE, STOP_AGAIN_S
+from .group import Group, Phase, Walk
+from .preempt import AFTER_S, NOMINATE_AFTER_S
 
-ASK_S = 0.6
+PASS_S = 0.008        # passes are at least this far apart
+LOOKS = 400           # groups looked at in one slice of a pass
+CYCLES = 24           # cycles run in one slice
+VISITS = 3000         # index entries visited in one slice
+DUE = 32              # ends of backoff taken up in one slice
+BATCH = 256           # members of a group without a gang placed in one cycle
 SWEEP_S = 1.0
-HOPS = 4
-BATCH = 64
 BLOCK_S = 0.1         # work that has waited this long keeps what comes after it off its room
 BLOCK_MOST_S = 8.0    # if it finds no room even so long, it stops holding others back
-LATE = 3.0            # past this many aims a job earns nothing any more
-SHUT_S = 0.1          # after an agent had no room, views are given this long to catch up
+SILENT_S = 1.5        # rows of room from an agent silent this long no longer count
 
 
-class Placer(Desk):
-    """Invariant: an order leaves only after its start is durable, and only if nothing came in between."""
+class Placer(Binding):
+    """Invariant: the work of one slice is bounded by LOOKS, CYCLES and VISITS, whatever waits; a pass goes on where it
+    stopped."""
 
-    def __init__(self, *, g: int, hub: PlacerHub, rep: Replica, jobs: Jobs, far: float, status_s: float) -> None:
-        super().__init__(g=g, hub=hub, rep=rep, jobs=jobs, far=far, status_s=status_s)
-        self.gangs = Gangs(placer=self)
-        self.evictor = Evictor(placer=self)
+    def __init__(self, **kw: Any) -> None:
+        self.walks: dict[str, Walk] = {}
+        self.holding: dict[str, dict[tuple[str, str], tuple[str, int, float]]] = {}
+        self.passed = -9.0
+        self.cycles = 0
+        self.failed = 0
+        super().__init__(**kw)
+        self.swept = self.hub.now
 
-    def grant(self, *, uid: str, b: dict[str, Any]) -> None:
-        """An agent's decision."""
-        ask = self.asks.pop(b["rid"], None)
-        rows = []
-        for lid, mid, seq in b["x"]:
-            link = self.links.get(mid)
-            shape = ask.shape if ask is not None else Shape("", 0, 0, 0, "", "", "")
-            held = Held(agent=uid, mid=mid, lid=lid, seq=seq, since=self.hub.now, shape=shape)
-            if ask is None:
-                self.release([held])
-            elif link is not None and link.seq == seq:
-                rows.append(held)
-        if ask is None:
-            return
-        if ask.gang is not None:
-            self.gangs.granted(ask=ask, rows=rows)
-        else:
-            for held in rows:
-                self.pool.put(held=held, now=self.hub.now)
-            if not rows:
-                self.shut[ask.shape] = self.hub.now + SHUT_S
-            if b["to"] and len(ask.been) < HOPS and len(rows) < ask.n:
-                self.ask(shape=ask.shape, n=ask.n - len(rows), agent=b["to"], been=[*ask.been, b["to"]],
-                         more=ask.more)
-        self.dirty = True
-        self.pump()
-
-    def ask(self, *, shape: Shape, n: int, agent: str, been: list[str], gang: Any = None,
-            more: dict[str, Any]) -> None:
-        """Send a request for room: metadata only."""
-        self.rid += 1
-        self.asks[self.rid] = Ask(rid=self.rid, shape=shape, n=n, at=self.hub.now, agent=agent, been=been, gang=gang,
-                                  more=more)
-        avoid: dict[str, int] = {}
-        apart = 0
-        if shape.unit:
-            jid, key = shape.unit.split("/")
-            job = self.jobs.jobs.get(jid)
-            if job is not None and "u" in job:
-                apart = job["steps"][int(key.split(".")[1])]["apart"]
-                unit = job["u"][key]
-                for i, st in enumerate(unit["s"]):
-                    if st == RUN:
-                        avoid[unit["m"][i]] = avoid.get(unit["m"][i], 0) + 1
-        self.hub.send(uid=agent, kind=Kind.LEASE, body={
-            "g": self.g, "rid": self.rid, "svc": shape.svc, "cpu": shape.cpu, "mem": shape.mem, "gpu": shape.gpu,
-            "req": shape.req, "near": shape.near, "n": n, "been": been, "apart": apart, "avoid": avoid, **more})
+    # -- calls of edges
 
-    # -- placing
+    def call(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
+        """A caller's request; the answer waits until what it rests on is durable."""
+        jid = b.get("id", "")
+        job = self.jobs.jobs.get(jid)
+        if op == "put":
+            self._put(uid=uid, rid=rid, b=b, jid=jid, job=job)
+        elif op == "count":
+            self.rep.barrier(then=("reply", uid, rid, 200, {"pending": self.jobs.pending.get(b["q"], 0)}))
+        elif job is None or job["q"] != b["q"]:
+            self.rep.barrier(then=("reply", uid, rid, 410, {}))
+        elif op == "get":
+            self.rep.barrier(then=("reply", uid, rid, 200, {"state": job["st"]}))
+        elif op == "del":
+            if job["st"] in ENDED:
+                self.rep.barrier(then=("reply", uid, rid, 200, {}))
+            else:
+                self.effects(self.rep.commit(ev={"t": "cancel", "id": jid}, then=("reply", uid, rid, 200, {})))
 
-    def rank(self, item: tuple[tuple[str, str], float]) -> tuple[Any, ...]:
-        """Order of the backlog: what can still earn, by the queue's rank, then by the latest start within its aim."""
-        (jid, key), _ = item
-        job = self.jobs.jobs[jid]
-        route = self.hub.route(name=job["q"]) or {}
-        k, at = key.split(".")
-        base = job["first"] + job["period"] * int(k) if job["times"] else job["at"]
-        est = [s["est"] for s in job["steps"]]
-        aim = max(float(route.get("target-ms", 0)) + float(route.get("stretch", 1)) * sum(est), 500.0)
-        rest = sum(est[int(at):])
-        wall = self.hub.wall * 1000
-        return (wall > base + LATE * aim, int(route.get("rank", 9)), base + aim - rest, jid, key)
+    def _put(self, *, uid: str, rid: int, b: dict[str, Any], jid: str, job: dict[str, Any] | None) -> None:
+        if job is not None:
+            self.rep.barrier(then=("reply", uid, rid, 200 if job["q"] == b["q"] else 409, {}))
+            return
+        row = {**b["j"], "q": b["q"], "at": int(self.hub.wall * 1000)}
+        why = self._refusal(job=row)
+        if why:
+            self.hub.reply(uid=uid, rid=rid, status=429, doc={"error": why})
+            return
+        self.live += 1
+        self.effects(self.rep.commit(ev={"t": "job", "id": jid, "j": row}, then=("reply", uid, rid, 200, {})))
+        self.pump()
 
-    def gone(self, *, task: str, run: int) -> None:
-        """A run is over."""
-        self.evictor.ended(task=task, run=run)
+    def _refusal(self, *, job: dict[str, Any]) -> str:
+        """Why a job can't be taken: too many in hand, or what waits before it would take so long that it could earn
+        nothing any more."""
+        if self.live >= desk.LIVE_MOST:
+            return "too many jobs in hand"
+        if job["times"] or any(s["last"] for s in job["steps"]):
+            return ""
+        wait = self.expected(svc=self.service(job=job), rank=self.rank(job=job))
+        if wait + sum(s["est"] for s in job["steps"]) > LATE * self.aim(job=job):
+            return "would start too late"
+        return ""
 
-    def grade(self, *, job: dict[str, Any]) -> int:
-        """The queue's rank; 0 goes first."""
-        return int((self.hub.route(name=job["q"]) or {}).get("rank", 9))
+    def expected(self, *, svc: str, rank: int) -> float:
+        """Milliseconds until the work that waits, of this rank and earlier ones, has had room."""
+        shelf = self.room.shelves.get(svc)
+        if shelf is None or not shelf.count:
+            return 0.0
+        rows = [row for (s, r), row in self.backlog.load.items() if s == svc and r <= rank]
+        return max(sum(row[0] for row in rows) / max(shelf.total.cpu, 1),
+                   sum(row[1] for row in rows) / shelf.total.gpu if shelf.total.gpu else 0.0)
 
-    def service(self, *, job: dict[str, Any]) -> str:
-        """Where the queue's tasks run now."""
-        route = self.hub.route(name=job["q"])
-        return str(route["backend"]) if route is not None else str(job["svc"])
+    # -- passes
 
     def pump(self) -> None:
-        """Place what can be placed; ask for room for the rest."""
-        if not self.dirty or not self.rep.serving():
+        """One slice of placing, if one is due."""
+        now = self.hub.now
+        if now - self.passed < PASS_S or not self.rep.serving():
             return
-        self.dirty = False
-        if len(self.shut) > 1000:
-            self.shut.clear()
-        want: dict[Shape, int] = {}
-        strict: dict[Shape, bool] = {}
-        shuns: dict[Shape, tuple[str, ...]] = {}
-        blocked: dict[tuple[str, str], int] = {}
-        spare: list[Held] = []
-        offs: dict[Shape, frozenset[str]] = {}
-        self.gangs.sweep()
-        for (late, grade, _, jid, key), since in sorted((self.rank(item), item[1]) for item in self.ready.items()):
-            job = self.jobs.jobs[jid]
-            unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
-            idxs = [i for i, st in enumerate(unit["s"]) if st == WAIT]
-            if not idxs:
-                del self.ready[jid, key]
-                continue
-            waited = self.hub.now - since
-            urgent = not late and BLOCK_S < waited < BLOCK_MOST_S
-            shape = Shape(self.service(job=job), step["cpu"], step["mem"], step["gpu"], step["req"], step["near"],
-                          f"{jid}/{key}" if step["apart"] or step["gang"] else "")
-            shun = tuple(sorted(req for (svc, req), top in blocked.items() if svc == shape.svc and top < grade))
-            if "" in shun:
-                spare += self.pool.idle.pop(shape, [])
-                continue
-            if step["gang"]:
-                self.gangs.want(shape=shape, jid=jid, key=key, n=len(unit["s"]), step=step, since=since)
-                if waited > BOOK_AFTER_S and (jid, key) in self.ready:
-                    self.gangs.book(shape=shape, unit=(jid, key), n=len(unit["s"]), tight=step["tight"], grade=grade)
-                continue
-            off = self.gangs.off(grade=grade)
-            spare += self._start(jid=jid, key=key, idxs=idxs, shape=shape, shun=shun, off=off)
-            if not idxs:
-                del self.ready[jid, key]
-                continue
-            want[shape] = want.get(shape, 0) + len(idxs)
-            patient = bool(step["near"]) and waited < min(step["est"], 4000) / 2000 * (self.far - 1)
-            strict[shape] = strict.get(shape, True) and patient
-            shuns[shape] = shun
-            offs[shape] = off
-            if not late and waited > AFTER_S:
-                self.evictor.tasks(shape=shape, n=len(idxs), grade=grade, strict=patient)
-            if urgent and not patient:
-                self._block(blocked=blocked, shape=shape, grade=grade)
-        self.release(spare)
-        busy = {a.shape for a in self.asks.values() if a.gang is None}
-        for shape, n in want.items():
-            if shape not in busy and self.hub.now >= self.shut.get(shape, 0.0):
-                self._seek(shape=shape, n=n, strict=strict[shape], shun=shuns[shape], off=offs[shape], spare=spare)
+        self.passed = now
+        self.nominator.sweep(now=now)
+        for group in self.backlog.due(now=now)[:DUE]:
+            self._requeue(group=group)
+        for svc in self.room.take_grown():
+            walk = self.walks.setdefault(svc, Walk())
+            walk.begin(top=self._tops(svc=svc))
+        for svc in sorted(self.backlog.active.keys() | self.walks.keys()):
+            self._slice(svc=svc)
+
+    def _requeue(self, *, group: Group) -> None:
+        """Its backoff is over: its place may have changed."""
+        prio, _ = self.prio(jid=group.jid, key=group.key, seen=group.seen)
+        self.backlog.wake(group=group)
+        self.backlog.rekey(group=group, prio=prio, svc=group.svc)
 
-    def _block(self, *, blocked: dict[tuple[str, str], int], shape: Shape, grade: int) -> None:
-        """Later ranks take no room that this waits for, if there is a minion that could ever hold it."""
-        rows = self.pool.rows(svc=shape.svc, now=self.hub.now)
-        if any(copies(row=[*row[4], row[3]], shape=shape) for _, row in rows):
-            blocked.setdefault((shape.svc, shape.req), grade)
+    def _slice(self, *, svc: str) -> None:
+        walk = self.walks.setdefault(svc, Walk())
+        if not walk.on:
+            walk.none = []
+            walk.top = self._tops(svc=svc)
+        walk.looks = LOOKS
+        most = self.room.looks + VISITS
+        for _ in range(CYCLES):
+            group = self.backlog.pop(svc=svc, walk=walk) if self.room.looks < most else None
+            if group is None:
+                return
+            self._turn(group=group, walk=walk)
 
-    def _seek(self, *, shape: Shape, n: int, strict: bool, shun: tuple[str, ...], off: frozenset[str],
-              spare: list[Held]) -> None:
-        room: dict[str, int] = {}
-        known = False
-        for uid, row in self.pool.rows(svc=shape.svc, now=self.hub.now):
-            near = bool(shape.near) and shape.near in row[3]
-            known = known or near
-            got = copies(row=row, shape=shape)
-            if got and (near or not strict) and row[5] not in off and not any(x in row[3] for x in shun):
-                room[uid] = room.get(uid, 0) + got * (1000 if near else 1)
-        if strict and not known:
-            self._seek(shape=shape, n=n, strict=False, shun=shun, off=off, spare=spare)
+    def _tops(self, *, svc: str) -> dict[str, int]:
+        """By label, the earliest rank of groups that hold their room against later ranks."""
+        out: dict[str, int] = {}
+        rows = self.holding.get(svc, {})
+        for unit, (req, rank, until) in list(rows.items()):
+            group = self.backlog.groups.get(unit)
+            if group is None or group.phase is Phase.BOUND or self.hub.now > until or group.rank != rank:
+                del rows[unit]
+            else:
+                out[req] = min(out.get(req, rank), rank)
+        return out
+
+    def _turn(self, *, group: Group, walk: Walk) -> None:
+        """A group's cycle, and what follows from it."""
+        job = self.jobs.jobs[group.jid]
+        unit = job["u"][group.key]
+        members = [i for i, st in enumerate(unit["s"]) if st == WAIT and i not in group.out]
+        if not members or (group.gang and RUN in unit["s"]):
+            self.backlog.bind(group=group)
+            return
+        if self.hub.wall > group.late_at and not group.prio[0]:
+            prio, _ = self.prio(jid=group.jid, key=group.key, seen=group.seen)
+            self.backlog.rekey(group=group, prio=prio, svc=group.svc)
+        waited = self.hub.now - group.since
+        patient = bool(group.near) and waited < min(group.est, 4000) / 2000 * (self.far - 1) and bool(
+            self.room.labelled(svc=group.svc, label=group.near))
+        if walk.skip(group):
+            decision = Decision(placed=[], feasible=False, fit=0, refused={"as-before": len(members)})
+        else:
+            decision = self._cycle(group=group, members=members, unit=unit, walk=walk, strict=patient)
+        if decision.feasible:
+            group.tries = 0
+            self.holding.get(group.svc, {}).pop((group.jid, group.key), None)
+            self.bind(group=group, decision=decision)
+            if group.phase is Phase.TURN:
+                if len(members) > len(decision.placed):
+                    self.backlog.wake(group=group)
+                else:
+                    self.backlog.bind(group=group)
             return
-        if not room and not strict:
-            for held in spare:     # room just given back, which no view shows yet
-                if held.shape.svc == shape.svc:
-                    room[held.agent] = room.get(held.agent, 0) + 1
-        if room:
-            uid = max(sorted(room), key=lambda u: room[u])
-            self.ask(shape=shape, n=min(n, BATCH), agent=uid, been=[uid], more={
-                "strict": strict, "shun": shun, "off": sorted(off)})
+        self._fail(group=group, decision=decision, waited=waited, patient=patient, n=len(members), walk=walk)
 
-    def _start(self, *, jid: str, key: str, idxs: list[int], shape: Shape, shun: tuple[str, ...],
-               off: frozenset[str]) -> list[Held]:
-        """Bind idle leases to waiting tasks; `idxs` keeps what is left. Returns leases that others need more."""
-        rows = self.pool.idle.get(shape)
-        batch, spare = [], []
-        while rows and idxs:
-            held = rows.pop()
-            link = self.links.get(held.mid)
-            if link is None or link.seq != held.seq:
-                continue
-            if held.mid in off or any(label in link.labels for label in shun):
-                spare.append(held)
-                continue
-            batch.append((idxs.pop(0), held))
-        if batch:
-            self.start(jid=jid, key=key, batch=batch)
-        return spare
+    def _cycle(self, *, group: Group, members: list[int], unit: dict[str, Any], walk: Walk, strict: bool) -> Decision:
+        self.cycles += 1
+        shun = tuple(sorted(req for req, top in walk.top.items() if req and top < group.rank))
+        off = self.nominator.off(group=group)
+        there = self._there(group=group) if group.apart else {}
+        sore = frozenset(unit["m"][i] for i in members if unit["f"][i]) - {""} if any(unit["f"]) else frozenset()
+        ask = Ask(svc=group.svc, size=group.size, members=members if group.gang else members[:BATCH],
+                  need=len(members) if group.gang else 1, req=group.req, near=group.near, strict=strict,
+                  tight=group.gang and group.tight, apart=group.apart, there=there, shun=shun, off=off, sore=sore,
+                  now=self.hub.now)
+        decision = cycle.run(room=self.room, ask=ask)
+        if not decision.feasible and ask.tight and self.hub.now - group.since > min(group.est, 6000) / 1000 * (
+                self.far - 1):
+            ask.tight = False
+            decision = cycle.run(room=self.room, ask=ask)
+        if decision.fit == 0 and not (strict or ask.tight or shun or off or group.apart or group.near):
+            walk.note(size=group.size, req=group.req)
+        return decision
 
-    def start(self, *, jid: str, key: str, batch: list[tuple[int, Held]]) -> None:
-        """Record starts; the orders follow once durable."""
-        unit = self.jobs.jobs[jid]["u"][key]
-        gang = self.jobs.jobs[jid]["steps"][int(key.split(".")[1])]["gang"]
-        top = max(unit["r"])
-        x, orders = [], []
-        for i, held in batch:
-            run = top + 1 if gang else unit["r"][i] + 1
-            x.append([i, run, held.mid])
-            self.held[task_name(jid=jid, unit=key, idx=i)] = held
-            orders.append([jid, key, i, run, held])
-        job = self.jobs.jobs[jid]
-        step = job["steps"][int(key.split(".")[1])]
-        self.hub.trace(event="start", id=jid, unit=key, queue=job["q"], n=len(x), of=len(unit["s"]), est=step["est"],
-                       wait=round(self.hub.now - self.ready.get((jid, key), self.hub.now), 2), near=step["near"],
-                       far=sum(bool(step["near"]) and step["near"] not in self.links[h.mid].labels for _, h in batch))
-        self.effects(self.rep.commit(ev={"t": "start", "id": jid, "u": key, "x": x}, then=("orders", self.g, orders)))
+    def _fail(self, *, group: Group, decision: Decision, waited: float, patient: bool, n: int, walk: Walk) -> None:
+        """Nothing binds. Preemption for the whole group, then backoff."""
+        self.failed += 1
+        why = " ".join(f"{k}:{v}" for k, v in sorted(decision.refused.items())) or "no-minion"
+        group.why = f"{decision.fit}/{n} {why}"
+        self.hub.trace(event="cycle-failed", id=group.jid, unit=group.key, rank=group.rank, waited=round(waited, 2),
+                       fit=decision.fit, members=n, why=why)
+        late = group.prio[0]
+        if not late and waited > AFTER_S and not group.gang:
+            self._preempt(rows=self.preemptor.choose(group=group, n=n, strict=patient, now=self.hub.now),
+                          svc=group.svc, note=group.svc)
+        if group.gang and not late and waited > NOMINATE_AFTER_S:
+            nom = self.nominator.nominate(group=group, n=n, now=self.hub.now)
+            if nom is not None:
+                self._preempt(rows=self.preemptor.on(mids=nom.mids, svc=group.svc, rank=group.rank), svc=group.svc,
+                              note="")
+                self.hub.trace(event="minions-nominated", id=group.jid, unit=group.key, n=n, minions=len(nom.mids))
+        if not late and not patient and not group.gang and BLOCK_S <= waited < BLOCK_MOST_S and self.room.could(
+                svc=group.svc, size=group.size, req=group.req):
+            self.holding.setdefault(group.svc, {})[group.jid, group.key] = (
+                group.req, group.rank, group.since + BLOCK_MOST_S)
+            walk.top[group.req] = min(walk.top.get(group.req, group.rank), group.rank)
+        self.backlog.park(group=group, now=self.hub.now)
 
-    def orders(self, rows: list[Any]) -> None:
-        """Starts are durable: order them, unless something came in between."""
-        by: dict[str, list[Any]] = {}
-        late = []
-        for jid, key, i, run, held in rows:
-            job, link = self.jobs.jobs.get(jid), self.links.get(held.mid)
-            if job is None or "u" not in job or link is None or link.seq != held.seq:
-                continue
-            unit, step = job["u"][key], job["steps"][int(key.split(".")[1])]
-            if unit["s"][i] != RUN or unit["r"][i] != run:
-                continue
-            if job["st"] in ENDED:
-                late.append([held.mid, link.seq, task_name(jid=jid, unit=key, idx=i), run])
-                continue
-            by.setdefault(link.agent, []).append([
-                held.mid, link.seq, held.lid, task_name(jid=jid, unit=key, idx=i), run, job["spec"],
-                unit["v"][0 if step["gang"] else i], -1 if step["last"] else step["est"]])
-        for uid, part in by.items():
-            self.hub.send(uid=uid, kind=Kind.ORDER, body={"g": self.g, "n": self.rep.base, "x": part})
-        if late:
-            self.void(rows=late)
+    def _preempt(self, *, rows: list[Any], svc: str, note: str) -> None:
+        if rows:
+            self.stops(self.preemptor.stop(victims=rows, svc=note, now=self.hub.now))
+            self.hub.note(event="pushed-out", runs=len(rows), service=svc)
 
     # -- time
 
     def tick(self) -> None:
         """Called several times a second while serving."""
         now = self.hub.now
-        for rid, ask in list(self.asks.items()):
-            if now - ask.at > ASK_S:
-                del self.asks[rid]
-                if ask.gang is not None:
-                    self.gangs.granted(ask=ask, rows=[])
-                self.dirty = True
+        self.give_up()
         self.release(self.pool.expire(now=now))
         wall = self.hub.wall * 1000
-        for jid in list(self.timed):
-            job = self.jobs.jobs[jid]
-            while job["k"] < job["times"] and wall >= job["first"] + job["k"] * job["period"] and len(job["open"]) < 64:
+        while self.timed and self.timed[0][0] <= wall:
+            _, jid = heapq.heappop(self.timed)
+            job = self.jobs.jobs.get(jid)
+            if job is None or job["st"] in ENDED or job["k"] >= job["times"]:
+                continue
+            if len(job["open"]) >= 64:
+                heapq.heappush(self.timed, (wall + 200.0, jid))
+                continue
+            if wall >= job["first"] + job["k"] * job["period"]:
                 self.effects(self.rep.commit(ev={"t": "due", "id": jid, "k": job["k"]}))
-            if job["k"] >= job["times"]:
-                self.timed.discard(jid)
+            if job["k"] < job["times"]:
+                self._timed(jid=jid)
         if now - self.swept > SWEEP_S:
             self.swept = now
             self._sweep()
-        self.dirty = self.dirty or bool(self.ready)
         self.pump()
 
     def _sweep(self) -> None:
         now = self.hub.now
-        old = [jid for jid, at in self.over.items() if now - at > self.status_s * 1.25]
-        ids = [jid for jid in old if "u" not in self.jobs.jobs.get(jid, {})]
-        for jid in ids:
-            del self.over[jid]
+        for uid in self.room.silent(now=now, after=SILENT_S):
+            self.hub.send(uid=uid, kind=Kind.ROOMGET, body={"g": self.g})
+        ids = []
+        while self.over and now - self.over[0][0] > self.status_s * 1.25:
+            at, jid = self.over.popleft()
+            if "u" in self.jobs.jobs.get(jid, {}):
+                self.over.append((now, jid))
+            else:
+                ids.append(jid)
         if ids:
             self.rep.commit(ev={"t": "forget", "ids": ids})
         again = []
-        for mid, held in self.jobs.on.items():
-            for jid, key, i in held:
-                job = self.jobs.jobs[jid]
-                if job["st"] in ENDED:
-                    again.append([mid, task_name(jid=jid, unit=key, idx=i), job["u"][key]["r"][i]])
+        for task, (mid, run, told) in list(self.halting.items()):
+            if now - told > STOP_AGAIN_S:
+                self.halting[task] = (mid, run, now)
+                again.append([mid, task, run])
         if again:
             self.stops(again)
+
+    # -- for the operator
+
+    def explain(self, *, jid: str) -> list[dict[str, Any]]:
+        """Why each group of a job waits."""
+        out = []
+        for key in sorted(self.backlog.of.get(jid, ())):
+            group = self.backlog.groups[jid, key]
+            before = sum(g.prio < group.prio and g.svc == group.svc and g.phase in (Phase.ACTIVE, Phase.PARKED)
+                         for g in self.backlog.groups.values())
+            out.append({"group": f"{jid}.{key}", "phase": group.phase.value, "members-waiting": group.load,
+                        "binding": len(group.out), "rank": group.rank, "before": before, "cycles-failed": group.tries,
+                        "last": group.why, "waited-s": round(self.hub.now - group.since, 2)})
+        return out
+
+    def figures(self) -> dict[str, Any]:
+        """How the queue stands."""
+        phases: dict[str, int] = {}
+        for group in self.backlog.groups.values():
+            phases[group.phase.value] = phases.get(group.phase.value, 0) + 1
+        return {"groups": phases, "cycles": self.cycles, "failed": self.failed, "asks": len(self.asks),
+                "pushed-out": self.preemptor.total, "live-jobs": self.live,
+                "nominated": sum(len(n.mids) for n in self.nominator.by.values()),
+                "expected-wait-ms": {svc: round(self.expected(svc=svc, rank=9)) for svc in self.room.shelves}}
--- /dev/null
+++ b/yarrowloom/place/room.py
@@ -0,0 +1,260 @@
+"""The placing node's table of room: what agents report, what it holds itself, indexed for the cycle's search."""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+
+class Size(NamedTuple):
+    """An amount of room: thousandths of a core, megabytes, accelerators."""
+
+    cpu: int
+    mem: int
+    gpu: int
+
+    def plus(self, other: "Size", n: int = 1) -> "Size":
+        """This and `n` times another.
+
+        >>> Size(1, 2, 3).plus(Size(1, 1, 1), -2)
+        Size(cpu=-1, mem=0, gpu=1)
+        """
+        return Size(self.cpu + n * other.cpu, self.mem + n * other.mem, self.gpu + n * other.gpu)
+
+    def holds(self, other: "Size") -> bool:
+        """Whether another fits in."""
+        return self.cpu >= other.cpu and self.mem >= other.mem and self.gpu >= other.gpu
+
+    def copies(self, other: "Size") -> int:
+        """How many of another fit in; 64 of what needs nothing.
+
+        >>> Size(4000, 100, 2).copies(Size(1000, 50, 1)), Size(1, 1, 1).copies(Size(0, 0, 0))
+        (2, 64)
+        """
+        parts = [have // need for have, need in zip(self, other, strict=True) if need]
+        return max(0, min(parts)) if parts else 64
+
+
+NONE = Size(0, 0, 0)
+
+
+@dataclass(slots=True, kw_only=True)
+class Spot:
+    """A minion as attached through its agent. Invariants: leases and orders count only with `seq`; `free` is
+    `view` (the agent's last word) + `idle` (own leases without a run) + `owed` (given back since) - `fly` (asked
+    for, not answered); it stands in its shelf's index exactly while `open` and `heard`."""
+
+    mid: str
+    agent: str
+    fence: int
+    seq: int
+    svc: str
+    site: str
+    labels: tuple[str, ...]
+    cap: Size
+    open: bool = False
+    view: Size = NONE
+    fly: Size = NONE
+    idle: Size = NONE
+    owed: Size = NONE
+    free: Size = NONE
+    filed: tuple[int, int] | None = None     # its key in the index: (accelerators, cores)
+    streak: int = 0                          # first failures of tasks in a row, each of another job
+    last: str = ""                           # the job of the last one
+    shy: float = 0.0                         # nothing new until then
+
+    @property
+    def rack(self) -> str:
+        """By the published order, a minion's kind comes first and its rack second."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+
+@dataclass(slots=True)
+class Shelf:
+    """The open minions of one service. Invariant: `levels` holds each exactly once, under its free accelerators,
+    sorted by its free cores; `total` is the sum of their capacities."""
+
+    levels: dict[int, list[tuple[int, str]]] = field(default_factory=dict)
+    by: dict[str, set[str]] = field(default_factory=dict)
+    total: Size = NONE
+    free: Size = NONE
+    count: int = 0
+    shy: int = 0
+
+
+class Room:
+    """All minions that were attached. Invariant: `grown` names the services in which room grew since `take_grown`."""
+
+    def __init__(self) -> None:
+        self.spots: dict[str, Spot] = {}
+        self.shelves: dict[str, Shelf] = {}
+        self.of: dict[str, set[str]] = {}         # by agent
+        self.heard: dict[str, float] = {}
+        self.grown: set[str] = set()
+        self.looks = 0                            # index entries visited; for tests and figures
+
+    # -- membership
+
+    def attach(self, *, spot: Spot) -> None:
+        """A minion as it stands now; an older attachment of it is void."""
+        self.drop(mid=spot.mid)
+        self.spots[spot.mid] = spot
+        self.of.setdefault(spot.agent, set()).add(spot.mid)
+
+    def drop(self, *, mid: str) -> None:
+        """Forget a minion."""
+        spot = self.spots.pop(mid, None)
+        if spot is not None:
+            spot.open = False
+            self._refile(spot)
+            self.of[spot.agent].discard(mid)
+
+    # -- what agents say
+
+    def report(self, *, uid: str, rows: list[list[int | str]], shut: list[str], now: float) -> None:
+        """Rows [minion, cpu, mem, gpu] of open minions; `shut` are no longer open."""
+        self.heard[uid] = now
+        for mid, cpu, mem, gpu in rows:
+            spot = self.spots.get(str(mid))
+            if spot is not None and spot.agent == uid:
+                spot.open, spot.owed = True, NONE
+                spot.view = Size(int(cpu), int(mem), int(gpu))
+                self._refile(spot)
+        for mid in shut:
+            spot = self.spots.get(mid)
+            if spot is not None and spot.agent == uid and spot.open:
+                spot.open = False
+                self._refile(spot)
+
+    def silent(self, *, now: float, after: float) -> list[str]:
+        """Agents not heard for `after` seconds: their rows no longer count."""
+        out = [uid for uid, at in self.heard.items() if now - at > after]
+        for uid in out:
+            del self.heard[uid]
+            for mid in self.of.get(uid, ()):
+                self.spots[mid].open = False
+                self._refile(self.spots[mid])
+        return out
+
+    # -- what the placing node does
+
+    def reserve(self, *, spot: Spot, size: Size, n: int) -> None:
+        """Room asked for (n above 0) or answered (below)."""
+        spot.fly = spot.fly.plus(size, n)
+        self._refile(spot)
+
+    def hold(self, *, spot: Spot, size: Size, n: int) -> None:
+        """Own leases become idle (n above 0) or are used (below)."""
+        spot.idle = spot.idle.plus(size, n)
+        self._refile(spot)
+
+    def owe(self, *, spot: Spot, size: Size) -> None:
+        """A lease was given back; the agent's next word shows it."""
+        spot.owed = spot.owed.plus(size)
+        self._refile(spot)
+
+    def _refile(self, spot: Spot) -> None:
+        was, had = spot.free, spot.filed
+        free = spot.free = Size(*(v + i + o - f for v, i, o, f in zip(
+            spot.view, spot.idle, spot.owed, spot.fly, strict=True)))
+        key = (max(free.gpu, 0), free.cpu) if spot.open else None
+        if key == had and free == was:
+            return
+        shelf = self.shelves.get(spot.svc)
+        if shelf is None:
+            shelf = self.shelves[spot.svc] = Shelf()
+        if had is not None:
+            shelf.free = shelf.free.plus(was, -1)
+            row = shelf.levels[had[0]]
+            if key != had:
+                del row[bisect_left(row, (had[1], spot.mid))]
+                if not row:
+                    del shelf.levels[had[0]]
+                if key is None:
+                    shelf.count -= 1
+                    shelf.total = shelf.total.plus(spot.cap, -1)
+                    for label in spot.labels:
+                        shelf.by[label].discard(spot.mid)
+        if key is not None:
+            shelf.free = shelf.free.plus(free)
+            if key != had:
+                insort(shelf.levels.setdefault(key[0], []), (key[1], spot.mid))
+            if had is None:
+                shelf.count += 1
+                shelf.total = shelf.total.plus(spot.cap)
+                for label in spot.labels:
+                    shelf.by.setdefault(label, set()).add(spot.mid)
+            if had is None or any(a > b for a, b in zip(free, was, strict=True)):
+                self.grown.add(spot.svc)
+        spot.filed = key
+
+    def take_grown(self) -> set[str]:
+        """Services in which room grew since the last call."""
+        out, self.grown = self.grown, set()
+        return out
+
+    # -- failures of minions
+
+    def failed(self, *, mid: str, jid: str, now: float) -> bool:
+        """A task's first run failed here. Three jobs in a row, none done in between: the minion, not the jobs; it
+        gets nothing new for a while, unless a quarter of the service is shy already. True if so."""
+        spot = self.spots.get(mid)
+        if spot is None or spot.last == jid:
+            return False
+        spot.last = jid
+        spot.streak += 1
+        shelf = self.shelves.get(spot.svc)
+        if spot.streak < 3 or shelf is None:
+            return False
+        shy = sum(s.shy > now for s in self.spots.values() if s.svc == spot.svc)
+        if 4 * shy >= shelf.count:
+            return False
+        spot.shy = now + min(1.5 * 2.0 ** (spot.streak - 3), 12.0)
+        return True
+
+    def worked(self, *, mid: str) -> None:
+        """A run was done here."""
+        spot = self.spots.get(mid)
+        if spot is not None and spot.streak:
+            spot.streak, spot.shy = 0, 0.0
+
+    # -- search
+
+    def ordered(self, *, svc: str, size: Size) -> Iterator[Spot]:
+        """Open minions with room for one task, the tightest fit first: by free accelerators, then by free cores."""
+        shelf = self.shelves.get(svc)
+        if shelf is None:
+            return
+        for level in sorted(g for g in shelf.levels if g >= size.gpu):
+            row = shelf.levels[level]
+            for at in range(bisect_left(row, (size.cpu, "")), len(row)):
+                self.looks += 1
+                yield self.spots[row[at][1]]
+
+    def labelled(self, *, svc: str, label: str) -> list[Spot]:
+        """Open minions with a label, the tightest first."""
+        shelf = self.shelves.get(svc)
+        if shelf is None:
+            return []
+        out = [self.spots[mid] for mid in shelf.by.get(label, ())]
+        self.looks += len(out)
+        return sorted(out, key=lambda s: (s.free.gpu, s.free.cpu, s.mid))
+
+    def racks(self, *, svc: str) -> dict[str, list[Spot]]:
+        """Open minions by rack."""
+        out: dict[str, list[Spot]] = {}
+        shelf = self.shelves.get(svc)
+        for row in shelf.levels.values() if shelf is not None else ():
+            for _, mid in row:
+                spot = self.spots[mid]
+                out.setdefault(spot.rack, []).append(spot)
+        return out
+
+    def could(self, *, svc: str, size: Size, req: str) -> bool:
+        """Whether some open minion, were it empty, could take one task."""
+        shelf = self.shelves.get(svc)
+        if shelf is None:
+            return False
+        if req:
+            return any(self.spots[mid].cap.holds(size) for mid in shelf.by.get(req, ()))
+        return any(self.spots[mid].cap.holds(size) for row in shelf.levels.values() for _, mid in row)
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -47,6 +47,7 @@
     LOSTOK = 51
     ROOM = 52
     NAK = 53
+    ROOMGET = 54
 
 
 @dataclass
