--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -355,12 +355,21 @@
         if not hub.trusted():
             return
         claims: dict[int, list[Any]] = {}
-        if now - self.scanned > SCAN_S:
+        whole = now - self.scanned > SCAN_S
+        if whole:
             self.scanned = now
             look, self.watch = list(self.minions.values()), set()
         else:
             look = [self.minions[mid] for mid in sorted(self.watch) if mid in self.minions]
         for m in look:
+            if not whole and m.phase is Phase.KNOWN and len(m.att) == len(hub.groups()):
+                if m.ends:
+                    self._tell(m=m)
+                if m.call is not None and now >= m.call.horizon:
+                    answer(agent=self, m=m)
+                if not m.ends and m.call is None:
+                    self.watch.discard(m.mid)
+                continue
             if m.phase is not Phase.LOST and (now - m.heard > self.hold_ms / 1000 * CLOCK + SLACK_S
                                               or (m.losing and now > m.losing)):
                 m.move(Phase.LOST)
--- a/yarrowloom/place/group.py
+++ b/yarrowloom/place/group.py
@@ -70,32 +70,49 @@
 
 @dataclass(slots=True)
 class Walk:
-    """A pass over one service's parked groups, made in slices of bounded work. Invariant: `none` holds sizes (with a
-    label) for which no open minion had room in this pass; what needs at least as much is passed over."""
+    """A pass over one service's parked groups, made in slices of bounded work. Invariants: `grown` is where room grew
+    before the pass began, `later` where it grew since: that is the next pass's; `none` holds sizes (with a label)
+    for which no open minion had room in this pass. What fits in nothing grown, or needs at least as much as one of
+    `none`, is passed over."""
 
     on: bool = False
     after: Prio | None = None
     looks: int = 0
+    grown: list[Size] = field(default_factory=list)
+    later: list[Size] = field(default_factory=list)
     none: list[tuple[Size, str]] = field(default_factory=list)
     top: dict[str, int] = field(default_factory=dict)    # by label: the earliest rank that waits for its room
     passed: int = 0
 
     def begin(self, *, top: dict[str, int]) -> None:
-        """From the first group on."""
-        self.on, self.after, self.none, self.top = True, None, [], top
+        """Go on where the pass stopped, or begin the next one where there is cause."""
+        self.top = top
+        if not self.on:
+            self.grown, self.later, self.none, self.after = self.later, [], [], None
+            self.on = bool(self.grown)
+
+    def grow(self, *, sizes: list[Size]) -> None:
+        """Room grew to this on some minions."""
+        self.later = [s for s in self.later if not any(o.holds(s) for o in sizes)] + sizes
 
     def note(self, *, size: Size, req: str) -> None:
         """No minion has room for this."""
         self.none = [(s, r) for s, r in self.none if not (s.holds(size) and req in ("", r))][:15] + [(size, req)]
 
-    def skip(self, group: Group) -> bool:
+    def hopeless(self, group: Group) -> bool:
         """Whether a cycle of this group would find nothing."""
         if any(not req and top < group.rank for req, top in self.top.items()):
             return True
         size, want = group.size, group.req
-        if any(size.holds(s) and req in ("", want) for s, req in self.none):
-            self.passed += 1
+        return any(size.holds(s) and req in ("", want) for s, req in self.none)
+
+    def skip(self, group: Group) -> bool:
+        """Whether nothing has changed for a parked group since its last cycle."""
+        self.passed += 1
+        size = group.size
+        if not any(s.holds(size) for s in self.grown) or self.hopeless(group):
             return True
+        self.passed -= 1
         return False
 
 
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -30,7 +30,7 @@
 
     def __init__(self, **kw: Any) -> None:
         self.walks: dict[str, Walk] = {}
-        self.holding: dict[str, dict[tuple[str, str], tuple[str, int, float]]] = {}
+        self.holding: dict[str, dict[tuple[str, int], dict[tuple[str, str], float]]] = {}
         self.passed = -9.0
         self.cycles = 0
         self.failed = 0
@@ -102,9 +102,8 @@
         self.nominator.sweep(now=now)
         for group in self.backlog.due(now=now)[:DUE]:
             self._requeue(group=group)
-        for svc in self.room.take_grown():
-            walk = self.walks.setdefault(svc, Walk())
-            walk.begin(top=self._tops(svc=svc))
+        for svc, sizes in self.room.take_grown().items():
+            self.walks.setdefault(svc, Walk()).grow(sizes=sizes)
         for svc in sorted(self.backlog.active.keys() | self.walks.keys()):
             self._slice(svc=svc)
 
@@ -116,9 +115,7 @@
 
     def _slice(self, *, svc: str) -> None:
         walk = self.walks.setdefault(svc, Walk())
-        if not walk.on:
-            walk.none = []
-            walk.top = self._tops(svc=svc)
+        walk.begin(top=self._tops(svc=svc))
         walk.looks = LOOKS
         most = self.room.looks + VISITS
         for _ in range(CYCLES):
@@ -130,13 +127,14 @@
     def _tops(self, *, svc: str) -> dict[str, int]:
         """By label, the earliest rank of groups that hold their room against later ranks."""
         out: dict[str, int] = {}
-        rows = self.holding.get(svc, {})
-        for unit, (req, rank, until) in list(rows.items()):
-            group = self.backlog.groups.get(unit)
-            if group is None or group.phase is Phase.BOUND or self.hub.now > until or group.rank != rank:
-                del rows[unit]
-            else:
-                out[req] = min(out.get(req, rank), rank)
+        for (req, rank), units in sorted(self.holding.get(svc, {}).items()):
+            while units and req not in out:
+                unit, until = next(iter(units.items()))
+                group = self.backlog.groups.get(unit)
+                if group is None or group.phase is Phase.BOUND or self.hub.now > until or group.rank != rank:
+                    del units[unit]
+                else:
+                    out[req] = rank
         return out
 
     def _turn(self, *, group: Group, walk: Walk) -> None:
@@ -153,13 +151,13 @@
         waited = self.hub.now - group.since
         patient = bool(group.near) and waited < min(group.est, 4000) / 2000 * (self.far - 1) and bool(
             self.room.labelled(svc=group.svc, label=group.near))
-        if walk.skip(group):
+        if walk.hopeless(group):
             decision = Decision(placed=[], feasible=False, fit=0, refused={"as-before": len(members)})
         else:
             decision = self._cycle(group=group, members=members, unit=unit, walk=walk, strict=patient)
         if decision.feasible:
             group.tries = 0
-            self.holding.get(group.svc, {}).pop((group.jid, group.key), None)
+            self.holding.get(group.svc, {}).get((group.req, group.rank), {}).pop((group.jid, group.key), None)
             self.bind(group=group, decision=decision)
             if group.phase is Phase.TURN:
                 if len(members) > len(decision.placed):
@@ -207,8 +205,8 @@
                 self.hub.trace(event="minions-nominated", id=group.jid, unit=group.key, n=n, minions=len(nom.mids))
         if not late and not patient and not group.gang and BLOCK_S <= waited < BLOCK_MOST_S and self.room.could(
                 svc=group.svc, size=group.size, req=group.req):
-            self.holding.setdefault(group.svc, {})[group.jid, group.key] = (
-                group.req, group.rank, group.since + BLOCK_MOST_S)
+            units = self.holding.setdefault(group.svc, {}).setdefault((group.req, group.rank), {})
+            units[group.jid, group.key] = group.since + BLOCK_MOST_S
             walk.top[group.req] = min(walk.top.get(group.req, group.rank), group.rank)
         self.backlog.park(group=group, now=self.hub.now)
 
--- a/yarrowloom/place/room.py
+++ b/yarrowloom/place/room.py
@@ -83,14 +83,15 @@
 
 
 class Room:
-    """All minions that were attached. Invariant: `grown` names the services in which room grew since `take_grown`."""
+    """All minions that were attached. Invariant: `grown` holds, by service, the room of each minion that has more
+    than before, since `take_grown`; what fits in none of it has no better chance than at its last cycle."""
 
     def __init__(self) -> None:
         self.spots: dict[str, Spot] = {}
         self.shelves: dict[str, Shelf] = {}
         self.of: dict[str, set[str]] = {}         # by agent
         self.heard: dict[str, float] = {}
-        self.grown: set[str] = set()
+        self.grown: dict[str, dict[str, Size]] = {}
         self.looks = 0                            # index entries visited; for tests and figures
 
     # -- membership
@@ -185,12 +186,19 @@
                 for label in spot.labels:
                     shelf.by.setdefault(label, set()).add(spot.mid)
             if had is None or any(a > b for a, b in zip(free, was, strict=True)):
-                self.grown.add(spot.svc)
+                self.grown.setdefault(spot.svc, {})[spot.mid] = free
         spot.filed = key
 
-    def take_grown(self) -> set[str]:
-        """Services in which room grew since the last call."""
-        out, self.grown = self.grown, set()
+    def take_grown(self) -> dict[str, list[Size]]:
+        """By service, where room grew since the last call: only what no other of the list holds."""
+        out: dict[str, list[Size]] = {}
+        for svc, rows in self.grown.items():
+            best: list[Size] = []
+            for size in sorted(set(rows.values()), reverse=True):
+                if not any(other.holds(size) for other in best):
+                    best.append(size)
+            out[svc] = best
+        self.grown = {}
         return out
 
     # -- failures of minions
