--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -7,17 +7,12 @@
 from ..wire.frame import Kind
 from ..wire.http import Response
 from .answer import answer, settle
+from .care import care
 from .choice import fits, named, pick
 from .minion import Call, Lease, Minion, Phase, Run
+from .share import Share
 
-CLOCK = 1.02          # a minion's clock may be this much slow
-SLACK_S = 0.3
 RETELL_S = 0.5
-CLAIM_S = 0.3
-ROOM_S = 0.02         # rows of room that changed go out at most this often
-ROOM_IDLE_S = 0.4     # and something goes out at least this often
-SCAN_S = 0.2          # how often every minion is looked at; what is due sooner is looked at each tick
-BEST = 4              # rows of a service in the summary that other agents get
 LEFT_S = 1.5
 IDLE_S = 3.0          # a lease that its holder neither uses nor returns lapses; holders return far sooner
 
@@ -67,14 +62,11 @@
         self.lag_ms = lag_ms
         self.minions: dict[str, Minion] = {}
         self.next = 1
-        self.stale: set[str] = set()             # minions whose room a placing node may not know
-        self.told: dict[int, tuple[str, int]] = {}    # by group: the primary that has been told all
-        self.shown: set[str] = set()             # minions told to be open
+        self.share = Share(agent=self)
         self.watch: set[str] = set()             # minions to be looked at each tick
         self.scanned = -9.0
-        self.roomed = 0.0
-        self.summed = 0.0
-        self.views: dict[str, tuple[float, dict[str, list[Any]]]] = {}
+        self.ticked = hub.now
+        self.trust = True
 
     # -- ownership
 
@@ -87,7 +79,7 @@
             self.hub.respond(call=old.call.key, res=Response(status=503))
         self.minions[mid] = Minion(mid=mid, fence=fence, heard=self.hub.now, svc=info.get("svc", ""),
                                    site=info.get("site", ""), labels=info.get("labels", []))
-        self.stale.add(mid)
+        self.share.stale.add(mid)
         self.watch.add(mid)
 
     def disown(self, *, mid: str) -> None:
@@ -95,7 +87,7 @@
         m = self.minions.pop(mid, None)
         if m is not None and m.call is not None:
             self.hub.respond(call=m.call.key, res=Response(status=503))
-        self.stale.add(mid)
+        self.share.stale.add(mid)
         self.watch.discard(mid)
 
     def drop_all(self) -> None:
@@ -109,6 +101,7 @@
         """A beat of an owned minion."""
         hub, m = self.hub, self.minions[mid]
         if not hub.trusted() or m.phase is Phase.LOST:
+            m.heard = hub.now          # it lives, though it may not hold on to what it runs
             hub.respond(call=call, res=Response(status=503))
             return
         if int(doc.get("call-seq", m.seq + 1)) <= m.seq:
@@ -126,11 +119,11 @@
             return
         if m.phase is Phase.FENCED:
             m.move(Phase.KNOWN)
-        if cap != m.cap or was != m.draining or mid not in self.shown:
-            self.stale.add(mid)
+        if cap != m.cap or was != m.draining or mid not in self.share.shown:
+            self.share.stale.add(mid)
         self.watch.add(mid)
         settle(agent=self, m=m, beat=True)
-        self._tell(m=m)
+        self.tell(m=m)
         m.call = Call(key=call, at=hub.now, horizon=hub.now)
         answer(agent=self, m=m, fresh=True)
 
@@ -140,10 +133,10 @@
         if m is not None and m.phase is not Phase.LOST:
             m.draining = True
             m.losing = m.losing or self.hub.now + LEFT_S
-            self.stale.add(mid)
+            self.share.stale.add(mid)
         self.hub.respond(call=call, res=Response.of(200, {}))
 
-    def _tell(self, *, m: Minion) -> None:
+    def tell(self, *, m: Minion) -> None:
         """Report ends that no group has acknowledged."""
         now = self.hub.now
         batch: dict[int, list[Any]] = {}
@@ -185,7 +178,7 @@
             les = m.leases.get(r.lid)
             if les is not None and les.own:
                 m.reclaim(lid=r.lid)
-                self.stale.add(m.mid)
+                self.share.stale.add(m.mid)
             elif les is not None:
                 les.task, les.until = "", self.hub.now + IDLE_S
 
@@ -201,6 +194,7 @@
             return
         m.att[g] = (b["n"], b["seq"])
         m.met.add(g)
+        m.asked = 0
         want = {row[0]: row for row in b["x"]}
         for task, r in list(m.runs.items()):
             if r.g == g and (task not in want or want[task][1] != r.run):
@@ -233,8 +227,8 @@
         self.hub.send(uid=uid, kind=Kind.VERDICT, body={"g": g, "n": b["n"], "seq": b["seq"], "m": m.mid,
                                                         "f": m.fence, "x": void})
         settle(agent=self, m=m, beat=False)
-        self._tell(m=m)
-        self.stale.add(m.mid)
+        self.tell(m=m)
+        self.share.stale.add(m.mid)
         self.watch.add(m.mid)
 
     def _lease(self, *, m: Minion, g: int, cpu: int, mem: int, gpu: int, until: float = 0.0) -> Lease:
@@ -259,15 +253,15 @@
                 until = self.hub.now + b["mark"] if b.get("mark") else 0.0
                 les = self._lease(m=m, g=b["g"], cpu=b["cpu"], mem=b["mem"], gpu=b["gpu"], until=until)
                 grants.append([les.lid, m.mid, m.att[b["g"]][1]])
-                self.stale.add(m.mid)
+                self.share.stale.add(m.mid)
         redir = ""
         if len(grants) < b["n"]:
-            for other, (at, view) in sorted(self.views.items()):
+            for other, (at, view) in sorted(self.share.views.items()):
                 if other != self.hub.uid and other not in b["been"] and self.hub.now - at < 1.5 and any(
                         fits(row=row, b=b) for row in view.get(b["svc"], [])):
                     redir = other
                     break
-        left = [[mid, *self.minions[mid].free()] for mid, _ in b.get("on", ()) if mid in self.shown
+        left = [[mid, *self.minions[mid].free()] for mid, _ in b.get("on", ()) if mid in self.share.shown
                 and mid in self.minions]
         self.hub.send(uid=uid, kind=Kind.GRANT, body={
             "g": b["g"], "rid": b["rid"], "x": grants, "to": redir, "r": left, "size": [b["cpu"], b["mem"], b["gpu"]]})
@@ -283,7 +277,7 @@
             run = m.runs.get(les.task)
             if not les.task or (run is not None and run.lid == lid and m.ended(task=run.task, run=run.run)):
                 m.reclaim(lid=lid)
-                self.stale.add(mid)
+                self.share.stale.add(mid)
                 if run is not None:
                     run.lid = 0
 
@@ -351,122 +345,4 @@
 
     def tick(self) -> None:
         """Called several times a second."""
-        now, hub = self.hub.now, self.hub
-        if not hub.trusted():
-            return
-        claims: dict[int, list[Any]] = {}
-        whole = now - self.scanned > SCAN_S
-        if whole:
-            self.scanned = now
-            look, self.watch = list(self.minions.values()), set()
-        else:
-            look = [self.minions[mid] for mid in sorted(self.watch) if mid in self.minions]
-        for m in look:
-            if not whole and m.phase is Phase.KNOWN and len(m.att) == len(hub.groups()):
-                if m.ends:
-                    self._tell(m=m)
-                if m.call is not None and now >= m.call.horizon:
-                    answer(agent=self, m=m)
-                if not m.ends and m.call is None:
-                    self.watch.discard(m.mid)
-                continue
-            if m.phase is not Phase.LOST and (now - m.heard > self.hold_ms / 1000 * CLOCK + SLACK_S
-                                              or (m.losing and now > m.losing)):
-                m.move(Phase.LOST)
-                self.stale.add(m.mid)
-                hub.note(event="minion-lost", minion=m.mid, runs=len(m.runs), left=bool(m.losing))
-            if m.phase is Phase.LOST:
-                self._lose(m=m)
-            elif m.phase is Phase.KNOWN:
-                self._keep(m=m, claims=claims)
-        for g, rows in claims.items():
-            prim = hub.primary(g=g)
-            if prim is not None:
-                hub.send(uid=prim[0], kind=Kind.CLAIM, body={"g": g, "x": rows})
-        self.share()
-
-    def _keep(self, *, m: Minion, claims: dict[int, list[Any]]) -> None:
-        now = self.hub.now
-        for g in self.hub.groups():
-            prim = self.hub.primary(g=g)
-            if prim is None:
-                continue
-            if g in m.att and m.att[g][0] < prim[1]:
-                del m.att[g]
-            if g not in m.att and now - m.claimed.get(g, -9.0) > CLAIM_S:
-                m.claimed[g] = now
-                claims.setdefault(g, []).append([m.mid, m.fence, m.svc, m.site, m.labels, list(m.cap)])
-        for lid, les in list(m.leases.items()):
-            if les.until and not les.task and now > les.until:
-                m.reclaim(lid=lid)
-                self.stale.add(m.mid)
-        if (m.mid in self.shown) != self.open(m=m):
-            self.stale.add(m.mid)
-        if m.ends:
-            self._tell(m=m)
-        if m.call is not None and now >= m.call.horizon:
-            answer(agent=self, m=m)
-        if m.ends or m.call is not None or any(g not in m.att for g in self.hub.groups()):
-            self.watch.add(m.mid)
-
-    def _lose(self, *, m: Minion) -> None:
-        now = self.hub.now
-        left = [g for g in self.hub.groups() if g not in m.lostok]
-        self.watch.add(m.mid)
-        if not left:
-            self.hub.gone(mid=m.mid, fence=m.fence)
-        elif now - m.claimed.get(-1, -9.0) > CLAIM_S:
-            m.claimed[-1] = now
-            saved = {t: v for t, (_, v, _) in m.running.items() if v}
-            for g in left:
-                prim = self.hub.primary(g=g)
-                if prim is not None:
-                    self.hub.send(uid=prim[0], kind=Kind.LOST, body={"g": g, "m": m.mid, "f": m.fence, "v": saved})
-
-    def share(self) -> None:
-        """Tell placing nodes what changed of the room, and other agents a summary."""
-        now, hub = self.hub.now, self.hub
-        fresh = {g: prim for g in hub.groups() if (prim := hub.primary(g=g)) is not None}
-        due = self.stale and now - self.roomed > ROOM_S or now - self.roomed > ROOM_IDLE_S
-        if not due and fresh == self.told:
-            return
-        rows, shut = [], []
-        for mid in sorted(self.stale):
-            m = self.minions.get(mid)
-            if m is not None and self.open(m=m):
-                rows.append([mid, *m.free()])
-                self.shown.add(mid)
-            elif mid in self.shown:
-                self.shown.discard(mid)
-                shut.append(mid)
-        self.stale.clear()
-        self.roomed = now
-        for g, prim in fresh.items():
-            if self.told.get(g) == prim:
-                hub.send(uid=prim[0], kind=Kind.ROOM, body={"u": hub.uid, "g": g, "x": rows, "shut": shut})
-            else:
-                self._all(g=g, uid=prim[0])
-        self.told = fresh
-        if now - self.summed > ROOM_IDLE_S:
-            self.summed = now
-            body = {"u": hub.uid, "v": self.summary()}
-            for uid in hub.cores():
-                if uid != hub.uid:
-                    hub.send(uid=uid, kind=Kind.ROOM, body=body)
-
-    def _all(self, *, g: int, uid: str) -> None:
-        rows = [[mid, *self.minions[mid].free()] for mid in sorted(self.shown) if mid in self.minions]
-        self.hub.send(uid=uid, kind=Kind.ROOM, body={"u": self.hub.uid, "g": g, "x": rows, "shut": []})
-
-    def roomget(self, *, uid: str, g: int) -> None:
-        """A placing node lost count: tell it all."""
-        self._all(g=g, uid=uid)
-
-    def summary(self) -> dict[str, list[Any]]:
-        """By service, the open minions with the most room: enough for a redirect, which may be stale."""
-        view: dict[str, list[Any]] = {}
-        for mid in self.shown:
-            m = self.minions.get(mid)
-            if m is not None:
-                view.setdefault(m.svc, []).append([*m.free(), m.labels, list(m.cap), m.mid])
-        return {svc: sorted(rows, key=lambda r: (-r[2], -r[0], r[5]))[:BEST] for svc, rows in view.items()}
+        care(agent=self)
--- /dev/null
+++ b/yarrowloom/agent/care.py
@@ -0,0 +1,101 @@
+"""What an agent does as time goes on: looks after its minions, claims them of groups, calls the silent ones lost."""
+
+from typing import TYPE_CHECKING, Any
+
+from ..wire.frame import Kind
+from .answer import answer
+from .minion import Minion, Phase
+
+if TYPE_CHECKING:
+    from .agent import Agent
+
+CLOCK = 1.02          # a minion's clock may be this much slow
+SLACK_S = 0.3
+CLAIM_S = 0.3
+THAW_S = 0.5
+SCAN_S = 0.2          # how often every minion is looked at; what is due sooner is looked at each tick
+
+
+def care(*, agent: "Agent") -> None:
+    """Called several times a second."""
+    now, hub = agent.hub.now, agent.hub
+    gap, agent.ticked = now - agent.ticked, now
+    if gap > THAW_S or not agent.trust:       # beats may lie unread, or were turned away: no silence of theirs
+        for m in agent.minions.values():
+            m.heard = max(m.heard, min(now, m.heard + gap))
+    agent.trust = hub.trusted()
+    if not agent.trust:
+        return
+    claims: dict[int, list[Any]] = {}
+    whole = now - agent.scanned > SCAN_S
+    if whole:
+        agent.scanned = now
+        look, agent.watch = list(agent.minions.values()), set()
+    else:
+        look = [agent.minions[mid] for mid in sorted(agent.watch) if mid in agent.minions]
+    for m in look:
+        if not whole and m.phase is Phase.KNOWN and len(m.att) == len(hub.groups()):
+            if m.ends:
+                agent.tell(m=m)
+            if m.call is not None and now >= m.call.horizon:
+                answer(agent=agent, m=m)
+            if not m.ends and m.call is None:
+                agent.watch.discard(m.mid)
+            continue
+        if m.phase is not Phase.LOST and (now - m.heard > agent.hold_ms / 1000 * CLOCK + SLACK_S
+                                          or (m.losing and now > m.losing)):
+            m.move(Phase.LOST)
+            m.asked = 0
+            agent.share.stale.add(m.mid)
+            hub.note(event="minion-lost", minion=m.mid, runs=len(m.runs), left=bool(m.losing))
+        if m.phase is Phase.LOST:
+            _lose(agent=agent, m=m)
+        elif m.phase is Phase.KNOWN:
+            _keep(agent=agent, m=m, claims=claims)
+    for g, rows in claims.items():
+        prim = hub.primary(g=g)
+        if prim is not None:
+            hub.send(uid=prim[0], kind=Kind.CLAIM, body={"g": g, "x": rows})
+    agent.share.tell()
+
+
+def _keep(*, agent: "Agent", m: Minion, claims: dict[int, list[Any]]) -> None:
+    now = agent.hub.now
+    for g in agent.hub.groups():
+        prim = agent.hub.primary(g=g)
+        if prim is None:
+            continue
+        if g in m.att and m.att[g][0] < prim[1]:
+            del m.att[g]
+        if g not in m.att and now - m.claimed.get(g, -9.0) > CLAIM_S * (1 + m.asked):
+            m.claimed[g] = now
+            m.asked = min(m.asked + 1, 4)
+            claims.setdefault(g, []).append([m.mid, m.fence, m.svc, m.site, m.labels, list(m.cap)])
+    for lid, les in list(m.leases.items()):
+        if les.until and not les.task and now > les.until:
+            m.reclaim(lid=lid)
+            agent.share.stale.add(m.mid)
+    if (m.mid in agent.share.shown) != agent.open(m=m):
+        agent.share.stale.add(m.mid)
+    if m.ends:
+        agent.tell(m=m)
+    if m.call is not None and now >= m.call.horizon:
+        answer(agent=agent, m=m)
+    if m.ends or m.call is not None or any(g not in m.att for g in agent.hub.groups()):
+        agent.watch.add(m.mid)
+
+
+def _lose(*, agent: "Agent", m: Minion) -> None:
+    now = agent.hub.now
+    left = [g for g in agent.hub.groups() if g not in m.lostok]
+    agent.watch.add(m.mid)
+    if not left:
+        agent.hub.gone(mid=m.mid, fence=m.fence)
+    elif now - m.claimed.get(-1, -9.0) > CLAIM_S * (1 + m.asked):
+        m.claimed[-1] = now
+        m.asked = min(m.asked + 1, 4)
+        saved = {t: v for t, (_, v, _) in m.running.items() if v}
+        for g in left:
+            prim = agent.hub.primary(g=g)
+            if prim is not None:
+                agent.hub.send(uid=prim[0], kind=Kind.LOST, body={"g": g, "m": m.mid, "f": m.fence, "v": saved})
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -101,6 +101,7 @@
     att: dict[int, tuple[int, int]] = field(default_factory=dict)
     met: set[int] = field(default_factory=set)
     claimed: dict[int, float] = field(default_factory=dict)
+    asked: int = 0                # claims, or reports of its loss, not answered yet
     lostok: set[int] = field(default_factory=set)
     losing: float = 0.0
     call: Call | None = None
--- /dev/null
+++ b/yarrowloom/agent/share.py
@@ -0,0 +1,75 @@
+"""What an agent tells of its room: changes to placing nodes, a summary to other agents."""
+
+from typing import TYPE_CHECKING, Any
+
+from ..wire.frame import Kind
+
+if TYPE_CHECKING:
+    from .agent import Agent
+
+ROOM_S = 0.02         # rows of room that changed go out at most this often
+ROOM_IDLE_S = 0.4     # and something goes out at least this often
+BEST = 4              # rows of a service in the summary that other agents get
+
+
+class Share:
+    """Invariants: `stale` names every minion whose room changed since it was last told; `shown` those last told to
+    be open; `told` holds, by group, the primary that has been told all and every change since."""
+
+    def __init__(self, *, agent: "Agent") -> None:
+        self.agent = agent
+        self.stale: set[str] = set()
+        self.shown: set[str] = set()
+        self.told: dict[int, tuple[str, int]] = {}
+        self.views: dict[str, tuple[float, dict[str, list[Any]]]] = {}
+        self.roomed = 0.0
+        self.summed = 0.0
+
+    def tell(self) -> None:
+        """Tell placing nodes what changed of the room, and other agents a summary."""
+        hub = self.agent.hub
+        now = hub.now
+        fresh = {g: prim for g in hub.groups() if (prim := hub.primary(g=g)) is not None}
+        due = self.stale and now - self.roomed > ROOM_S or now - self.roomed > ROOM_IDLE_S
+        if not due and fresh == self.told:
+            return
+        rows, shut = [], []
+        for mid in sorted(self.stale):
+            m = self.agent.minions.get(mid)
+            if m is not None and self.agent.open(m=m):
+                rows.append([mid, *m.free()])
+                self.shown.add(mid)
+            elif mid in self.shown:
+                self.shown.discard(mid)
+                shut.append(mid)
+        self.stale.clear()
+        self.roomed = now
+        for g, prim in fresh.items():
+            if self.told.get(g) == prim:
+                hub.send(uid=prim[0], kind=Kind.ROOM, body={"u": hub.uid, "g": g, "x": rows, "shut": shut})
+            else:
+                self._all(g=g, uid=prim[0])
+        self.told = fresh
+        if now - self.summed > ROOM_IDLE_S:
+            self.summed = now
+            body = {"u": hub.uid, "v": self.summary()}
+            for uid in hub.cores():
+                if uid != hub.uid:
+                    hub.send(uid=uid, kind=Kind.ROOM, body=body)
+
+    def _all(self, *, g: int, uid: str) -> None:
+        rows = [[mid, *self.agent.minions[mid].free()] for mid in sorted(self.shown) if mid in self.agent.minions]
+        self.agent.hub.send(uid=uid, kind=Kind.ROOM, body={"u": self.agent.hub.uid, "g": g, "x": rows, "shut": []})
+
+    def roomget(self, *, uid: str, g: int) -> None:
+        """A placing node lost count: tell it all."""
+        self._all(g=g, uid=uid)
+
+    def summary(self) -> dict[str, list[Any]]:
+        """By service, the open minions with the most room: enough for a redirect, which may be stale."""
+        view: dict[str, list[Any]] = {}
+        for mid in self.shown:
+            m = self.agent.minions.get(mid)
+            if m is not None:
+                view.setdefault(m.svc, []).append([*m.free(), m.labels, list(m.cap), m.mid])
+        return {svc: sorted(rows, key=lambda r: (-r[2], -r[0], r[5]))[:BEST] for svc, rows in view.items()}
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -121,7 +121,7 @@
 
     def _room(self, *, m: dict[str, Any]) -> None:
         if "v" in m:
-            self.agent.views[m["u"]] = (self.now, m["v"])
+            self.agent.share.views[m["u"]] = (self.now, m["v"])
         elif m["g"] in self.placers:
             placer = self.placers[m["g"]]
             placer.room.report(uid=m["u"], rows=m["x"], shut=m["shut"], now=self.now)
@@ -150,7 +150,7 @@
         elif kind is Kind.STOP:
             self.agent.stop(b=m)
         elif kind is Kind.ROOMGET:
-            self.agent.roomget(uid=uid, g=m["g"])
+            self.agent.share.roomget(uid=uid, g=m["g"])
         elif kind is Kind.ENDSOK:
             self.agent.endsok(body=m)
         elif kind is Kind.LOSTOK:
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -15,6 +15,7 @@
 LIVE_MOST = 5000      # jobs in hand; what comes beyond is refused at once and never runs
 LATE = 3.0            # past this many aims a job earns nothing any more
 STOP_AGAIN_S = 1.0
+AGAIN_S = 1.0         # a claim repeated sooner gets the same attachment once more
 
 
 class PlacerHub(Protocol):
@@ -201,10 +202,13 @@
             spot = self.room.spots.get(mid)
             if spot is not None and spot.fence > fence:
                 continue
+            if spot is not None and spot.fence == fence and spot.agent == uid and self.hub.now - spot.since < AGAIN_S:
+                self.attach(spot=spot)       # a repeat: what left under this attachment stays good
+                continue
             self.seq += 1
             self.pool.forget(mid=mid)
             self.room.attach(spot=Spot(mid=mid, agent=uid, fence=fence, seq=self.seq, svc=svc, site=site,
-                                       labels=tuple(labels), cap=Size(*cap)))
+                                       labels=tuple(labels), cap=Size(*cap), since=self.hub.now))
             self.attach(spot=self.room.spots[mid])
 
     def attach(self, *, spot: Spot) -> None:
@@ -231,7 +235,8 @@
             self.seq += 1
             self.pool.forget(mid=mid)
             self.room.attach(spot=Spot(mid=mid, agent=uid, fence=old.fence, seq=self.seq, svc=old.svc, site=old.site,
-                                       labels=old.labels, cap=old.cap, streak=old.streak, last=old.last, shy=old.shy))
+                                       labels=old.labels, cap=old.cap, streak=old.streak, last=old.last, shy=old.shy,
+                                       since=self.hub.now))
             self.attach(spot=self.room.spots[mid])
         self.hub.send(uid=uid, kind=Kind.ROOMGET, body={"g": self.g})
 
@@ -295,7 +300,8 @@
                 task = task_name(jid=jid, unit=key, idx=i)
                 self.held.pop(task, None)
                 self._gone(task=task, run=self.jobs.jobs[jid]["u"][key]["r"][i])
-            self.effects(self.rep.commit(ev={"t": "lost", "m": mid, "x": None, "v": b["v"]}))
+            if self.jobs.on.get(mid):      # a repeat finds nothing left
+                self.effects(self.rep.commit(ev={"t": "lost", "m": mid, "x": None, "v": b["v"]}))
         self.rep.barrier(then=("send", uid, int(Kind.LOSTOK), {"g": self.g, "m": mid, "f": b["f"]}))
         self.pump()
 
--- a/yarrowloom/place/room.py
+++ b/yarrowloom/place/room.py
@@ -61,6 +61,7 @@
     filed: tuple[int, int] | None = None     # its key in the index: (accelerators, cores)
     streak: int = 0                          # first failures of tasks in a row, each of another job
     last: str = ""                           # the job of the last one
+    since: float = -9.0                      # when it was attached
     shy: float = 0.0                         # nothing new until then
 
     @property
