--- /dev/null
+++ b/tests/test_binding.py
@@ -0,0 +1,138 @@
+"""Binding through failures: the placing node ends, stands still or is cut off at each step of a cycle's way."""
+
+import random
+from typing import Any
+
+import pytest
+
+from tests.simfleet import Oracle, SimCaller, cluster
+from tests.simnet import Proc, Sim
+from yarrowloom.wire.frame import Kind
+
+TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
+STEPS = [Kind.LEASE, Kind.GRANT, Kind.LOG, Kind.ORDER, Kind.RETURN, Kind.ENDS, Kind.ENDSOK]
+
+
+def finish(*, sim: Sim, oracle: Oracle, caller: SimCaller, limit: float = 60.0) -> None:
+    left = list(oracle.accepted)
+    end = sim.now + limit
+    while left and sim.now < end:
+        left = [j for j in left if caller.state(jid=j)[1] not in ("complete", "failed", "cancelled")]
+        sim.run(seconds=0.5)
+    assert oracle.broken == []
+    assert left == []
+
+
+def strike(*, sim: Sim, at: Kind, nth: int, how: str) -> list[str]:
+    """When the nth frame of a kind leaves, the job group's primary is struck before the frame arrives."""
+    seen = {"n": 0}
+    hit: list[str] = []
+    send = sim._send
+
+    def sent(ip: str, proc: Proc, dst: str, kind: Kind, body: Any) -> None:
+        send(ip, proc, dst, kind, body)
+        if kind is not at or hit:
+            return
+        seen["n"] += 1
+        if seen["n"] == nth:
+            prim = sim.serving(g=1)
+            if not prim:
+                return
+            ip = prim[0]
+            hit.append(ip)
+            sim.at(delay=0.0, fn=lambda: act(ip))
+
+    def act(ip: str) -> None:
+        if how in ("kill", "power"):
+            sim.kill(ip=ip, power=how == "power")
+            sim.at(delay=0.4, fn=lambda: sim.boot(ip=ip))
+        elif how == "freeze":
+            sim.freeze(ip=ip, seconds=2.5)
+        else:
+            for other in sim.core_ips:
+                if other != ip:
+                    sim.cut(a=ip, b=other)
+            sim.at(delay=3.0, fn=sim.heal)
+    sim._send = sent  # type: ignore[method-assign]
+    return hit
+
+
+@pytest.mark.parametrize("how", ["kill", "power", "freeze", "cut"])
+@pytest.mark.parametrize("at", STEPS, ids=[k.name for k in STEPS])
+def test_the_placing_node_fails_at_any_step_of_a_cycle(at: Kind, how: str) -> None:
+    seed = 7000 + 10 * int(at) + len(how)
+    sim, oracle, caller, _ = cluster(seed=seed, minions=6, edges=2)
+    hit = strike(sim=sim, at=at, nth=random.Random(seed).randint(2, 9), how=how)
+    for i in range(12):
+        gang = {**TASK, "task-count": 4, "cpus": 3000, "gang": True}
+        wide = {**TASK, "task-count": 6}
+        caller.submit(stages=[gang if i % 2 else wide, {**TASK, "depends-on": [0]}])
+        sim.run(seconds=0.2)
+    sim.run(seconds=6.0)
+    finish(sim=sim, oracle=oracle, caller=caller)
+    assert len(hit) == 1 and len(oracle.accepted) >= 8
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_job_cancelled_in_mid_cycle_starts_nothing_later(seed: int) -> None:
+    sim, oracle, caller, fleet = cluster(seed=7300 + seed, minions=4, work=5.0)
+    jid = caller.submit(stages=[{**TASK, "task-count": 4, "cpus": 3000, "gang": True}])
+    sim.run(seconds=0.004 + 0.004 * seed)
+    caller.cancel(jid=jid)
+    sim.run(seconds=6.0)
+    assert oracle.broken == []
+    assert sum(len(m.running) for m in fleet) == 0
+    core = sim.core(sim.serving(g=1)[0])
+    placer = core.placers[1]
+    assert not placer.backlog.groups and not placer.asks
+    assert all(s.fly == (0, 0, 0) and s.free == s.cap for s in placer.room.spots.values())
+
+
+def test_a_group_that_fits_nowhere_holds_up_nobody_and_is_told_so() -> None:
+    sim, oracle, caller, _ = cluster(seed=7401, minions=4)
+    never = caller.submit(stages=[{**TASK, "cpus": 900000}])
+    odd = caller.submit(stages=[{**TASK, "requires": "nowhere"}])
+    wide = caller.submit(stages=[{**TASK, "task-count": 90, "cpus": 4000, "gang": True}])
+    good = [caller.submit(stages=[{**TASK, "cpus": 4000}], queue="slow") for _ in range(6)]
+    assert sim.until(cond=lambda: all(caller.state(jid=j, queue="slow")[1] == "complete" for j in good), limit=30.0)
+    core = sim.core(sim.serving(g=1)[0])
+    placer = core.placers[1]
+    for jid in (never, odd, wide):
+        assert caller.state(jid=jid) == (200, "pending")
+        rows = placer.explain(jid=jid)
+        assert rows[0]["cycles-failed"] > 0 and rows[0]["last"]
+    assert oracle.broken == []
+
+
+def test_leases_of_a_failed_gang_attempt_all_go_back() -> None:
+    """The snapshot is old: one agent refuses; nothing starts, no room stays taken, the group is tried again."""
+    sim, oracle, caller, fleet = cluster(seed=7501, minions=3)
+    core = sim.core(sim.serving(g=1)[0])
+    placer = core.placers[1]
+    victim = fleet[0].mid
+    agent = next(sim.core(ip).agent for ip in sim.core_ips if victim in sim.core(ip).agent.minions)
+    take = agent.minions[victim].cap
+    agent.minions[victim].cap = (0, 0, 0)       # known to the agent alone until its next word
+    jid = caller.submit(stages=[{**TASK, "task-count": 3, "cpus": 4000, "gang": True}])
+    sim.run(seconds=0.02)
+    agent.minions[victim].cap = take
+    assert not any(m.running for m in fleet)
+    assert sim.until(cond=lambda: caller.state(jid=jid)[1] == "complete", limit=20.0)
+    assert oracle.broken == []
+    sim.run(seconds=1.0)
+    assert all(s.free == s.cap for s in placer.room.spots.values())
+
+
+def test_new_members_are_placed_while_others_bind_and_run() -> None:
+    """A failed member goes back alone, keeps its group's first-seen time and is placed beside the running ones."""
+    sim, oracle, caller, _ = cluster(seed=7601, minions=4, fail=0.25, work=1.5)
+    jids = [caller.submit(stages=[{**TASK, "task-count": 12}]) for _ in range(4)]
+    core = sim.core(sim.serving(g=1)[0])
+    seen: dict[tuple[str, str], set[float]] = {}
+    for _ in range(60):
+        sim.run(seconds=0.2)
+        for unit, group in core.placers[1].backlog.groups.items():
+            seen.setdefault(unit, set()).add(group.seen)
+    assert all(len(times) == 1 for times in seen.values()) and len(seen) == 4
+    assert all(caller.state(jid=j)[1] in ("complete", "failed") for j in jids)
+    assert [b for b in oracle.broken if not b.startswith("BUDGET")] == oracle.broken == []
--- /dev/null
+++ b/tests/test_cycle.py
@@ -0,0 +1,222 @@
+"""The group cycle against a brute-force oracle; its work against what waits and how many minions there are."""
+
+import itertools
+import random
+
+import pytest
+
+from yarrowloom.place import cycle
+from yarrowloom.place.cycle import Ask, Decision
+from yarrowloom.place.group import Backlog, Group, Phase, Walk
+from yarrowloom.place.room import Room, Size, Spot
+
+RACKS = ("r0", "r1", "r2")
+
+
+def room_of(rng: random.Random, *, n: int, most: int = 4) -> Room:
+    """A few minions with some room."""
+    room = Room()
+    for i in range(n):
+        cap = Size(most * 1000, 4000, most)
+        room.attach(spot=Spot(mid=f"m{i}", agent="a", fence=1, seq=i, svc="s", site="z",
+                              labels=(rng.choice("ab"), rng.choice(RACKS)), cap=cap))
+        free: list[int | str] = [f"m{i}", rng.randint(0, cap.cpu), rng.randint(0, cap.mem), rng.randint(0, cap.gpu)]
+        room.report(uid="a", rows=[free], shut=[], now=1.0)
+    return room
+
+
+def ask_of(rng: random.Random, *, n: int) -> Ask:
+    size = Size(rng.randint(0, 3) * 500, rng.randint(0, 2) * 500, rng.randint(0, 2))
+    if size == Size(0, 0, 0):
+        size = Size(500, 0, 0)
+    return Ask(svc="s", size=size, members=list(range(n)), need=rng.choice([1, n]), req=rng.choice(["", "", "a"]),
+               near=rng.choice(["", "r0"]), strict=rng.random() < 0.2, tight=rng.random() < 0.25,
+               apart=rng.choice([0, 0, 1, 2]), there={"m0": 1} if rng.random() < 0.2 else {},
+               off=frozenset({"m1"}) if rng.random() < 0.2 else frozenset(),
+               shun=("b",) if rng.random() < 0.15 else ())
+
+
+def allowed(*, room: Room, ask: Ask, mids: tuple[str, ...]) -> bool:
+    """The filters, written down once more: may these members go to these minions together?"""
+    for mid in set(mids):
+        spot, n = room.spots[mid], mids.count(mid)
+        need = Size(ask.size.cpu * n, ask.size.mem * n, ask.size.gpu * n)
+        if not spot.free.holds(need) or (ask.req and ask.req not in spot.labels) or mid in ask.off:
+            return False
+        if (ask.strict and ask.near and ask.near not in spot.labels) or any(x in spot.labels for x in ask.shun):
+            return False
+        if ask.apart and n + ask.there.get(mid, 0) > ask.apart:
+            return False
+    return not ask.tight or len({room.spots[mid].rack for mid in mids}) <= 1
+
+
+def most_placed(*, room: Room, ask: Ask) -> int:
+    """By trying all: the most members that any placement serves."""
+    for n in range(len(ask.members), 0, -1):
+        if any(allowed(room=room, ask=ask, mids=mids)
+               for mids in itertools.combinations_with_replacement(sorted(room.spots), n)):
+            return n
+    return 0
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_homogeneous_groups_are_placed_if_any_placement_exists(seed: int) -> None:
+    rng = random.Random(seed)
+    room = room_of(rng, n=rng.randint(1, 4))
+    ask = ask_of(rng, n=rng.randint(1, 4))
+    if ask.strict and not ask.near:
+        ask.strict = False
+    best = most_placed(room=room, ask=ask)
+    before = {mid: spot.free for mid, spot in room.spots.items()}
+    got = cycle.run(room=room, ask=ask)
+    assert got.feasible == (best >= ask.need)
+    assert {mid: spot.free for mid, spot in room.spots.items()} == before      # reservations die with the cycle
+    if not got.feasible:
+        assert got.placed == []                                                # nothing binds below the criterion
+        return
+    assert len(got.placed) >= ask.need
+    assert allowed(room=room, ask=ask, mids=tuple(mid for _, mid in got.placed))
+    assert [i for i, _ in got.placed] == ask.members[:len(got.placed)]         # in their order
+    if not ask.tight:
+        assert len(got.placed) == best
+    again = cycle.run(room=room, ask=ask)
+    assert (again.placed, again.refused) == (got.placed, got.refused)          # same input, same decision
+
+
+def test_tightest_fit_and_data_first() -> None:
+    room = Room()
+    for mid, rack, free in (("wide", "r0", [4000, 9, 4]), ("fit", "r0", [1500, 9, 1]), ("data", "r1", [4000, 9, 4])):
+        room.attach(spot=Spot(mid=mid, agent="a", fence=1, seq=1, svc="s", site="z", labels=("k", rack),
+                              cap=Size(4000, 9, 4)))
+        room.report(uid="a", rows=[[mid, *free]], shut=[], now=1.0)
+
+    def first(near: str) -> Decision:
+        return cycle.run(room=room, ask=Ask(svc="s", size=Size(1000, 1, 1), members=[0], need=1, near=near))
+    assert first("").placed == [(0, "fit")]
+    assert first("r1").placed == [(0, "data")]
+
+
+def test_retried_member_avoids_where_it_failed_unless_nothing_else_has_room() -> None:
+    room = room_of(random.Random(1), n=0)
+    for mid in ("a", "b"):
+        room.attach(spot=Spot(mid=mid, agent="a", fence=1, seq=1, svc="s", site="z", labels=("k", "r"),
+                              cap=Size(1000, 1, 0)))
+    room.report(uid="a", rows=[["a", 1000, 1, 0], ["b", 1000, 1, 0]], shut=[], now=1.0)
+    ask = Ask(svc="s", size=Size(1000, 1, 0), members=[0], need=1, sore=frozenset({"a"}))
+    assert cycle.run(room=room, ask=ask).placed == [(0, "b")]
+    room.report(uid="a", rows=[], shut=["b"], now=1.0)
+    assert cycle.run(room=room, ask=ask).placed == [(0, "a")]
+
+
+def test_a_minion_that_fails_three_jobs_in_a_row_is_shy_but_a_bad_job_is_not_its_defect() -> None:
+    room = room_of(random.Random(2), n=8)
+    for _ in range(9):
+        assert not room.failed(mid="m0", jid="poison", now=1.0)
+    assert [room.failed(mid="m1", jid=j, now=1.0) for j in "abc"] == [False, False, True]
+    ask = Ask(svc="s", size=Size(0, 0, 0), members=[0] * 900, need=1, now=1.1)
+    assert "m1" not in {mid for _, mid in cycle.run(room=room, ask=ask).placed}
+    room.worked(mid="m1")
+    assert room.spots["m1"].shy == 0.0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_index_follows_every_change(seed: int) -> None:
+    """The room's index against a plain scan, through random reports, reservations and losses."""
+    rng = random.Random(seed)
+    room = room_of(rng, n=6)
+    size = Size(800, 0, 1)
+    for step in range(200):
+        mid = f"m{rng.randint(0, 5)}"
+        spot = room.spots.get(mid)
+        move = rng.randint(0, 4)
+        if spot is None or move == 0:
+            room.attach(spot=Spot(mid=mid, agent="a", fence=1, seq=step, svc="s", site="z", labels=("a", "r0"),
+                                  cap=Size(4000, 4000, 4)))
+        elif move == 1:
+            room.report(uid="a", rows=[[mid, rng.randint(0, 4000), 4000, rng.randint(0, 4)]], shut=[], now=1.0)
+        elif move == 2:
+            room.report(uid="a", rows=[], shut=[mid], now=1.0)
+        elif move == 3:
+            room.reserve(spot=spot, size=size, n=rng.choice([1, -1]))
+        else:
+            room.drop(mid=mid)
+        scan = sorted((max(s.free.gpu, 0), s.free.cpu, s.mid) for s in room.spots.values()
+                      if s.open and max(s.free.gpu, 0) >= 1 and s.free.cpu >= 800)
+        assert [s.mid for s in room.ordered(svc="s", size=size)] == [mid for _, _, mid in scan]
+        shelf = room.shelves["s"]
+        assert shelf.count == sum(s.open for s in room.spots.values())
+        assert shelf.free == Size(*(sum(p) for p in zip(*(s.free for s in room.spots.values() if s.open),
+                                                        strict=True))) if shelf.count else True
+
+
+def group_of(i: int, *, size: Size, rank: int = 1) -> Group:
+    return Group(jid=f"{i:016x}", key="0.0", svc="s", size=size, prio=(False, rank, float(i), 0.0, f"{i:016x}", "0.0"),
+                 since=0.0)
+
+
+@pytest.mark.parametrize("scale", [1, 8, 64])
+def test_a_cycle_visits_what_it_touches_not_all_minions(scale: int) -> None:
+    """The count of index entries visited by a cycle of five is the same at 20 and 1,280 minions."""
+    room = Room()
+    for i in range(20 * scale):
+        room.attach(spot=Spot(mid=f"m{i:05}", agent="a", fence=1, seq=1, svc="s", site="z", labels=("k", f"r{i // 12}"),
+                              cap=Size(32000, 64000, 8)))
+        room.report(uid="a", rows=[[f"m{i:05}", 1000 if i % 4 else 9000, 64000, i % 9]], shut=[], now=1.0)
+    before = room.looks
+    got = cycle.run(room=room, ask=Ask(svc="s", size=Size(2000, 1, 1), members=[0, 1, 2, 3, 4], need=5))
+    assert got.feasible and room.looks - before <= 5
+
+
+@pytest.mark.parametrize("waiting", [50, 400, 3200])
+def test_a_slice_looks_at_a_bounded_number_of_groups(waiting: int) -> None:
+    """What waits without hope is passed over, a bounded number a slice, and the pass goes on where it stopped."""
+    log = Backlog()
+    for i in range(waiting):
+        group = group_of(i, size=Size(4000, 1, 4) if i != waiting - 1 else Size(100, 1, 0))
+        log.add(group=group)
+        heap_popped = log.pop(svc="s", walk=Walk(looks=1))
+        assert heap_popped is group
+        log.park(group=group, now=0.0)
+    walk = Walk()
+    walk.grow(sizes=[Size(1000, 8, 1)])
+    slices = 0
+    found = None
+    while found is None and slices < 100:
+        walk.begin(top={})
+        walk.looks = 400
+        found = log.pop(svc="s", walk=walk)
+        slices += 1
+        assert walk.looks >= 0
+    assert found is not None and found.size.cpu == 100
+    assert slices <= waiting // 400 + 1
+
+
+def test_earlier_rank_goes_first_and_timestamps_survive_requeues() -> None:
+    log = Backlog()
+    rows = [group_of(3, size=Size(1, 1, 0), rank=2), group_of(2, size=Size(1, 1, 0)), group_of(1, size=Size(1, 1, 0))]
+    for group in rows:
+        log.add(group=group)
+    walk = Walk(looks=10)
+    first = log.pop(svc="s", walk=walk)
+    assert first is rows[2]
+    log.wake(group=first)
+    assert [log.pop(svc="s", walk=walk) for _ in range(3)] == [rows[2], rows[1], rows[0]]
+    assert log.pop(svc="s", walk=walk) is None
+
+
+def test_backoff_doubles_and_ends() -> None:
+    log = Backlog()
+    group = group_of(1, size=Size(1, 1, 0))
+    log.add(group=group)
+    now, waits = 0.0, []
+    for _ in range(7):
+        assert log.pop(svc="s", walk=Walk(looks=1)) is group
+        log.park(group=group, now=now)
+        waits.append(group.again - now)
+        assert log.due(now=group.again - 1e-6) == []
+        now = group.again
+        assert log.due(now=now) == [group]
+        log.wake(group=group)
+    assert waits[:3] == pytest.approx([0.1, 0.2, 0.4]) and waits[-1] == pytest.approx(2.0)
+    log.remove(jid=group.jid, key=group.key)
+    assert group.phase is Phase.GONE and log.load.get(("s", 1), [0, 0]) == [0, 0]
--- a/yarrowloom/agent/care.py
+++ b/yarrowloom/agent/care.py
@@ -31,6 +31,7 @@
     if whole:
         agent.scanned = now
         look, agent.watch = list(agent.minions.values()), set()
+        agent.share.refresh()
     else:
         look = [agent.minions[mid] for mid in sorted(agent.watch) if mid in agent.minions]
     for m in look:
--- a/yarrowloom/agent/share.py
+++ b/yarrowloom/agent/share.py
@@ -9,6 +9,7 @@
 
 ROOM_S = 0.02         # rows of room that changed go out at most this often
 ROOM_IDLE_S = 0.4     # and something goes out at least this often
+PARTS = 10
 BEST = 4              # rows of a service in the summary that other agents get
 
 
@@ -24,6 +25,12 @@
         self.views: dict[str, tuple[float, dict[str, list[Any]]]] = {}
         self.roomed = 0.0
         self.summed = 0.0
+        self.turn = 0
+
+    def refresh(self) -> None:
+        """A part of what is shown is told again, all of it in PARTS calls: no difference lasts."""
+        self.turn += 1
+        self.stale.update(mid for i, mid in enumerate(sorted(self.shown)) if i % PARTS == self.turn % PARTS)
 
     def tell(self) -> None:
         """Tell placing nodes what changed of the room, and other agents a summary."""
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -136,6 +136,9 @@
             group = Group(jid=jid, key=key, svc=self.service(job=job), size=Size(step["cpu"], step["mem"], step["gpu"]),
                           prio=prio, since=now, seen=now, req=step["req"], near=step["near"], gang=step["gang"],
                           tight=step["tight"], apart=step["apart"], est=step["est"], late_at=late_at)
+            shelf = self.room.shelves.get(group.svc)
+            group.never = shelf is not None and shelf.count > 0 and not self.room.could(
+                svc=group.svc, size=group.size, req=group.req, n=step["n"] if group.gang else 1)
             self.backlog.add(group=group)
         elif group.phase is Phase.BOUND:
             group.since, group.tries = now, 0
@@ -145,7 +148,8 @@
     def weigh(self, *, group: Group) -> None:
         """Count what of a group waits."""
         unit = self.jobs.jobs[group.jid]["u"][group.key]
-        self.backlog.weigh(group=group, n=unit["s"].count(WAIT) - len(group.out))
+        n = unit["s"].count(WAIT) - len(group.out)
+        self.backlog.weigh(group=group, n=0 if group.never else n)
 
     def leave(self, *, jid: str) -> None:
         """A job's groups are gone."""
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -193,6 +193,12 @@
         group.why = f"{decision.fit}/{n} {why}"
         self.hub.trace(event="cycle-failed", id=group.jid, unit=group.key, rank=group.rank, waited=round(waited, 2),
                        fit=decision.fit, members=n, why=why)
+        could = self.room.could(svc=group.svc, size=group.size, req=group.req, n=n if group.gang else 1)
+        if group.never is could:
+            group.never = not could
+            self.weigh(group=group)
+        if not could:
+            group.why += " never: no minions known could hold it"
         late = group.prio[0]
         if not late and waited > AFTER_S and not group.gang:
             self._preempt(rows=self.preemptor.choose(group=group, n=n, strict=patient, now=self.hub.now),
@@ -203,8 +209,7 @@
                 self._preempt(rows=self.preemptor.on(mids=nom.mids, svc=group.svc, rank=group.rank), svc=group.svc,
                               note="")
                 self.hub.trace(event="minions-nominated", id=group.jid, unit=group.key, n=n, minions=len(nom.mids))
-        if not late and not patient and not group.gang and BLOCK_S <= waited < BLOCK_MOST_S and self.room.could(
-                svc=group.svc, size=group.size, req=group.req):
+        if not late and not patient and not group.gang and BLOCK_S <= waited < BLOCK_MOST_S and could:
             units = self.holding.setdefault(group.svc, {}).setdefault((group.req, group.rank), {})
             units[group.jid, group.key] = group.since + BLOCK_MOST_S
             walk.top[group.req] = min(walk.top.get(group.req, group.rank), group.rank)
--- a/yarrowloom/place/room.py
+++ b/yarrowloom/place/room.py
@@ -259,11 +259,14 @@
                 out.setdefault(spot.rack, []).append(spot)
         return out
 
-    def could(self, *, svc: str, size: Size, req: str) -> bool:
-        """Whether some open minion, were it empty, could take one task."""
+    def could(self, *, svc: str, size: Size, req: str, n: int) -> bool:
+        """Whether the open minions, were they empty, could take `n` tasks at once."""
         shelf = self.shelves.get(svc)
         if shelf is None:
             return False
-        if req:
-            return any(self.spots[mid].cap.holds(size) for mid in shelf.by.get(req, ()))
-        return any(self.spots[mid].cap.holds(size) for row in shelf.levels.values() for _, mid in row)
+        mids = shelf.by.get(req, ()) if req else (mid for row in shelf.levels.values() for _, mid in row)
+        for mid in mids:
+            n -= self.spots[mid].cap.copies(size)
+            if n <= 0:
+                return True
+        return False
