Lanes between nodes, many messages per frame, urgent inputs first, repeats of calls cost nothing

Each peer has three streams with a sequence each: urgent (hearts, news, records), work, checkpoints. All that waits for a peer leaves as one envelope, parsed once. A loss is told for work only, also when the lane then falls silent (marks), as the others repeat by themselves. In the process all inputs queue: urgent, a due tick, work, calls of callers last; one task takes them in slices of 4 ms. A call in hand is known by caller and number; repeats back off from 0.4 to 1.6 s, and go at once after a gap, an answer 421 or a new epoch.

--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -11,8 +11,9 @@
 from yarrowloom.base.startup import Startup
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.edge import EdgeNode
-from yarrowloom.wire.frame import Kind
+from yarrowloom.wire.frame import LANES, Kind, Lane
 from yarrowloom.wire.http import Request, Response
+from yarrowloom.wire.peer import MARK_S, OWED, Seen
 
 PORTS = (7000, 7015)
 BOUNDS = {"max-hold-ms": 6000.0, "stop-grace-ms": 400.0, "spread-factor": 2.0, "status_s": 120.0, "grace-s": 6.0}
@@ -37,6 +38,8 @@
         self.disk_busy = False
         self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
         self.inbox: list[Callable[[], None]] = []
+        self.seen = Seen()
+        self.owing: set[str] = set()     # peers that are still to learn of a loss
 
 
 class Sim:
@@ -55,9 +58,8 @@
         self.cuts: set[tuple[str, str]] = set()
         self.loss = 0.0
         self.stalls: dict[str, float] = {}
-        self.seq: dict[tuple[str, str, int], int] = {}
-        self.last: dict[tuple[str, str], float] = {}
-        self.seen: dict[tuple[str, str], tuple[int, int]] = {}
+        self.seq: dict[tuple[str, str, int, Lane], int] = {}
+        self.last: dict[tuple[str, str, Lane], float] = {}
         self.lives = 0
         self.calls: dict[int, Callable[[Response], None]] = {}
         self.owner_of_call: dict[int, str] = {}
@@ -212,15 +214,19 @@
             self._sync(ip, proc)
         self.at(delay=wait, fn=synced)
 
-    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
-        key = (ip, dst, proc.life)
+    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind | None, body: bytes) -> None:
+        """One frame per message; without a kind, only a mark that tells the lane's sequence."""
+        lane = LANES[kind] if kind is not None else Lane.WORK
+        key = (ip, dst, proc.life, lane)
         seq = self.seq[key] = self.seq.get(key, 0) + 1
         boot, uid = proc.node.boot, proc.node.uid
         if ip != dst and ((ip, dst) in self.cuts or self.rng.random() < self.loss):
+            if lane is Lane.WORK and dst not in proc.owing:
+                proc.owing.add(dst)
+                self.at(delay=MARK_S, fn=lambda: self._mark(ip, proc, dst, OWED))
             return
         due = self.now if ip == dst else self.now + 0.001 + self.rng.random() * 0.002
-        due = self.last[ip, dst] = max(due, self.last.get((ip, dst), 0.0) + 1e-7)   # a stream keeps its order
-        delay = due - self.now
+        due = self.last[ip, dst, lane] = max(due, self.last.get((ip, dst, lane), 0.0) + 1e-7)   # in order
 
         def arrive() -> None:
             to = self.procs.get(dst)
@@ -228,15 +234,24 @@
                 return
 
             def take() -> None:
-                last = self.seen.get((ip, dst + str(to.life)), (0, 0))
-                if ip != dst and (boot < last[0] or (boot == last[0] and seq <= last[1])):
+                fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+                if not fresh:
                     return
-                self.seen[ip, dst + str(to.life)] = (boot, seq)
-                if ip != dst and (boot != last[0] or seq != last[1] + 1):
+                if lost and lane is Lane.WORK and ip != dst:
                     to.node.gap(uid=uid)
-                to.node.on(uid=uid, kind=kind, body=body)
+                if kind is not None:
+                    to.node.on(uid=uid, kind=kind, m=orjson.loads(body))
             self.step(dst, to, take)
-        self.at(delay=delay, fn=arrive)
+        self.at(delay=due - self.now, fn=arrive)
+
+    def _mark(self, ip: str, proc: Proc, dst: str, left: int) -> None:
+        proc.owing.discard(dst)
+        if proc.up and self.procs.get(ip) is proc and left > 0:
+            if (ip, dst) in self.cuts:
+                proc.owing.add(dst)
+                self.at(delay=MARK_S, fn=lambda: self._mark(ip, proc, dst, left - 1))
+            else:
+                self._send(ip, proc, dst, None, b"")
 
     def http(self, *, ip: str, src: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
              headers: dict[str, str] | None = None, back: Callable[[Response], None]) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -39,7 +39,7 @@
 @pytest.mark.parametrize("seed", range(60))
 def test_frames_in_any_pieces(seed: int) -> None:
     rng = random.Random(seed)
-    sent = [Frame(kind=rng.randint(1, 53), src=f"a{i}", uid="u#1", boot=rng.getrandbits(50), seq=i + 1,
+    sent = [Frame(lane=rng.randint(1, 3), src=f"a{i}", uid="u#1", boot=rng.getrandbits(50), seq=i + 1,
                   body=rng.randbytes(rng.randint(0, 2000))) for i in range(8)]
     raw = b"".join(pack(frame=f) for f in sent)
     cut, got, at = Splitter(), [], 0
--- /dev/null
+++ b/tests/test_lanes.py
@@ -0,0 +1,261 @@
+"""Between nodes: lanes and what they lose, the order of inputs, repeats of calls."""
+
+import random
+import socket
+from typing import Any
+
+import orjson
+import pytest
+import trio
+
+from tests.simfleet import cluster
+from yarrowloom.base.log import Log
+from yarrowloom.node.calls import RESEND_MOST_S, Calls
+from yarrowloom.node.turns import SHARE, Rank, Turns
+from yarrowloom.wire.frame import Frame, Kind, Lane, bundle, pack, unbundle
+from yarrowloom.wire.peer import FRAME_BYTES, OWED, QUEUE_MOST, TRAIL, Line, Peers, Seen
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_is_lost_shows_as_a_gap_and_nothing_goes_back(seed: int) -> None:
+    rng = random.Random(seed)
+    line, seen = Line(), Seen()
+    got: list[int] = []
+    sent, lost_after = 0, -1
+    for _ in range(400):
+        for _ in range(rng.randint(0, 3)):
+            line.put(kind=Kind.ORDER, body=b"%d" % sent)
+            sent += 1
+        if not line.rows:
+            continue
+        seq, body = line.take()
+        if rng.random() < 0.1:
+            line.broken(held=True)
+            lost_after = sent
+            continue
+        line.sent(real=True)
+        fresh, gap = seen.take(src="a", lane=2, boot=7, seq=seq)
+        rows = [m for _, m in unbundle(body=body)]
+        assert fresh and rows
+        if got and rows[0] != got[-1] + 1:
+            assert gap and lost_after >= 0
+        assert not got or rows[0] > got[-1]
+        got += rows
+        assert seen.take(src="a", lane=2, boot=7, seq=seq) == (False, False)
+        assert seen.take(src="a", lane=2, boot=6, seq=seq + 9) == (False, False)
+    assert got == sorted(set(got))
+
+
+def test_a_full_queue_drops_and_the_next_frame_tells() -> None:
+    line, seen = Line(), Seen()
+    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0])[0]
+    kept = [line.put(kind=Kind.ORDER, body=b"%d" % i) for i in range(QUEUE_MOST + 5)]
+    assert kept.count(False) == 5 and len(line.rows) == QUEUE_MOST
+    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0]) == (True, True)
+    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0]) == (True, False)
+
+
+def test_frames_are_bounded_and_one_message_may_be_larger() -> None:
+    line = Line()
+    big = b'"%s"' % (b"x" * (FRAME_BYTES + 9))
+    for body in (b'"%s"' % (b"y" * (FRAME_BYTES // 3)),) * 4 + (big, b"1"):
+        line.put(kind=Kind.ORDER, body=body)
+    assert [len(unbundle(body=line.take()[1])) for _ in range(4)] == [2, 2, 1, 1]
+
+
+def test_a_loss_on_a_lane_that_falls_silent_is_told_by_marks() -> None:
+    """The last order before a quiet minute was lost unnoticed until the next one."""
+    line = Line()
+    line.put(kind=Kind.ORDER, body=b"1")
+    line.take()
+    line.sent(real=True)
+    assert line.marks == TRAIL
+    line.take()
+    line.broken(held=True)
+    assert line.marks == OWED
+    line.take()
+    line.sent(real=False)
+    assert line.marks == TRAIL - 1
+
+
+@pytest.mark.parametrize("body", [b"", b"{}x", b'{"a":1}', b"[1]", b"[[1]]", b"[[1,2,3]]", b"null", b"[null]"])
+def test_unreadable_bodies_are_refused(body: bytes) -> None:
+    with pytest.raises((ValueError, TypeError)):
+        unbundle(body=body)
+
+
+def ports(n: int) -> list[int]:
+    socks = [socket.socket() for _ in range(n)]
+    for s in socks:
+        s.bind(("127.0.0.1", 0))
+    out: list[int] = [s.getsockname()[1] for s in socks]
+    for s in socks:
+        s.close()
+    return out
+
+
+def test_peers_batch_keep_order_per_lane_and_report_a_broken_body() -> None:
+    here, there = (f"127.0.0.1:{p}" for p in ports(2))
+    got: list[tuple[Lane, Kind, Any]] = []
+    lost: list[str] = []
+    full = trio.Event()
+
+    def sink(uid: str, lane: Lane, rows: list[tuple[Kind, Any]], gap: bool) -> None:
+        if gap:
+            lost.append(uid)
+        got.extend((lane, kind, m) for kind, m in rows)
+        if len(got) >= 601 and len(lost) >= 2:
+            full.set()
+
+    async def main() -> None:
+        log = Log(name="t", level="error")
+        a = Peers(addr=here, uid=here + "#0", boot=1, sink=lambda *_: None, log=log)
+        b = Peers(addr=there, uid=there + "#0", boot=1, sink=sink, log=log)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(a.run)
+                nursery.start_soon(b.run)
+                stream = None
+                while a._nursery is None or stream is None:
+                    try:
+                        stream = await trio.open_tcp_stream("127.0.0.1", int(there.split(":")[1]))
+                    except OSError:
+                        await trio.lowlevel.checkpoint()
+                await stream.aclose()
+                for i in range(300):
+                    a.send(addr=there, kind=Kind.ORDER, body=b"%d" % i)
+                    a.send(addr=there, kind=Kind.PING, body=b"%d" % i)
+                a.send(addr=there, kind=Kind.CKPT, body=b'"st"')
+                while len(got) < 601:
+                    await trio.lowlevel.checkpoint()
+                b._deliver(Frame(lane=2, src=here, uid=here + "#0", boot=1, seq=999, body=b"[[46"))
+                b._deliver(Frame(lane=1, src=here, uid=here + "#0", boot=1, seq=999, body=b"[]"))
+                await full.wait()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    for kind, lane in ((Kind.ORDER, Lane.WORK), (Kind.PING, Lane.URGENT)):
+        rows = [(at, m) for at, k, m in got if k is kind]
+        assert rows == [(lane, i) for i in range(300)]
+    assert [at for at, k, _ in got if k is Kind.CKPT] == [Lane.COPY]
+    assert len(lost) == 2     # the first frame of work, and the unreadable one; a lane of repeats reports none
+
+
+def test_one_frame_carries_what_waits() -> None:
+    line = Line()
+    for i in range(100):
+        line.put(kind=Kind.ENDS, body=b"%d" % i)
+    seq, body = line.take()
+    assert seq == 1 and not line.rows
+    raw = pack(frame=Frame(lane=2, src="a", uid="a#0", boot=1, seq=seq, body=body))
+    assert len(raw) < 1000 and body == bundle(rows=[(48, b"%d" % i) for i in range(100)])
+
+
+def test_ticks_and_urgent_inputs_pass_a_backlog() -> None:
+    done: list[str] = []
+    turns = Turns(tick=lambda: done.append("tick"), gap=0.05)
+    for i in range(200):
+        turns.put(fn=lambda i=i: done.append(f"w{i}"), rank=Rank.WORK)                # type: ignore[misc]
+        turns.put(fn=lambda i=i: done.append(f"c{i}"), rank=Rank.LATE, until=99.0)     # type: ignore[misc]
+    now = 1.0
+    while len(turns) and (fn := turns.take(now=now)) is not None:
+        if round(now * 1000) % 40 == 0:
+            turns.put(fn=lambda: done.append("ping"), rank=Rank.URGENT)
+        fn()
+        now += 0.01
+    work = [d for d in done if d[0] == "w"]
+    assert work == [f"w{i}" for i in range(200)]
+    ticks = [i for i, d in enumerate(done) if d == "tick"]
+    assert all(b - a <= 8 for a, b in zip(ticks, ticks[1:], strict=False))
+    assert sum(d[0] == "w" for d in done[:done.index("c0")]) == SHARE and "c199" in done
+
+
+def test_late_calls_that_nobody_waits_for_are_passed_over() -> None:
+    done: list[float] = []
+    turns = Turns(tick=lambda: None, gap=9.0)
+    turns.due = 99.0
+    for until in (1.0, 5.0):
+        turns.put(fn=lambda until=until: done.append(until), rank=Rank.LATE, until=until)  # type: ignore[misc]
+    while (fn := turns.take(now=2.0)) is not None:
+        fn()
+    assert done == [5.0] and len(turns) == 0
+
+
+class Node:
+    """What calls need of their node."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.at: tuple[str, int] | None = ("p1", 1)
+        self.sent: list[tuple[float, str]] = []
+        self.ended: list[int] = []
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        self.sent.append((round(self.now, 2), uid))
+
+    def primary(self, *, g: int) -> tuple[str, int] | None:
+        return self.at
+
+    def learn(self, *, eps: list[Any]) -> None:
+        self.at = eps[0]
+
+    def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
+        self.ended.append(status)
+
+
+def test_calls_back_off_and_follow_the_primary_at_once() -> None:
+    node = Node()
+    calls = Calls(hub=node, base=0)
+    calls.start(g=1, op="put", b={}, done=("x",), ttl=8.0)
+    while node.now < 5.0:
+        calls.tick()
+        node.now += 0.05
+    gaps = [b[0] - a[0] for a, b in zip(node.sent, node.sent[1:], strict=False)]
+    assert len(node.sent) <= 5 and gaps == sorted(gaps) and max(gaps) <= RESEND_MOST_S + 0.11
+    before = len(node.sent)
+    node.at = ("p2", 2)
+    calls.tick()
+    assert node.sent[before:] == [(round(node.now, 2), "p2")]
+    calls.lost(uid="p1")
+    assert len(node.sent) == before + 1
+    calls.lost(uid="p2")
+    assert len(node.sent) == before + 2
+    calls.reply(m={"rid": 1, "s": 421, "d": [("p3", 3)]})
+    assert node.sent[-1][1] == "p3" and node.ended == []
+    calls.reply(m={"rid": 1, "s": 200, "d": {}})
+    assert node.ended == [200]
+
+
+def test_a_repeat_of_a_call_in_hand_is_passed_over_and_one_after_its_answer_is_not() -> None:
+    sim, _, _, _ = cluster(seed=81)
+    ip = sim.serving(g=1)[0]
+    node = sim.core(ip)
+    taken: list[int] = []
+    placer = node.placers[1]
+    real = placer.call
+
+    def call(*, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
+        taken.append(rid)
+        real(uid=uid, rid=rid, op=op, b=b)
+
+    placer.call = call  # type: ignore[method-assign]
+    m = {"rid": 7, "g": 1, "op": "count", "b": {"q": "fast"}}
+    node.reps[1].commit(ev={"t": "forget", "ids": []})     # an answer must wait for this event
+    for _ in range(5):
+        node.on(uid="10.0.1.1:7001#ff", kind=Kind.CALL, m=orjson.loads(orjson.dumps(m)))
+    assert taken == [7]
+    sim.run(seconds=1.0)
+    node.on(uid="10.0.1.1:7001#ff", kind=Kind.CALL, m=m)
+    assert taken == [7, 7]
+
+
+def test_a_deposed_primary_sends_its_callers_on() -> None:
+    sim, _, _, _ = cluster(seed=82)
+    ip = sim.serving(g=1)[0]
+    node = sim.core(ip)
+    node.reps[1].commit(ev={"t": "forget", "ids": []})
+    node.on(uid="10.0.1.1:7001#ff", kind=Kind.CALL, m={"rid": 7, "g": 1, "op": "count", "b": {"q": "fast"}})
+    node.out.sends.clear()
+    node.leave()
+    rows = [orjson.loads(body) for _, kind, body in node.out.sends if kind is Kind.REPLY]
+    assert [(r["rid"], r["s"]) for r in rows] == [(7, 421)]
--- a/yarrowloom/node/calls.py
+++ b/yarrowloom/node/calls.py
@@ -1,11 +1,16 @@
-"""Calls from one node to whoever serves a group: sent again until answered, given up at a horizon."""
+"""Calls from one node to whoever serves a group: sent again until answered, given up at a horizon.
+
+What a call rests on may take longer than a repeat at its receiver, which therefore knows those it has in hand.
+"""
 
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from ..wire.frame import Kind
 
-RESEND_S = 0.4
+RESEND_S = 0.4        # doubles with each repeat, up to
+RESEND_MOST_S = 1.6
+HAND_S = 35.0         # longer than any call lives
 RETRY_S = 0.12
 NOT_PRIMARY = 421
 
@@ -41,6 +46,8 @@
     horizon: float
     again: float = 0.0
     sent: bool = False
+    wait: float = RESEND_S
+    asked: tuple[str, int] | None = None     # the primary, with its epoch, that it was last sent to
 
 
 class Calls:
@@ -61,10 +68,23 @@
     def _send(self, pend: Pending) -> None:
         prim = self.hub.primary(g=pend.g)
         uid = pend.to or (prim[0] if prim is not None else "")
-        pend.again = self.hub.now + (RESEND_S if uid else RETRY_S)
+        pend.again = self.hub.now + (pend.wait if uid else RETRY_S)
+        pend.asked = prim
         if uid:
             pend.sent = True
-            self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "g": pend.g, "op": pend.op, "b": pend.b})
+            pend.wait = min(2 * pend.wait, RESEND_MOST_S)
+            self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "g": pend.g, "op": pend.op, "b": pend.b,
+                                                         "ttl": round(pend.horizon - self.hub.now, 3)})
+
+    def _anew(self, pend: Pending) -> None:
+        pend.wait = RESEND_S
+        self._send(pend)
+
+    def lost(self, *, uid: str) -> None:
+        """Frames of a node were lost, perhaps answers."""
+        for pend in self.open.values():
+            if uid == (pend.to or (pend.asked[0] if pend.asked else "")):
+                self._anew(pend)
 
     def reply(self, *, m: dict[str, Any]) -> None:
         """An answer came."""
@@ -75,7 +95,7 @@
             before = self.hub.primary(g=pend.g)
             self.hub.learn(eps=m["d"])
             if self.hub.primary(g=pend.g) != before:
-                self._send(pend)
+                self._anew(pend)
             else:
                 pend.again = self.hub.now + RETRY_S
             return
@@ -89,5 +109,45 @@
             if now >= pend.horizon:
                 del self.open[pend.rid]
                 self.hub.called(done=pend.done, status=0, doc=None, sent=pend.sent)
+            elif not pend.to and self.hub.primary(g=pend.g) != pend.asked:
+                self._anew(pend)
             elif now >= pend.again:
                 self._send(pend)
+
+
+class InHand:
+    """Calls taken and not yet answered here, by caller and number. Invariant: a call is taken again only once its
+    answer has left, or this node no longer serves its group; so an answer that got lost is made again."""
+
+    def __init__(self) -> None:
+        self._at: dict[tuple[str, int], tuple[int, float]] = {}
+        self._swept = 0.0
+
+    def take(self, *, uid: str, rid: int, g: int, now: float) -> bool:
+        """Whether a call is new.
+
+        >>> hand = InHand()
+        >>> hand.take(uid="a", rid=1, g=1, now=0.0), hand.take(uid="a", rid=1, g=1, now=0.4)
+        (True, False)
+        >>> hand.drop(uid="a", rid=1)
+        >>> hand.take(uid="a", rid=1, g=1, now=0.8), hand.leave(g=1)
+        (True, [('a', 1)])
+        """
+        if (uid, rid) in self._at:
+            return False
+        self._at[uid, rid] = (g, now)
+        return True
+
+    def drop(self, *, uid: str, rid: int) -> None:
+        """It is answered."""
+        self._at.pop((uid, rid), None)
+
+    def leave(self, *, g: int) -> list[tuple[str, int]]:
+        """Let go of all of a group."""
+        return [key for key, (of, _) in list(self._at.items()) if of == g and self._at.pop(key)]
+
+    def sweep(self, *, now: float) -> None:
+        """Forget what nobody waits for any more."""
+        if now - self._swept > HAND_S / 2:
+            self._swept = now
+            self._at = {key: row for key, row in self._at.items() if now - row[1] < HAND_S}
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -8,7 +8,7 @@
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
-from .calls import NOT_PRIMARY
+from .calls import NOT_PRIMARY, InHand
 from .chief import LEASE_S
 from .control import dispatch
 from .hub import CoreHub
@@ -24,6 +24,7 @@
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
                  rand: float = 0.5) -> None:
         super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand)
+        self.hand = InHand()
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
             "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
@@ -101,9 +102,8 @@
         """A core's heart tells what its agent owns."""
         return {**super().heart(), "own": [[m.mid, m.fence] for m in self.agent.minions.values()]}
 
-    def on(self, *, uid: str, kind: Kind, body: bytes) -> None:
-        """One frame from `uid`."""
-        m = self.load(body=body)
+    def on(self, *, uid: str, kind: Kind, m: Any) -> None:
+        """One message from `uid`, parsed; it is the node's from now on."""
         if kind in REC:
             self.reps[m["g"]].on(uid=uid, kind=kind, m=m)
         elif kind is Kind.HEART:
@@ -127,15 +127,30 @@
 
     def _call(self, *, uid: str, m: dict[str, Any]) -> None:
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
+        if not self.hand.take(uid=uid, rid=rid, g=g, now=self.now):
+            return
         if g < 0:
             self._handed(uid=uid, rid=rid, op=op, b=b)
         elif not self.reps[g].serving():
             self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
         elif g == 0:
             self._serve0(uid=uid, rid=rid, op=op, b=b)
+            if op == "leave":     # the minion's agent answers
+                self.hand.drop(uid=uid, rid=rid)
         else:
             self.placers[g].call(uid=uid, rid=rid, op=op, b=b)
 
+    def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
+        """Answer a call of another node."""
+        self.hand.drop(uid=uid, rid=rid)
+        super().reply(uid=uid, rid=rid, status=status, doc=doc)
+
+    def deposed(self, *, g: int) -> None:
+        """Calls in hand are not answered here any more: their callers look for the next primary at once."""
+        super().deposed(g=g)
+        for uid, rid in self.hand.leave(g=g):
+            self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
+
     def _jobs(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
         if kind is Kind.ATTACH:
             self.agent.attach(uid=uid, b=m)
@@ -200,6 +215,7 @@
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
+        self.calls.lost(uid=uid)
         self.agent.gap(uid=uid)
         for g, p in self.placers.items():
             if self.reps[g].serving():
@@ -219,6 +235,7 @@
                 self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
             self.chief.tick()
         self.calls.tick()
+        self.hand.sweep(now=self.now)
         for rep in self.reps.values():
             rep.tick()
         self.agent.tick()
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -151,9 +151,8 @@
 
     # -- frames and time
 
-    def on(self, *, uid: str, kind: Kind, body: bytes) -> None:
-        """One frame."""
-        m = self.load(body=body)
+    def on(self, *, uid: str, kind: Kind, m: Any) -> None:
+        """One message."""
         if kind is Kind.HEARTOK:
             self.contact = max(self.contact, self.now - m.get("age", 0.0))
             if m.get("via"):
@@ -184,7 +183,8 @@
         return super().targets()
 
     def gap(self, *, uid: str) -> None:
-        """Frames were lost: calls repeat by themselves."""
+        """Frames were lost, perhaps answers: ask again at once."""
+        self.calls.lost(uid=uid)
 
     def tick(self) -> None:
         """Several times a second."""
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -1,9 +1,13 @@
-"""The trio shell round a node: sockets, disk and clocks; the node itself is a pure state machine."""
+"""The trio shell round a node: sockets, disk and clocks; the node itself is a pure state machine.
 
+Inputs are queued by their tasks and taken by one task, which yields after each short slice: so hundreds of beats
+that arrive together hold up neither ticks nor hearts.
+"""
+
+import math
 import secrets
 import signal
 import time
-from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -14,15 +18,19 @@
 from ..base.log import Log
 from ..base.startup import Startup, load
 from ..store import Ring
-from ..wire.frame import Kind, dump
+from ..wire.frame import Kind, Lane, dump
 from ..wire.http import Request, Response, Server, listen
-from ..wire.peer import Peers
+from ..wire.peer import Peers, Rows
 from .core import CoreNode
 from .edge import EdgeNode
+from .turns import Input, Rank, Turns, rank_of
 
 TICK_CORE_S = 0.05
 TICK_EDGE_S = 0.1
 QUIET_S = 1.0
+SLICE_S = 0.004
+LONG_S = 0.02         # after a slice this long all sockets are read before the next tick
+WAIT_S = 30.0         # an HTTP call that the node has not answered by then gets 504
 Node = CoreNode | EdgeNode
 
 
@@ -33,15 +41,18 @@
         self.node = node
         self.log = log
         self.ring = ring
-        self.peers = Peers(addr=f"{node.startup.ip}:{port}", uid=node.uid, boot=node.boot, sink=self._frame,
-                           gap=self._gap, log=log)
-        self.waits: dict[int, tuple[trio.Event, list[Response]]] = {}
+        self.peers = Peers(addr=f"{node.startup.ip}:{port}", uid=node.uid, boot=node.boot, sink=self._frames,
+                           log=log)
+        self.turns = Turns(tick=self._tick, gap=TICK_CORE_S if isinstance(node, CoreNode) else TICK_EDGE_S)
+        self.wake = trio.Event()
+        self.swept = 0.0
+        self.waits: dict[int, tuple[trio.Event, list[Response], float]] = {}
         self.call = 0
         self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
         self.dirty = trio.Event()
         self.servers: list[Server] = []
 
-    def step(self, fn: Callable[[], None]) -> None:
+    def step(self, fn: Input) -> None:
         """Give the node one input and carry out what it wants."""
         node = self.node
         node.now, node.wall = time.monotonic(), time.time()
@@ -61,14 +72,53 @@
                 wait[1].append(res)
                 wait[0].set()
 
-    def _frame(self, uid: str, _addr: str, kind: Kind, body: bytes) -> None:
+    def post(self, *, fn: Input, rank: Rank, until: float = math.inf) -> None:
+        """Queue an input for the node."""
+        self.turns.put(fn=fn, rank=rank, until=until)
+        self.wake.set()
+
+    def _frames(self, uid: str, lane: Lane, rows: Rows, lost: bool) -> None:
+        if lost:
+            self.post(fn=partial(self.node.gap, uid=uid), rank=Rank.WORK)
+        for kind, m in rows:
+            rank = rank_of(kind=kind, m=m)
+            until = time.monotonic() + float(m.get("ttl", WAIT_S)) if rank is Rank.LATE else math.inf
+            self.post(fn=partial(self._on, uid, kind, m), rank=rank, until=until)
+
+    def _on(self, uid: str, kind: Kind, m: Any) -> None:
         try:
-            self.step(partial(self.node.on, uid=uid, kind=kind, body=body))
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
+            self.node.on(uid=uid, kind=kind, m=m)
+        except (KeyError, TypeError, ValueError) as err:
             self.log.warn("frame-malformed", kind=kind.name, peer=uid, why=repr(err))
 
-    def _gap(self, uid: str) -> None:
-        self.step(partial(self.node.gap, uid=uid))
+    def _tick(self) -> None:
+        now = self.node.now
+        if now - self.swept > 1.0:
+            self.swept = now
+            for event, _, until in list(self.waits.values()):
+                if now > until:
+                    event.set()
+        self.node.tick()
+
+    async def work(self) -> None:
+        """Take inputs in their order, a slice at a time, so that the other tasks get theirs."""
+        turns = self.turns
+        while True:
+            begun = now = time.monotonic()
+            while now - begun < SLICE_S:
+                fn = turns.take(now=now)
+                if fn is None:
+                    break
+                self.step(fn)
+                now = time.monotonic()
+            if now - begun > LONG_S:     # one round of tasks finds what has arrived, the next one has taken it
+                await trio.lowlevel.checkpoint()
+            if len(turns):
+                await trio.lowlevel.checkpoint()
+                continue
+            self.wake = trio.Event()
+            with trio.move_on_after(max(0.0, turns.due - now)):
+                await self.wake.wait()
 
     async def handle(self, req: Request) -> Response:
         """One HTTP call: wait for the node's answer."""
@@ -76,11 +126,10 @@
         key = self.call
         box: list[Response] = []
         event = trio.Event()
-        self.waits[key] = (event, box)
+        self.waits[key] = (event, box, time.monotonic() + WAIT_S)
         try:
-            self.step(partial(self.node.http, call=key, req=req))
-            with trio.move_on_after(30):
-                await event.wait()
+            self.post(fn=partial(self.node.http, call=key, req=req), rank=Rank.WORK)
+            await event.wait()
         finally:
             del self.waits[key]
         return box[0] if box else Response(status=504)
@@ -92,13 +141,6 @@
         good = req.path.startswith("/readiness") and isinstance(node, EdgeNode) and node.ready()
         return Response(status=200 if good else 503)
 
-    async def ticks(self) -> None:
-        """Time goes on."""
-        gap = TICK_CORE_S if isinstance(self.node, CoreNode) else TICK_EDGE_S
-        while True:
-            self.step(self.node.tick)
-            await trio.sleep(gap)
-
     async def writer(self) -> None:
         """Write and sync records in batches; effects follow."""
         ring, node = self.ring, self.node
@@ -120,7 +162,7 @@
                     self.disk = batch + self.disk
                     await trio.sleep(0.2)
                     continue
-                self.step(partial(node.done, effs=[eff for _, eff in batch]))
+                self.post(fn=partial(node.done, effs=[eff for _, eff in batch]), rank=Rank.URGENT)
 
     @staticmethod
     def _put(ring: Ring, head: list[bytes], bodies: list[bytes]) -> None:
@@ -199,7 +241,7 @@
                 srv.limits.body_bytes, srv.limits.idle_ms, srv.limits.header_bytes = 16 << 20, 60000, 65536
                 self.servers.append(srv)
                 nursery.start_soon(partial(listen, addr=binds["control"], server=srv))
-            nursery.start_soon(self.ticks)
+            nursery.start_soon(self.work)
             nursery.start_soon(self.watch_settings)
             nursery.start_soon(self.stop_on_term, nursery.cancel_scope)
             self.log.info("started", role=node.kind, uid=node.uid)
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -1,7 +1,8 @@
-"""What nodes say to each other: one protobuf envelope, length-prefixed, with a JSON body of plain data."""
+"""What nodes say to each other: one protobuf envelope, length-prefixed, with a JSON body of many messages."""
 
 import enum
 import struct
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,7 +14,7 @@
 
 
 class Kind(enum.IntEnum):
-    """Kinds of frames."""
+    """Kinds of messages."""
 
     HEART = 1
     HEARTOK = 2
@@ -49,11 +50,34 @@
     NAK = 53
 
 
+class Lane(enum.IntEnum):
+    """Streams between two nodes, each with a connection and a sequence of its own.
+
+    One stream cannot do: a PING behind 2 MB of checkpoint or a second of orders comes too late, and if it overtook
+    them inside one sequence, what it overtook would count as lost. Splitting is right because no message of one
+    lane relies on one of another: hearts, news and record messages are repeated until answered and checked by
+    epoch and number, so they need no report of a gap; leases, orders, ends and attachments rely on each other only,
+    and a gap among them makes both sides attach anew. A checkpoint is asked for and answered by its tag.
+    """
+
+    URGENT = 1
+    WORK = 2
+    COPY = 3
+
+
+_URGENT = frozenset({Kind.HEART, Kind.HEARTOK, Kind.NEWS, Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED,
+                     Kind.INSTALL, Kind.INSTALLED, Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG,
+                     Kind.YIELD})
+LANES: dict[Kind, Lane] = {k: Lane.COPY if k is Kind.CKPT else Lane.URGENT if k in _URGENT else Lane.WORK
+                           for k in Kind}
+
+
 @dataclass
 class Frame(betterproto.Message):  # type: ignore[misc]
-    """Invariant: `seq` rises per sender life (`boot`) and receiver; a receiver drops what does not rise."""
+    """Invariant: `seq` rises per sender life (`boot`), receiver and lane; a receiver drops what does not rise.
+    `body` is a JSON array of [kind, message]; an empty one only carries the sequence."""
 
-    kind: int = betterproto.uint32_field(1)
+    lane: int = betterproto.uint32_field(1)
     src: str = betterproto.string_field(2)
     uid: str = betterproto.string_field(3)
     boot: int = betterproto.uint64_field(4)
@@ -68,10 +92,36 @@
 
 
 def dump(*, body: Any) -> bytes:
-    """Encode a body."""
+    """Encode a message."""
     return orjson.dumps(body, option=orjson.OPT_NON_STR_KEYS)
 
 
+def bundle(*, rows: Iterable[tuple[int, bytes]]) -> bytes:
+    """Encoded messages as the body of one frame.
+
+    >>> bundle(rows=[(20, b'{"g":1}'), (21, b'{}')])
+    b'[[20,{"g":1}],[21,{}]]'
+    """
+    return b"[" + b",".join([b"[%d,%b]" % row for row in rows]) + b"]"
+
+
+def unbundle(*, body: bytes) -> list[tuple[Kind, Any]]:
+    """Messages of a frame, parsed at once; kinds that are not known are left out. Raises ValueError.
+
+    >>> unbundle(body=b'[[20,{"g":1}],[9999,{}]]')
+    [(<Kind.PING: 20>, {'g': 1})]
+    """
+    out: list[tuple[Kind, Any]] = []
+    known = Kind._value2member_map_
+    for row in orjson.loads(body):
+        if not isinstance(row, list) or len(row) != 2:
+            raise ValueError("not a message")
+        kind = known.get(row[0]) if isinstance(row[0], int) else None
+        if isinstance(kind, Kind):
+            out.append((kind, row[1]))
+    return out
+
+
 class Splitter:
     """Cuts a byte stream into frames; raises ValueError on anything malformed."""
 
@@ -81,7 +131,7 @@
     def feed(self, data: bytes) -> list[Frame]:
         """Take bytes, return whole frames.
 
-        >>> one = pack(frame=Frame(kind=1, src="a", body=b"{}"))
+        >>> one = pack(frame=Frame(lane=1, src="a", body=b"[]"))
         >>> cut = Splitter()
         >>> [f.src for f in cut.feed(one[:5]) + cut.feed(one[5:] + one)]
         ['a', 'a']
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -1,95 +1,163 @@
-"""Frames between nodes over TCP: one sending task per peer, one receiving task per connection.
+"""Frames between nodes over TCP: per peer and lane one sending task; one receiving task per connection.
 
 Frames may be lost (a connection that breaks drops what it held); they never repeat and never go back.
 """
 
-import math
 import socket
+from collections import deque
 from collections.abc import Callable
+from typing import Any
 
+import orjson
 import trio
 
 from ..base.log import Log
-from .frame import Frame, Kind, Splitter, pack
+from .frame import LANES, Frame, Kind, Lane, Splitter, bundle, pack, unbundle
 
-_USER_TIMEOUT = 18  # TCP_USER_TIMEOUT, absent from the socket module on some builds
-Sink = Callable[[str, str, Kind, bytes], None]
+_USER_TIMEOUT = 18    # TCP_USER_TIMEOUT, absent from the socket module on some builds
+QUEUE_MOST = 8000     # messages waiting for one peer in one lane; what comes beyond is dropped
+FRAME_BYTES = 128 * 1024
+MARK_S = 0.5
+TRAIL = 4             # marks after the last message: longer than a dead connection stays unnoticed
+OWED = 60             # marks tried after a loss
+Rows = list[tuple[Kind, Any]]
+Sink = Callable[[str, Lane, Rows, bool], None]
+
+
+class Line:
+    """What waits for one peer in one lane. Invariants: each frame's `seq` is above the last one's, and by more than
+    one exactly if messages between them were dropped; messages leave in the order in which they came."""
+
+    def __init__(self) -> None:
+        self.rows: deque[tuple[int, bytes]] = deque()
+        self.seq = 0
+        self.marks = 0
+        self.full = False
+
+    def put(self, *, kind: Kind, body: bytes) -> bool:
+        """Queue a message; false: dropped."""
+        if len(self.rows) >= QUEUE_MOST:
+            if not self.full:
+                self.seq += 1
+            self.full = True
+            return False
+        self.rows.append((int(kind), body))
+        return True
+
+    def take(self) -> tuple[int, bytes]:
+        """The next frame's number and body: all that waits, bounded in bytes but at least one message."""
+        rows: list[tuple[int, bytes]] = []
+        size = 0
+        while self.rows and (not rows or size + len(self.rows[0][1]) <= FRAME_BYTES):
+            rows.append(self.rows.popleft())
+            size += len(rows[-1][1])
+        self.seq += 1
+        self.full = False
+        return self.seq, bundle(rows=rows)
+
+    def broken(self, *, held: bool) -> None:
+        """A frame was not sent (`held`: messages, or what a connection held, are lost with it): neither is what
+        waits behind it, which would be stale by then."""
+        self.marks = OWED if held or self.rows else self.marks - 1
+        self.rows.clear()
+        self.seq += 1
+
+    def sent(self, *, real: bool) -> None:
+        """A frame has left."""
+        self.marks = TRAIL if real else min(self.marks, TRAIL) - 1
+
+
+class Seen:
+    """The newest frame taken from each peer in each lane."""
+
+    def __init__(self) -> None:
+        self._at: dict[tuple[str, int], tuple[int, int]] = {}
+
+    def take(self, *, src: str, lane: int, boot: int, seq: int) -> tuple[bool, bool]:
+        """Whether a frame is to be taken, and whether others before it are missing.
+
+        >>> seen = Seen()
+        >>> [seen.take(src="a", lane=2, boot=1, seq=n) for n in (1, 2, 2, 4)]
+        [(True, True), (True, False), (False, False), (True, True)]
+        """
+        old = self._at.get((src, lane), (0, 0))
+        if (boot, seq) <= old:
+            return False, False
+        self._at[src, lane] = (boot, seq)
+        return True, boot != old[0] or seq != old[1] + 1
 
 
 class Peers:
-    """Owns the sockets to and from other nodes. `sink` takes (uid, addr, kind, body)."""
+    """Owns the sockets to and from other nodes. `sink` takes (uid, lane, messages, whether any before are lost);
+    losses are told for the lane of work only."""
 
-    def __init__(self, *, addr: str, uid: str, boot: int, sink: Sink, gap: Callable[[str], None],
-                 log: Log) -> None:
+    def __init__(self, *, addr: str, uid: str, boot: int, sink: Sink, log: Log) -> None:
         self.addr = addr
         self.uid = uid
         self.boot = boot
         self.sink = sink
-        self.gap = gap
         self.log = log
-        self._out: dict[str, trio.MemorySendChannel[bytes]] = {}
-        self._seq: dict[str, int] = {}
-        self._seen: dict[str, tuple[int, int]] = {}
+        self._out: dict[tuple[str, Lane], tuple[Line, trio.Event]] = {}
+        self._seen = Seen()
         self._nursery: trio.Nursery | None = None
 
     def send(self, *, addr: str, kind: Kind, body: bytes) -> None:
-        """Queue a frame; dropped when the peer's queue is full."""
-        if addr == self.addr:
-            self._loop.send_nowait((kind, body))
+        """Queue a message; dropped when the peer's queue is full."""
+        lane = LANES[kind]
+        if addr == self.addr:     # parsed, not handed over: what a state machine holds must not be shared
+            self.sink(self.uid, lane, [(kind, orjson.loads(body))], False)
             return
-        seq = self._seq.get(addr, 0) + 1
-        self._seq[addr] = seq
-        raw = pack(frame=Frame(kind=int(kind), src=self.addr, uid=self.uid, boot=self.boot, seq=seq, body=body))
-        chan = self._out.get(addr)
-        if chan is None:
-            chan, recv = trio.open_memory_channel[bytes](4000)
-            self._out[addr] = chan
+        pair = self._out.get((addr, lane))
+        if pair is None:
+            pair = self._out[addr, lane] = (Line(), trio.Event())
             assert self._nursery is not None
-            self._nursery.start_soon(self._pump, addr, recv)
-        try:
-            chan.send_nowait(raw)
-        except trio.WouldBlock:
-            self.log.warn("peer-queue-full", peer=addr)
+            self._nursery.start_soon(self._pump, addr, lane, pair[0])
+        line, wake = pair
+        full = line.full
+        if not line.put(kind=kind, body=body) and not full:
+            self.log.warn("peer-queue-full", peer=addr, lane=lane.name)
+        wake.set()
 
     async def run(self) -> None:
         """Serve for ever."""
-        self._loop, recv = trio.open_memory_channel[tuple[Kind, bytes]](math.inf)
         host, port = self.addr.rsplit(":", 1)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._self_loop, recv)
             lst = await trio.open_tcp_listeners(int(port), host=host, backlog=256)
             nursery.start_soon(trio.serve_listeners, self._take, lst)
 
-    async def _self_loop(self, recv: trio.MemoryReceiveChannel[tuple[Kind, bytes]]) -> None:
-        async for kind, body in recv:
-            self.sink(self.uid, self.addr, kind, body)
+    async def _next(self, *, addr: str, lane: Lane, line: Line) -> bool:
+        """Wait for messages; false: none, but a mark is due."""
+        wake = self._out[addr, lane][1]
+        if not line.rows:
+            if lane is Lane.WORK and line.marks > 0:
+                with trio.move_on_after(MARK_S):
+                    await wake.wait()
+            else:
+                await wake.wait()
+        self._out[addr, lane] = (line, trio.Event())
+        return bool(line.rows)
 
-    async def _pump(self, addr: str, recv: trio.MemoryReceiveChannel[bytes]) -> None:
+    async def _pump(self, addr: str, lane: Lane, line: Line) -> None:
         host, port = addr.rsplit(":", 1)
         stream: trio.SocketStream | None = None
-        async for raw in recv:
-            parts = [raw]
-            try:
-                while sum(map(len, parts)) < 262144:
-                    parts.append(recv.receive_nowait())
-            except trio.WouldBlock:
-                pass
+        while True:
+            real = await self._next(addr=addr, lane=lane, line=line)
+            seq, body = line.take()
+            raw = pack(frame=Frame(lane=int(lane), src=self.addr, uid=self.uid, boot=self.boot, seq=seq, body=body))
             try:
                 with trio.fail_after(1.0):
                     if stream is None:
                         stream = await self._dial(host=host, port=int(port))
-                with trio.fail_after(2.0):
-                    await stream.send_all(b"".join(parts))
+                # A dead peer is found by the socket's own time limit; a slow link may take long over a frame.
+                with trio.fail_after(10.0):
+                    await stream.send_all(raw)
+                line.sent(real=real)
             except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
+                line.broken(held=real or stream is not None)
                 if stream is not None:
                     await trio.aclose_forcefully(stream)
                 stream = None
-                try:
-                    while True:
-                        recv.receive_nowait()
-                except trio.WouldBlock:
-                    pass
                 await trio.sleep(0.05)
 
     async def _dial(self, *, host: str, port: int) -> trio.SocketStream:
@@ -120,15 +188,13 @@
             await trio.aclose_forcefully(stream)
 
     def _deliver(self, frm: Frame) -> None:
-        boot, seq = self._seen.get(frm.src, (0, 0))
-        if frm.boot < boot or (frm.boot == boot and frm.seq <= seq):
+        fresh, lost = self._seen.take(src=frm.src, lane=frm.lane, boot=frm.boot, seq=frm.seq)
+        if not fresh:
             return
-        self._seen[frm.src] = (frm.boot, frm.seq)
-        if frm.boot != boot or frm.seq != seq + 1:
-            self.gap(frm.uid)
         try:
-            kind = Kind(frm.kind)
-        except ValueError:
-            self.log.warn("peer-unknown-kind", kind=frm.kind)
-            return
-        self.sink(frm.uid, frm.src, kind, frm.body)
+            lane, rows = Lane(frm.lane), unbundle(body=frm.body)
+        except (ValueError, TypeError) as err:
+            self.log.warn("frame-malformed", peer=frm.uid, why=repr(err))
+            lane, rows, lost = Lane.WORK, [], True
+        if rows or lost:
+            self.sink(frm.uid, lane, rows, lost and lane is Lane.WORK)
