A node that stood still is not taken for dead, nor does it take others for dead; cheap campaigns

Silence of a backup and of the own disk counts from when this process last stood still; hearts heard before a standstill of more than 0.3 s do not age by it, at the chief too. A backup is replaced after 1.1 s (0.9 before), other witnesses only after they were wished for 2 s. A campaign encodes its state once, writes it once and has one tag for all members it tries; its patience grows with each try. States travel and lie on disk as text, so the backup does not parse what it only keeps. Jobs.load takes over its argument (its test now hands over a copy).

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -91,7 +91,7 @@
             if how == "done":
                 done.add((jid, key, i))
         twin = Jobs()
-        twin.load(jobs.dump())
+        twin.load(orjson.loads(orjson.dumps(jobs.dump())))
         assert twin.dump() == jobs.dump()
         assert twin.on == jobs.on
         assert {q: n for q, n in twin.pending.items() if n} == {q: n for q, n in jobs.pending.items() if n}
--- a/yarrowloom/job/state.py
+++ b/yarrowloom/job/state.py
@@ -3,8 +3,6 @@
 import enum
 from typing import Any
 
-import orjson
-
 Effect = tuple[Any, ...]
 
 
@@ -67,8 +65,8 @@
         return self.jobs
 
     def load(self, doc: Any) -> None:
-        """Replace all of it; indexes are derived."""
-        self.jobs = orjson.loads(orjson.dumps(doc))
+        """Replace all of it; indexes are derived. `doc` is its own from now on."""
+        self.jobs = doc
         self.on, self.pending = {}, {}
         for jid, job in self.jobs.items():
             if job["st"] == State.PENDING:
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -15,7 +15,7 @@
 
 REC = frozenset({Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED, Kind.INSTALL, Kind.INSTALLED, Kind.CKPT,
                  Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG, Kind.YIELD})
-THAW_S = 0.5
+THAW_S = 0.3
 
 
 class CoreNode(CoreHub):
@@ -225,8 +225,7 @@
         """About twenty times a second."""
         if self.now - self.ticked > THAW_S:
             self.note(event="stood-still", s=round(self.now - self.ticked, 2))
-            for rep in self.reps.values():
-                rep.thawed()
+            self._thawed(slept=self.now - self.ticked)
         self.ticked = self.now
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
@@ -244,6 +243,14 @@
                 p.tick()
         self._flush()
 
+    def _thawed(self, *, slept: float) -> None:
+        """The process stood still: what others may have said meanwhile is not silence of theirs."""
+        for rep in self.reps.values():
+            rep.thawed()
+        for at in (self.heard, self.roster, self.chief.last if self.chief is not None else {}):
+            for uid, when in at.items():
+                at[uid] = min(when + slept, self.now)
+
     def leave(self) -> None:
         """The process is to end: hand the groups served here to their backups."""
         for rep in self.reps.values():
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -5,7 +5,7 @@
 
 from ..wire.frame import Kind
 from .epoch import Ballot, Epoch, majority
-from .parts import PROMISE_S
+from .parts import PROMISE_S, encode
 
 if TYPE_CHECKING:
     from .replica import Replica
@@ -28,14 +28,17 @@
     Phase.ACCEPT: frozenset({Phase.INSTALL, Phase.PREPARE}),
     Phase.INSTALL: frozenset({Phase.PICK}),
 }
-COPY_S = 0.6
-VOTE_S = 0.5
+COPY_S = 0.6          # doubles with each member tried, up to
+COPY_MOST_S = 2.4
+VOTE_S = 0.5          # grows with each round, up to
+VOTE_MOST_S = 2.0
 INSTALL_S = 1.0
 
 
 class Campaign:
     """Invariant: what is proposed names as backup only a member that has synced the checkpoint with this tag, and
-    a value that any witness may already have voted for is finished rather than replaced."""
+    a value that any witness may already have voted for is finished rather than replaced. Nothing is committed during
+    a campaign, so the state is encoded once, and one tag stands for it with all members that are tried."""
 
     def __init__(self, *, rep: "Replica", why: str, avoid: str, first: str) -> None:
         self.rep = rep
@@ -47,6 +50,10 @@
         self.since = rep.hub.now
         self.round = 0
         self.tag = ""
+        self.inst = -1
+        self.text = ""
+        self.copies = 0
+        self.votes = 0
         self.backup = ""
         self.near = False
         self.far = False
@@ -55,6 +62,7 @@
         self.ballot: Ballot = [0, rep.hub.uid]
         self.value: Epoch | None = None
         self.sent = 0.0
+        self.patience = 0.0
 
     def _go(self, phase: Phase) -> None:
         assert phase in MOVES[self.phase], (self.phase, phase)
@@ -67,9 +75,9 @@
         hub, age = self.rep.hub, self.rep.hub.now - self.since
         if self.phase is Phase.PICK:
             self._pick()
-        elif self.phase is Phase.COPY and age > COPY_S:
+        elif self.phase is Phase.COPY and age > self.patience:
             self._go(Phase.PICK)
-        elif self.phase in (Phase.PREPARE, Phase.ACCEPT) and age > VOTE_S * (1 + hub.jitter()):
+        elif self.phase in (Phase.PREPARE, Phase.ACCEPT) and age > self.patience:
             self._prepare()
         elif self.phase is Phase.INSTALL:
             if age > INSTALL_S:
@@ -92,18 +100,27 @@
         if not want and not solo:
             self.tried = set()
             self.avoid = ""
-            rep.rest = hub.now + 0.2
+            rep.rest = hub.now + 0.2 * (1 + hub.jitter())
             return
         self.backup = "" if solo else want[0]
         self.tried.add(self.backup)
-        self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
-        self.near, self.far = False, solo
+        self.far = solo
+        self.patience = min(COPY_S * 2 ** self.copies, COPY_MOST_S) * (1 + hub.jitter() / 2)
+        self.copies += 1
         self._go(Phase.COPY)
-        rec = {"k": "ck", "g": rep.g, "inst": e["n"] + 1, "tag": self.tag, "seq": rep.seq, "st": rep.state.dump()}
+        self.text = self.text or encode(state=rep.state)
+        fresh = self.inst != e["n"] + 1
+        if fresh:
+            self.inst, self.near = e["n"] + 1, False
+            self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
+        rec = {"k": "ck", "g": rep.g, "inst": self.inst, "tag": self.tag, "seq": rep.seq, "st": self.text}
         rep.keep(rec=rec)
-        hub.write(rec=rec, done=("copied", rep.g, self.tag))
+        if fresh:
+            hub.write(rec=rec, done=("copied", rep.g, self.tag))
         if not solo:
             hub.send(uid=self.backup, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
+        elif self.near:
+            self.copied(tag=self.tag, far=True)
 
     def copied(self, *, tag: str, far: bool) -> None:
         """A checkpoint is synced, here or at the backup."""
@@ -121,6 +138,8 @@
         e = self.rep.wit.seen
         assert e is not None
         self._go(Phase.PREPARE)
+        self.patience = min(VOTE_S * (1 + self.votes / 2), VOTE_MOST_S) * (1 + self.rep.hub.jitter())
+        self.votes += 1
         self.round += 1
         self.best = None
         self.ballot = [self.round, self.rep.hub.uid]
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -3,16 +3,21 @@
 import enum
 from typing import Any, Protocol
 
-from ..wire.frame import Kind
+import orjson
+
+from ..wire.frame import Kind, dump
 from .epoch import Epoch
 
 PROMISE_S = 1.2       # how long one word of the backup lets the primary act
 SILENCE_S = PROMISE_S * 1.05 + 0.15
-SUSPECT_S = 0.9       # a backup or disk that has not answered this long is replaced
+SUSPECT_S = 0.9       # a disk that has not answered this long is given up
+DOUBT_S = 1.1         # so is a backup: little before the promise ends, as it may only be busy and replacing it
+                      # makes all minions attach anew
 PING_S = 0.2
 RESEND_S = 0.3
 SPARES = 6
 REST_S = 3.0          # a primary that gave up its duty lets others try this long
+WANT_S = 2.0          # other witnesses must be wished for this long: a campaign costs more than a short absence
 
 
 class Reducer(Protocol):
@@ -25,7 +30,18 @@
         """All of it as plain data."""
 
     def load(self, doc: Any) -> None:
-        """Replace all of it."""
+        """Replace all of it; `doc` is the state's own from now on."""
+
+
+def encode(*, state: Reducer) -> str:
+    """The whole state as JSON text. It goes into records and frames as a string, so that none of those who only
+    carry it has to parse it or to write it anew."""
+    return dump(body=state.dump()).decode()
+
+
+def decode(*, text: Any) -> Any:
+    """The plain data of `encode`'s text; a record of the own state holds the data itself, written only once."""
+    return orjson.loads(text) if isinstance(text, str) else text
 
 
 class Hub(Protocol):
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -5,7 +5,22 @@
 from ..wire.frame import Kind
 from .ballot import Campaign
 from .epoch import Epoch, Witness
-from .parts import MOVES, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, Hub, Reducer, Role
+from .parts import (
+    DOUBT_S,
+    MOVES,
+    PING_S,
+    PROMISE_S,
+    RESEND_S,
+    REST_S,
+    SILENCE_S,
+    SPARES,
+    SUSPECT_S,
+    WANT_S,
+    Hub,
+    Reducer,
+    Role,
+    decode,
+)
 
 
 class Replica:
@@ -30,6 +45,8 @@
         self.fly: dict[str, Any] | None = None
         self.pinged = 0.0
         self.reset = 0.0
+        self.awake = 0.0      # when this process last stood still: silence counts from then
+        self.want: tuple[frozenset[str], float] = (frozenset(), 0.0)     # other witnesses, wished for since
         if epoch is not None and epoch["n"] == 0 and hub.uid in (epoch["p"], epoch["b"]):
             self.base = 0
             self._place()
@@ -122,7 +139,7 @@
             if self.wit.seen is None or rec["inst"] > self.wit.seen["n"]:
                 self.keep(rec=rec)
         elif kind == "st":
-            self.state.load(rec["st"])
+            self.state.load(decode(text=rec["st"]))
             self.base, self.seq = rec["n"], rec["seq"]
         elif kind == "lg" and rec["n"] == self.base and rec["seq"] == self.seq + 1:
             for ev in rec["evs"]:
@@ -152,9 +169,9 @@
 
     def _unpack(self, *, epoch: Epoch) -> bool:
         rec = self.spares.get(epoch["t"])
-        if rec is None or rec["inst"] != epoch["n"]:
+        if rec is None or rec["inst"] != epoch["n"] or self.hub.uid not in (epoch["p"], epoch["b"]):
             return False
-        self.state.load(rec["st"])
+        self.state.load(decode(text=rec["st"]))
         self.base, self.seq = epoch["n"], rec["seq"]
         return True
 
@@ -178,7 +195,8 @@
             self.take(why="restart")
 
     def thawed(self) -> None:
-        """The process stood still: silence proves nothing yet."""
+        """The process stood still: silence of others, and of the own disk, proves nothing yet."""
+        self.awake = self.hub.now
         self.heard = max(self.heard, self.hub.now)
         self.rest = max(self.rest, self.hub.now + 0.3)
 
@@ -191,26 +209,28 @@
             self.pinged = now
             self.hub.send(uid=e["b"], kind=Kind.PING, body={"g": self.g, "n": e["n"], "t": now})
         if self.fly is not None:
-            age = now - self.fly["t0"]
+            age = now - max(self.fly["t0"], self.awake)
             if age > SUSPECT_S and not self.fly["near"]:
                 self.until = 0.0
                 self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
                 self._become(Role.LAPSED)
                 self.rest = now + REST_S
                 return
-            if age > SUSPECT_S:
+            if age > DOUBT_S:
                 self.take(why="backup-slow", avoid=e["b"])
                 return
             if not self.fly["far"] and now - self.fly["t"] > RESEND_S:
                 self._fire()
         elif self.queue and now < self.until:
             self.flush()
-        if e["b"] and now > self.until - PROMISE_S + SUSPECT_S:
+        if e["b"] and now > max(self.until - PROMISE_S, self.awake) + DOUBT_S:
             self.take(why="backup-silent", avoid=e["b"])
         elif now >= self.reset:
             self.reset = now + 1.0
-            want = self.hub.witnesses(have=e["w"])
-            if set(want) != set(e["w"]):
+            want = frozenset(self.hub.witnesses(have=e["w"]))
+            if want != self.want[0]:
+                self.want = (want, now)
+            if want != frozenset(e["w"]) and now - self.want[1] >= WANT_S:
                 self.take(why="witnesses", stay=True)
 
     def hand_over(self) -> None:
