Plain HTTP requests take a short way; the first odd one passes its connection to h11

What the head may hold on the short way is a closed list; all else (other framing, Expect, Connection, HTTP/1.0, odd line ends, doubled fields, half requests) is h11's as before. A fuzz holds both ways against each other: same bytes, same time. A caller that does not read for 10 s no longer ends the process (TooSlowError was not caught).

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,11 +1,16 @@
 """The callers' side over in-memory streams and a simulated clock: limits, slow and broken heads, draining."""
 
+import random
 from typing import cast
 
+import h11
+import pytest
 import trio
 import trio.testing
 
+from yarrowloom.wire import http
 from yarrowloom.wire.http import Limits, Request, Response, Server
+from yarrowloom.wire.plain import write_head
 
 
 async def echo(req: Request) -> Response:
@@ -60,3 +65,76 @@
 def test_draining_answers_then_closes() -> None:
     got, took = talk(data=b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", closing=True)
     assert b"HTTP/1.1 200" in got and b"connection: close" in got.lower() and took < 1
+
+
+async def mirror(req: Request) -> Response:
+    return Response.of(200 if req.body else 404, [req.method, req.path, sorted(req.headers.items()), len(req.body)],
+                       headers=(("retry-after", "1"),))
+
+
+def pieces(*, parts: list[bytes], gap: float, end: bool) -> tuple[bytes, float]:
+    """Send parts with pauses between them; what came back, and when the server let go."""
+    async def main() -> tuple[bytes, float]:
+        ours, theirs = trio.testing.memory_stream_pair()
+        srv = Server(handler=mirror, limits=Limits(header_bytes=2048, body_bytes=500))
+        got = b""
+
+        async def push() -> None:
+            try:
+                for part in parts:
+                    await ours.send_all(part)
+                    await trio.sleep(gap)
+                if end:
+                    await ours.send_eof()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+
+        begun = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(srv.serve, cast(trio.SocketStream, theirs))
+            nursery.start_soon(push)
+            while chunk := await ours.receive_some(65536):
+                got += chunk
+            took = trio.current_time() - begun
+            nursery.cancel_scope.cancel()
+        return got, took
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+HEADS = [
+    b"PUT /minions/i HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+    b"PUT /m HTTP/1.1\r\nHost: h\r\nX: \t a b \t\r\nConnection: keep-alive\r\ncontent-length: 0\r\n\r\n",
+    b"GET /q?a=1 HTTP/1.1\r\nHost: h\r\nAccept:*/*\r\nY:\r\n\r\n", b"GET /q HTTP/1.1\r\n\r\n",
+    b"GET /q HTTP/1.0\r\nHost: h\r\n\r\n", b"HEAD /q HTTP/1.1\r\nHost: h\r\n\r\n",
+    b"GET /q HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", b"GET /q HTTP/1.1\nHost: h\n\n",
+    b"POST /q HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    b"POST /q HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab",
+    b"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+    b"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: -2\r\n\r\n", b"GET /q HTTP/1.1\r\nHost: h\r\n X: y\r\n\r\n",
+    b"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 501\r\n\r\n" + b"z" * 501, b"\x16\x03\x01",
+    b"GET /q HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 2100 + b"\r\n\r\n", b"GET / HTTP/1.1\r\nHost: \xe4\r\n\r\n",
+    b"GET /" + b"p" * 1990 + b" HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 1000 + b"\r\n\r\n",
+    b"GET /q HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", b"GET  /q HTTP/1.1\r\nHost: h\r\n\r\n", b"GET /q"]
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_the_short_way_answers_as_h11_does(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Plain and odd requests, one after another, in any pieces, slow, cut off or left open."""
+    rng = random.Random(seed)
+    raw = b"".join(rng.choice(HEADS[:3] if rng.random() < 0.6 else HEADS) for _ in range(rng.randint(1, 5)))
+    if rng.random() < 0.2:
+        raw = raw[:rng.randrange(len(raw)) + 1]
+    cuts = sorted(rng.randrange(len(raw) + 1) for _ in range(rng.randint(0, 4)))
+    parts = [p for a, b in zip([0, *cuts], [*cuts, len(raw)], strict=True) if (p := raw[a:b])]
+    gap, end = rng.choice([0.0, 0.0, 0.4, 1.4, 2.9]), rng.random() < 0.3
+    got, took = pieces(parts=parts, gap=gap, end=end)
+    monkeypatch.setattr(http, "read_head", lambda **_: False)
+    want, until = pieces(parts=parts, gap=gap, end=end)
+    assert got.lower() == want.lower() and abs(took - until) < 0.01
+
+
+def test_a_header_that_cannot_be_written_is_refused() -> None:
+    for val in ("a\r\nb: c", "a\nb", "\u20ac"):
+        with pytest.raises(h11.LocalProtocolError):
+            write_head(status=200, headers=(("x", val),), closing=False, size=0)
--- a/yarrowloom/wire/http.py
+++ b/yarrowloom/wire/http.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 served with h11 on trio: one task owns one connection."""
+"""HTTP/1.1 served on trio: one task owns one connection.
+
+Plain requests (see `plain`) take the short way; with the first that is not, the connection and all it has received
+pass to h11 for good.
+"""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -8,6 +12,7 @@
 import trio
 
 from .headers import Rule, screen
+from .plain import Head, read_head, write_head
 
 JSON = (("content-type", "application/json"),)
 
@@ -64,7 +69,7 @@
         """Own one connection until it ends."""
         try:
             await _Conn(server=self, stream=stream).run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, OSError):
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError, h11.ProtocolError, OSError):
             pass
         finally:
             with trio.move_on_after(0.5) as scope:
@@ -78,9 +83,64 @@
         self.stream = stream
         lim = server.limits
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=max(lim.header_bytes, 1024))
+        self.buf = bytearray()     # received and not yet used on the short way
+        self.horizon = 0.0         # of the request that is being read there
 
     async def run(self) -> None:
         first = True
+        while True:
+            req = await self._plain(first=first)
+            if req is None:
+                break
+            first = False
+            self.srv.busy += 1
+            try:
+                res = await self.srv.handler(req)
+            finally:
+                self.srv.busy -= 1
+            closing = self.srv.closing
+            head = write_head(status=res.status, headers=res.headers, closing=closing, size=len(res.body))
+            with trio.fail_after(10):
+                await self.stream.send_all(head + res.body)
+            if closing or ("connection", "close") in res.headers:
+                return
+        if self.buf:
+            self.conn.receive_data(bytes(self.buf))
+            await self._judged(first=first)
+
+    async def _plain(self, *, first: bool) -> Request | None:
+        """The next plain request; None: the connection is over, or what is in `buf` is for h11."""
+        lim = self.srv.limits
+        began = first or bool(self.buf)
+        self.horizon = trio.current_time() + (lim.header_ms if began else lim.idle_ms) / 1000
+        head: Head | None | bool = None
+        while True:
+            if self.buf:
+                if head is None:
+                    head = read_head(buf=self.buf, most=lim.header_bytes)
+                    if isinstance(head, Head):
+                        self.horizon = trio.current_time() + max(lim.header_ms, lim.idle_ms) / 1000
+                if head is False or isinstance(head, Head) and head.end - head.start > lim.body_bytes:
+                    return None
+                if isinstance(head, Head) and len(self.buf) >= head.end:
+                    body = bytes(self.buf[head.start:head.end])
+                    del self.buf[:head.end]
+                    return Request(method=head.method, path=head.path, headers=head.headers, body=body)
+            with trio.move_on_at(self.horizon) as scope:
+                data = await self.stream.receive_some(65536)
+            if scope.cancelled_caught:
+                if self.buf:
+                    await self._refuse(status=408)
+                    self.buf.clear()
+                return None
+            if not data:
+                return None     # h11 says what is wrong with half a request
+            if not began:
+                began = True
+                self.horizon = trio.current_time() + lim.header_ms / 1000
+            self.buf += data
+
+    async def _judged(self, *, first: bool) -> None:
         while True:
             req = await self._read(first=first)
             first = False
@@ -106,6 +166,9 @@
         wait = lim.header_ms if first else lim.idle_ms
         horizon = trio.current_time() + wait / 1000
         began = first
+        if self.buf:     # handed over: time goes on
+            self.buf.clear()
+            horizon, began = self.horizon, True
         while True:
             try:
                 ev = self.conn.next_event()
