--- /dev/null
+++ b/tests/simlink.py
@@ -0,0 +1,97 @@
+"""The simulated cluster with links of a bandwidth, frames counted, and frames lost by choice."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import orjson
+
+from tests.simfleet import HOST
+from tests.simnet import Proc, Sim
+from yarrowloom.base.startup import Startup
+from yarrowloom.node.edge import EdgeNode
+from yarrowloom.wire.frame import Kind
+
+HEAD = 80             # bytes of envelope and of TCP that come with each frame
+
+
+class LinkSim(Sim):
+    """`mbps`: an edge's link, each way; a core's is 100 times that. `frames`: (time, from, to, kind, size, body) of
+    HEARTOK and NEWS; `lose`: frames for which it is true do not arrive."""
+
+    def __init__(self, *, seed: int, mbps: float = 2.0, **kw: Any) -> None:
+        self.mbps = mbps
+        self.free: dict[tuple[str, str], float] = {}
+        self.frames: list[tuple[float, str, str, Kind, int, dict[str, Any]]] = []
+        self.lose: Callable[[str, str, Kind, dict[str, Any]], bool] = lambda src, dst, kind, m: False
+        super().__init__(seed=seed, **kw)
+
+    def startup(self, *, ip: str, first: bool) -> Startup:
+        return replace(super().startup(ip=ip, first=first), link_mbps=self.rate(ip))
+
+    def rate(self, ip: str) -> float:
+        return self.mbps if ip.split(".")[2] == "1" else 100 * self.mbps
+
+    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
+        size = len(body) + HEAD
+        for end in ((ip, "out"), (dst, "in")) if ip != dst else ():
+            at = max(self.now, self.free.get(end, 0.0)) + size * 8e-6 / self.rate(end[0])
+            self.free[end] = at
+            self.last[ip, dst] = max(self.last.get((ip, dst), 0.0), at)
+        if kind in (Kind.HEARTOK, Kind.NEWS):
+            m = orjson.loads(body)
+            self.frames.append((self.now, ip, dst, kind, size, m))
+            if self.lose(ip, dst, kind, m):
+                key = (ip, dst, proc.life)
+                self.seq[key] = self.seq.get(key, 0) + 1
+                return
+        super()._send(ip, proc, dst, kind, body)
+
+    def edges(self) -> list[EdgeNode]:
+        out = []
+        for ip in self.edge_ips:
+            node = self.procs[ip].node
+            assert isinstance(node, EdgeNode)
+            node.now = self.now
+            out.append(node)
+        return out
+
+    def stamps(self) -> set[int]:
+        """Versions in force at the edges."""
+        return {n.table.stamp if n.table is not None else 0 for n in self.edges()}
+
+    def news(self, *, what: str, since: float, to: str | None = None) -> list[tuple[str, str, int]]:
+        """(from, to, size) of frames to edges that carried a part of the news."""
+        return [(src, dst, size) for at, src, dst, kind, size, m in self.frames
+                if at >= since and dst in self.edge_ips and (to is None or dst == to)
+                and what in (m.get("news", {}) if kind is Kind.HEARTOK else m)]
+
+
+def large(*, version: int, routes: int = 510) -> dict[str, Any]:
+    """A configuration of two queues in use and many idle ones, about 100 KB."""
+    def row(name: str, prefix: str) -> dict[str, Any]:
+        return {"name": name, "host-name": HOST, "path-prefix": prefix, "route-kind": "mutating", "deadline-ms": 3000,
+                "target-ms": 2000, "rank": 1, "backend": "svc", "max-tries": 3, "stretch": 2.0}
+
+    rows = [row("fast", "/fast/"), row("slow", "/slow/")] + [row(f"r-{i:07}", f"/x{i:07}/") for i in range(routes)]
+    return {"config-version": version, "route-table": rows,
+            "service-table": [{"name": "svc", "conn-limit": 64, "guards": False}], "limits": {"idle-timeout-ms": 15000}}
+
+
+def patched(*, version: int, n: int = 1) -> dict[str, Any]:
+    """A change that takes one idle route out and adds others."""
+    rows = [{**large(version=1)["route-table"][0], "name": f"n-{version}-{i}", "path-prefix": f"/n{version}-{i}/"}
+            for i in range(n)]
+    return {"config-version": version, "upserts": {"route-table": rows},
+            "removals": {"route-table": [f"r-{version:07}"]}}
+
+
+def put(sim: Sim, *, method: str, doc: dict[str, Any], base: int) -> None:
+    """Send a configuration until it is accepted."""
+    for _ in range(20):
+        status, _ = sim.ask(ip=sim.rng.choice(sim.core_ips), method=method, path="/config", doc=doc,
+                            headers={"if-match": str(base)})
+        if status == 200:
+            return
+        sim.run(seconds=0.2)
+    raise AssertionError(status)
--- /dev/null
+++ b/tests/test_delta.py
@@ -0,0 +1,204 @@
+"""Changes of configurations against whole documents, look-ups against a plain scan, the journal of changes."""
+
+import random
+from typing import Any
+
+import orjson
+import pytest
+
+from yarrowloom.base.errs import StampError, StartupError
+from yarrowloom.base.startup import check
+from yarrowloom.fleet.conf import Table
+from yarrowloom.fleet.delta import History, diff, digest, merge, small
+from yarrowloom.fleet.registry import Registry
+
+Doc = dict[str, Any]
+
+
+def route(i: int, rank: Any = 1, host: str = "h.example") -> Doc:
+    return {"name": f"r{i}", "host-name": host, "path-prefix": f"/q{i}/", "deadline-ms": 3000, "target-ms": 2000,
+            "rank": rank, "backend": "svc", "max-tries": 3, "stretch": 2.0}
+
+
+def whole(*, version: int, routes: int) -> Doc:
+    return {"config-version": version, "route-table": [route(i) for i in range(routes)],
+            "service-table": [{"name": "svc", "guards": True}], "limits": {"idle-timeout-ms": 15000}}
+
+
+def changed(*, rng: random.Random, doc: Doc) -> Doc:
+    """Another configuration: rows changed, added at any place, dropped, now and then in another order."""
+    rows = list(doc["route-table"])
+    for _ in range(rng.randint(0, 4)):
+        at = rng.randrange(len(rows) + 1)
+        what = rng.choice(["add", "drop", "alter", "alter"])
+        if what == "add" or not rows:
+            rows.insert(at, route(rng.randrange(10 ** 6)))
+        elif what == "drop":
+            del rows[at % len(rows)]
+        else:
+            rows[at % len(rows)] = {**rows[at % len(rows)], "rank": rng.choice([0, 1, 1.0, 2])}
+    if rng.random() < 0.1:
+        rng.shuffle(rows)
+    out = {**doc, "config-version": doc["config-version"] + rng.randint(1, 3), "route-table": rows}
+    if rng.random() < 0.2:
+        out["limits"] = {"idle-timeout-ms": rng.randint(1, 9)}
+    if rng.random() < 0.1:
+        out["extra"] = [1, {"a": rng.random()}]
+    elif rng.random() < 0.1:
+        out.pop("extra", None)
+    if rng.random() < 0.1:
+        out["service-table"] = [*out["service-table"], {"name": f"s{rng.randrange(10 ** 6)}", "guards": False}]
+    return out
+
+
+def text(doc: Doc) -> bytes:
+    return orjson.dumps(doc, option=orjson.OPT_SORT_KEYS)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_changes_give_the_whole_document(seed: int) -> None:
+    rng = random.Random(seed)
+    doc = whole(version=1, routes=rng.randint(0, 12))
+    past, docs = History(), {1: doc}
+    past.add(doc=doc)
+    for _ in range(80):
+        doc = orjson.loads(orjson.dumps(changed(rng=rng, doc=doc)))
+        docs[doc["config-version"]] = doc
+        past.add(doc=doc)
+        stamp = rng.choice(list(docs))
+        delta = past.since(stamp=stamp)
+        if delta is None:
+            continue
+        wire = orjson.loads(orjson.dumps(delta))
+        assert wire["base"] == stamp and wire["to"] == doc["config-version"]
+        assert text(merge(doc=docs[stamp], delta=wire)) == text(doc)
+        other = History()
+        other.add(doc=docs[stamp])
+        got = other.taken(delta=wire)
+        assert got is not None and text(got) == text(doc)
+    assert len(past.docs) == History.STAMPS
+    assert past.since(stamp=1) is None
+
+
+def test_a_change_that_does_not_fit_is_seen() -> None:
+    old, new = whole(version=1, routes=5), whole(version=2, routes=6)
+    delta = diff(old=old, new=new)
+    past = History()
+    past.add(doc={**old, "route-table": [route(7), *old["route-table"][1:]]})
+    assert past.taken(delta=delta) is None
+    past = History()
+    past.add(doc=whole(version=9, routes=5))
+    assert past.taken(delta=delta) is None
+    assert digest(doc=new) == delta["sum"]
+
+
+def test_a_change_of_one_route_of_many_is_short_and_rows_are_shared() -> None:
+    past = History()
+    old = past.add(doc=whole(version=1, routes=510))
+    rows = [*old["route-table"][:200], route(9000), *old["route-table"][201:]]
+    fresh = orjson.loads(orjson.dumps({**old, "config-version": 3, "route-table": rows}))
+    new = past.add(doc=fresh)
+    delta = past.since(stamp=1)
+    assert delta is not None and len(orjson.dumps(delta)) < 600 and past.bytes > 70_000
+    assert sum(a is b for a, b in zip(old["route-table"], new["route-table"], strict=True)) == 509
+    assert past.since(stamp=1) is delta
+
+
+def test_history_is_bounded_by_rows_that_are_not_shared() -> None:
+    past = History()
+    for i in range(40):
+        past.add(doc={**whole(version=i + 1, routes=0), "route-table": [route(n, rank=i) for n in range(510)]})
+    assert len(past.docs) <= History.ROWS // 510 + 1
+    assert past.since(stamp=40) is not None
+
+
+def scan(*, doc: Doc, host: str, path: str) -> Doc | None:
+    """The plain rule: of the routes whose host and prefix fit, the one of the longest prefix."""
+    rows = [r for r in doc["route-table"] if r["host-name"].lower() == host.split(":", 1)[0].lower()
+            and path.startswith(r["path-prefix"])]
+    return max(rows, key=lambda r: len(r["path-prefix"]), default=None)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_look_ups_are_those_of_a_plain_scan(seed: int) -> None:
+    rng = random.Random(seed)
+
+    def piece() -> str:
+        return "/" + "".join(rng.choice(["a", "b", "/", "ab", "c/"]) for _ in range(rng.randint(0, 5)))
+
+    rows, seen = [], set()
+    for i in range(60):
+        host, prefix = rng.choice(["h.example", "H.Other", "x"]), piece()
+        if (host.lower(), prefix) not in seen:
+            seen.add((host.lower(), prefix))
+            rows.append({**route(i, host=host), "path-prefix": prefix})
+    doc = {**whole(version=1, routes=0), "route-table": rows}
+    table = Table(doc=doc)
+    for _ in range(400):
+        host = rng.choice(["h.example", "h.other:80", "X", "none", ""])
+        path = piece() + rng.choice(["", piece(), "b"])
+        assert table.select(host=host, path=path) == scan(doc=doc, host=host, path=path)
+
+
+def test_a_look_up_costs_one_step_for_each_length_of_prefix() -> None:
+    table = Table(doc=whole(version=1, routes=510))
+    rows, sizes = table.hosts["h.example"]
+    assert len(rows) == 510 and sizes == [6, 5, 4]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_the_journal_of_changes_gives_the_same_state_as_whole_documents(seed: int) -> None:
+    """Backup and journal see events as JSON only; an old journal's whole documents still load."""
+    rng = random.Random(seed)
+    reg, twin = Registry(), Registry()
+    doc = whole(version=1, routes=20)
+    kinds = set()
+    for _ in range(40):
+        base, method, body = reg.stamp, "PUT", orjson.dumps(doc)
+        if reg.conf is not None and rng.random() < 0.5:
+            method = "PATCH"
+            body = orjson.dumps({"config-version": doc["config-version"],
+                                 "upserts": {"route-table": [route(rng.randrange(30), rank=rng.randint(0, 9))]},
+                                 "removals": {"route-table": [f"r{rng.randrange(9)}"]}})
+        ev = reg.judge(method=method, base=str(base), body=body)
+        assert ev is not None
+        kinds.add("d" in ev)
+        reg.apply(ev)
+        assert reg.judge(method=method, base=str(base), body=body) is None
+        with pytest.raises(StampError):
+            reg.judge(method=method, base=str(base), body=body + b" ")
+        assert reg.conf is not None
+        if rng.random() < 0.3:
+            twin.apply(orjson.loads(orjson.dumps({"t": "conf", "doc": reg.conf, "h": ev["h"]})))
+        else:
+            twin.apply(orjson.loads(orjson.dumps(ev)))
+        assert text(twin.dump()) == text(reg.dump())
+        if method == "PUT":
+            assert text(reg.conf) == text(doc)
+        doc = changed(rng=rng, doc=reg.conf)
+    assert kinds == {True, False}
+
+
+def test_one_changed_route_of_510_is_logged_as_such() -> None:
+    reg = Registry()
+    first = reg.judge(method="PUT", base="0", body=orjson.dumps(whole(version=1, routes=510)))
+    assert first is not None and "doc" in first
+    reg.apply(first)
+    for method, body in (("PATCH", {"config-version": 3, "upserts": {"route-table": [route(5, rank=0)]}}),
+                         ("PUT", {**whole(version=5, routes=511)})):
+        ev = reg.judge(method=method, base=str(reg.stamp), body=orjson.dumps(body))
+        assert ev is not None and len(orjson.dumps(ev)) < 800
+        reg.apply(ev)
+    assert reg.stamp == 5 and small(delta=diff(old=whole(version=1, routes=4), new=whole(version=2, routes=5)),
+                                    doc=whole(version=2, routes=5))
+
+
+def test_link_of_the_settings_file_is_checked() -> None:
+    doc: Doc = {"node-name": "n", "role": "edge", "ip": "10.0.0.1", "zone": "a", "bind-addrs": {},
+                "internal-ports": [7000, 7009], "seed-nodes": []}
+    assert check(doc=doc).link_mbps == 1000.0
+    assert check(doc={**doc, "limits": {"link-mbps": 2}}).link_mbps == 2.0
+    for bad in (0, -1, "2", True, None):
+        with pytest.raises(StartupError) as err:
+            check(doc={**doc, "limits": {"link-mbps": bad}})
+        assert [f.place for f in err.value.findings] == ["limits.link-mbps"]
--- /dev/null
+++ b/tests/test_tree.py
@@ -0,0 +1,116 @@
+"""Changes of a large configuration over thin links: each sent once, lost ones again, the whole only where asked."""
+
+from typing import Any
+
+from tests.simlink import LinkSim, large, patched, put
+from yarrowloom.node.base import FANOUT
+from yarrowloom.wire.frame import Kind
+
+
+def ready(*, seed: int, cores: int = 5, edges: int = 33, **kw: Any) -> LinkSim:
+    sim = LinkSim(seed=seed, cores=cores, edges=edges, **kw)
+    sim.run(seconds=2.0)
+    put(sim, method="PUT", doc=large(version=3), base=0)
+    assert sim.until(cond=lambda: sim.stamps() == {3}, limit=2.5)
+    sim.run(seconds=3.0)
+    return sim
+
+
+def test_the_first_configuration_goes_to_each_edge_about_once() -> None:
+    sim = ready(seed=1)
+    wholes = sim.news(what="conf", since=0.0)
+    assert 33 <= len(wholes) <= 40 and all(size > 80_000 for *_, size in wholes)
+    assert all(src in sim.core_ips for src, *_ in wholes)
+
+
+def test_a_change_goes_to_each_edge_as_a_change_and_from_each_watcher_once() -> None:
+    sim = ready(seed=2)
+    base = 3
+    for version in (7, 9, 20):
+        since = sim.now
+        put(sim, method="PATCH", doc=patched(version=version), base=base)
+        assert sim.until(cond=lambda version=version: sim.stamps() == {version}, limit=0.5)  # type: ignore[misc]
+        sim.run(seconds=2.0)
+        rows = sim.news(what="delta", since=since)
+        assert len({(src, dst) for src, dst, _ in rows}) == len(rows) <= 2 * 33 + 10
+        assert max(size for *_, size in rows) < 1500 and sim.news(what="conf", since=since) == []
+        base = version
+
+
+def test_a_whole_put_that_changes_little_goes_as_a_change_too() -> None:
+    sim = ready(seed=3)
+    since = sim.now
+    put(sim, method="PUT", doc=large(version=8, routes=512), base=3)
+    assert sim.until(cond=lambda: sim.stamps() == {8}, limit=0.5)
+    assert sim.news(what="conf", since=since) == []
+    status, doc = sim.ask(ip=sim.core_ips[0], method="GET", path="/config")
+    assert status == 200 and doc == large(version=8, routes=512)
+
+
+def test_news_that_got_lost_goes_again_within_the_bound() -> None:
+    sim = ready(seed=4)
+    lost: dict[tuple[str, str], int] = {}
+
+    def lose(src: str, dst: str, kind: Kind, m: dict[str, Any]) -> bool:
+        """The first two changes on each way."""
+        if "delta" in (m.get("news", {}) if kind is Kind.HEARTOK else m):
+            lost[src, dst] = lost.get((src, dst), 0) + 1
+            return lost[src, dst] <= 2
+        return False
+
+    sim.lose = lose
+    put(sim, method="PATCH", doc=patched(version=5), base=3)
+    assert sim.until(cond=lambda: sim.stamps() == {5}, limit=2.0)
+    assert max(lost.values()) >= 3
+
+
+def test_an_edge_whose_change_does_not_fit_asks_for_the_whole() -> None:
+    sim = ready(seed=5)
+    node = sim.edges()[7]
+    node.past.docs[3]["route-table"] = node.past.docs[3]["route-table"][1:]
+    since = sim.now
+    put(sim, method="PATCH", doc=patched(version=5), base=3)
+    assert sim.until(cond=lambda: sim.stamps() == {5}, limit=2.5)
+    assert {dst for _, dst, _ in sim.news(what="conf", since=since)} == {sim.edge_ips[7]}
+    status, doc = sim.ask(ip=sim.core_ips[0], method="GET", path="/config")
+    assert status == 200 and node.conf == doc
+
+
+def test_an_edge_that_was_cut_off_for_some_changes_gets_one_change() -> None:
+    sim = ready(seed=6)
+    away = sim.edge_ips[4]
+    for core in sim.core_ips:
+        sim.cut(a=away, b=core)
+    base = 3
+    for version in range(5, 25, 2):
+        put(sim, method="PATCH", doc=patched(version=version), base=base)
+        sim.run(seconds=0.2)
+        base = version
+    sim.run(seconds=2.0)
+    since = sim.now
+    sim.heal()
+    assert sim.until(cond=lambda: sim.stamps() == {base}, limit=2.0)
+    assert sim.news(what="conf", since=since) == []
+
+
+def test_a_relay_feeds_no_more_than_its_link_carries() -> None:
+    sim = ready(seed=7, cores=3, edges=4 * FANOUT)
+    assert sum(bool(n.via) for n in sim.edges()) >= 3
+    for node in sim.edges():
+        fed = [u for u, at in node.heard.items() if sim.now - at < 1.0]
+        assert len(fed) <= node.children() == 4
+    assert all(n.ready() for n in sim.edges())
+    since = sim.now
+    put(sim, method="PATCH", doc=patched(version=5, n=8), base=3)
+    assert sim.until(cond=lambda: sim.stamps() == {5}, limit=1.0)
+    assert sim.news(what="conf", since=since) == []
+
+
+def test_a_relay_that_is_cut_off_does_not_hold_up_a_change() -> None:
+    sim = ready(seed=8, cores=3, edges=4 * FANOUT)
+    relay = max(sim.edges(), key=lambda n: sum(sim.now - at < 1.0 for at in n.heard.values())).startup.ip
+    for core in sim.core_ips:
+        sim.cut(a=relay, b=core)
+    put(sim, method="PATCH", doc=patched(version=5), base=3)
+    rest = [n for n in sim.edges() if n.startup.ip != relay]
+    assert sim.until(cond=lambda: all(n.table is not None and n.table.stamp == 5 for n in rest), limit=2.5)
--- a/yarrowloom/base/startup.py
+++ b/yarrowloom/base/startup.py
@@ -32,6 +32,7 @@
     disk_mb: int
     memory_mb: int
     beat_ms: int
+    link_mbps: float = 1000.0     # above 0; what the machine's own link carries each way
     bounds: dict[str, float] = field(default_factory=dict)
 
     def bound(self, *, name: str, default: float) -> float:
@@ -84,6 +85,9 @@
     if isinstance(ports, list) and not (len(ports) == 2 and all(isinstance(p, int) and 0 < p < 65536 for p in ports)
                                         and ports[0] < ports[1]):
         bad.append(Finding(place="internal-ports", text="not two rising ports"))
+    link = limits.get("link-mbps", 1000.0) if isinstance(limits, dict) else 1000.0
+    if isinstance(link, bool) or not isinstance(link, (int, float)) or link <= 0:
+        bad.append(Finding(place="limits.link-mbps", text="not a number above 0"))
     data = doc.get("data-dir")
     if data is not None and not isinstance(data, str):
         bad.append(Finding(place="data-dir", text="not a path"))
@@ -94,7 +98,8 @@
     figs = {k: float(v) for k, v in bounds.items() if isinstance(v, (int, float))}
     return Startup(name=name, role=role, ip=ip, site=site, sites=sites, binds=binds, ports=(ports[0], ports[1]),
                    seeds=tuple(seeds), bootstrap=boot, data_dir=data, disk_mb=int(limits.get("disk-mb", 0) or 0),
-                   memory_mb=int(limits.get("memory-mb", 256) or 256), beat_ms=int(beat), bounds=figs)
+                   memory_mb=int(limits.get("memory-mb", 256) or 256), beat_ms=int(beat),
+                   link_mbps=float(link), bounds=figs)
 
 
 def load(*, path: str | None = None) -> Startup:
--- a/yarrowloom/fleet/conf.py
+++ b/yarrowloom/fleet/conf.py
@@ -126,21 +126,16 @@
             if key not in _TABLES or not isinstance(items, list):
                 bad.append(Finding(place=f"{part}.{key}", text="unknown table or not a list"))
                 continue
-            rows = list(out.get(key, []))
+            rows = {r["name"]: r for r in out.get(key, [])}     # in order: what is replaced keeps its place
             for i, item in enumerate(items):
                 name = item.get("name") if part == "upserts" and isinstance(item, dict) else item
                 if not isinstance(name, str):
                     bad.append(Finding(place=f"{part}.{key}[{i}]", text="no name"))
-                    continue
-                at = next((j for j, r in enumerate(rows) if r.get("name") == name), None)
-                if part == "removals":
-                    if at is not None:
-                        del rows[at]
-                elif at is None:
-                    rows.append(item)
+                elif part == "removals":
+                    rows.pop(name, None)
                 else:
-                    rows[at] = item
-            out[key] = rows
+                    rows[name] = item
+            out[key] = list(rows.values())
     unknown = set(change) - {"config-version", "upserts", "removals", "limits"}
     bad += [Finding(place=key, text="not part of a change") for key in sorted(unknown)]
     if "limits" in change:
@@ -151,23 +146,25 @@
 
 
 class Table:
-    """Routes by host and prefix, ready for look-ups; one is built for each configuration."""
+    """Routes by host and prefix, ready for look-ups; one is built for each configuration.
+
+    Invariant: `hosts` holds, by host, the routes by prefix and the prefixes' lengths, longest first."""
 
     def __init__(self, *, doc: dict[str, Any]) -> None:
         self.stamp: int = doc["config-version"]
         self.routes: dict[str, dict[str, Any]] = {r["name"]: r for r in doc["route-table"]}
         self.services: dict[str, dict[str, Any]] = {s["name"]: s for s in doc["service-table"]}
         self.limits: dict[str, Any] = doc.get("limits", {})
-        hosts: dict[str, list[dict[str, Any]]] = {}
+        hosts: dict[str, dict[str, dict[str, Any]]] = {}
         for row in doc["route-table"]:
-            hosts.setdefault(row["host-name"].lower(), []).append(row)
-        for rows in hosts.values():
-            rows.sort(key=lambda r: -len(r["path-prefix"]))
-        self.hosts = hosts
+            hosts.setdefault(row["host-name"].lower(), {}).setdefault(row["path-prefix"], row)
+        self.hosts = {h: (rows, sorted({len(p) for p in rows}, reverse=True)) for h, rows in hosts.items()}
 
     def select(self, *, host: str, path: str) -> dict[str, Any] | None:
-        """The route of the longest prefix, or None."""
-        for row in self.hosts.get(host.split(":", 1)[0].lower(), []):
-            if path.startswith(row["path-prefix"]):
+        """The route of the longest prefix, or None: one look-up for each length of prefix there is."""
+        rows, sizes = self.hosts.get(host.split(":", 1)[0].lower(), ({}, []))
+        for size in sizes:
+            row = rows.get(path[:size])
+            if row is not None:
                 return row
         return None
--- a/yarrowloom/fleet/registry.py
+++ b/yarrowloom/fleet/registry.py
@@ -6,7 +6,7 @@
 import orjson
 
 from ..base.errs import Finding, InvalidError, StampError
-from . import conf
+from . import conf, delta
 
 _SEEN = 256
 
@@ -49,7 +49,11 @@
         """Take one event."""
         kind = ev["t"]
         if kind == "conf":
-            self.conf = ev["doc"]
+            if "d" in ev:
+                assert self.conf is not None
+                self.conf = delta.merge(doc=self.conf, delta=ev["d"])
+            else:
+                self.conf = ev["doc"]
             self.calls = [*self.calls[-_SEEN:], ev["h"]]
         elif kind == "evac":
             self.mods += 1
@@ -71,7 +75,9 @@
                 del self.minions[ev["m"]]
 
     def judge(self, *, method: str, base: str | None, body: bytes) -> dict[str, Any] | None:
-        """The event that a PUT or PATCH makes; None: accepted before. Raises what is wrong with it."""
+        """The event that a PUT or PATCH makes; None: accepted before. Raises what is wrong with it.
+
+        The event holds the change (`d`) if that is small, else the whole (`doc`)."""
         try:
             num = int((base or "").strip().strip('"'))
         except ValueError as err:
@@ -94,4 +100,8 @@
         if doc["config-version"] <= self.stamp:
             raise InvalidError(text="version does not rise", findings=[
                 Finding(place="config-version", text=f"not above {self.stamp}")])
+        if self.conf is not None:
+            change = delta.diff(old=self.conf, new=doc)
+            if delta.small(delta=change, doc=doc):
+                return {"t": "conf", "d": change, "h": mark}
         return {"t": "conf", "doc": doc, "h": mark}
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -9,6 +9,7 @@
 from ..base.log import Log
 from ..base.startup import Startup
 from ..fleet.conf import Table
+from ..fleet.delta import Delta, History
 from ..record.epoch import Epoch, addr_of
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
@@ -19,6 +20,20 @@
 ALIVE_S = 1.2
 WATCHERS = 4
 FANOUT = 16
+RESEND_S = 0.5        # news that a heart does not confirm within this time, and twice its own on the link, goes again
+ASK_S = 1.5           # a watcher that was asked for the whole configuration and has not sent it by then is passed over
+GAP_S = 0.1           # how soon a heart tells of lost frames
+
+
+@dataclass(kw_only=True, slots=True)
+class Sent:
+    """News that is on its way to a node, and until when it counts as such."""
+
+    conf: int = 0
+    conf_till: float = 0.0
+    mods: int = -1
+    eps: dict[int, int] = field(default_factory=dict)
+    till: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -49,7 +64,8 @@
 
 class NodeBase:
     """Invariants: `now` is the steady clock and rises; `table` never goes back to an older stamp; an epoch known
-    is never replaced by one with a lower number."""
+    is never replaced by one with a lower number; `table` is that of the newest document in `past`; `have` is what
+    nodes said in their last hearts, `sent` what left for them since."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, kind: str, log: Log) -> None:
         self.startup = startup
@@ -62,6 +78,8 @@
         self.out = Outbox()
         self.conf: dict[str, Any] | None = None
         self.table: Table | None = None
+        self.past = History()
+        self.torn = False                    # a change did not give what it should: the whole is wanted
         self.mods = -1
         self.evac: set[str] = set()
         self.members: dict[str, dict[str, Any]] = {}
@@ -69,6 +87,11 @@
         self.heard: dict[str, float] = {}
         self.info: dict[str, dict[str, Any]] = {}
         self.have: dict[str, dict[str, Any]] = {}
+        self.sent: dict[str, Sent] = {}
+        self.spoke: dict[str, float] = {}    # by address: when it last answered a heart
+        self.missed: set[str] = set()        # addresses whose frames got lost since the last hearts
+        self.asked = ""                      # the watcher that is to send the whole configuration if need be
+        self.behind = -1.0                   # since when others tell of a newer configuration; below 0: they do not
         self.hearted = -9.0
         self.contact = -9.0
         self.calls = Calls(hub=self, base=boot % 1_000_000 * 1_000_000)
@@ -106,30 +129,47 @@
 
     def mine(self) -> dict[str, Any]:
         """What this node has of the news."""
-        return {"conf": self.table.stamp if self.table else 0, "mods": self.mods,
+        return {"conf": self.table.stamp if self.table and not self.torn else 0, "mods": self.mods,
                 "ep": {str(g): e["n"] for g, e in self.eps.items()}}
 
-    def newer(self, *, have: dict[str, Any]) -> dict[str, Any]:
-        """News that another node lacks."""
+    def newer(self, *, uid: str) -> dict[str, Any]:
+        """News that a node lacks by its last heart and that are not on their way to it: of the configuration the
+        change, or the whole to who asks for it and has nothing that the change could be made to."""
+        have, way = self.have[uid], self.sent.setdefault(uid, Sent())
         out: dict[str, Any] = {}
-        if self.conf is not None and have["conf"] < self.conf["config-version"]:
-            out["conf"] = self.conf
-        if self.mods > have["mods"]:
+        if self.table is not None and have["conf"] < self.table.stamp and (
+                way.conf < self.table.stamp or self.now >= way.conf_till):
+            delta = self.past.since(stamp=have["conf"])
+            size = 0
+            if delta is not None:
+                out["delta"] = delta
+            elif have.get("whole", True):
+                out["conf"], size = self.conf, self.past.bytes
+            if out:
+                way.conf = self.table.stamp
+                way.conf_till = self.now + RESEND_S + 2 * size * 8e-6 / min(self.startup.link_mbps,
+                                                                            have.get("mbps", 1000.0))
+        due = self.now >= way.till
+        if self.mods > have["mods"] and (due or way.mods < self.mods):
             out["reg"] = {"mods": self.mods, "evac": sorted(self.evac), "members": self.members}
-        eps = [[g, e] for g, e in self.eps.items() if have["ep"].get(str(g), -1) < e["n"]]
+            way.mods, way.till = self.mods, self.now + RESEND_S
+        eps = {g: e for g, e in self.eps.items() if have["ep"].get(str(g), -1) < e["n"]
+               and (due or way.eps.get(g, -1) < e["n"])}
         if eps:
-            out["eps"] = eps
+            out["eps"] = [[g, e] for g, e in eps.items()]
+            way.eps.update({g: e["n"] for g, e in eps.items()})
+            way.till = self.now + RESEND_S
         return out
 
     def take_news(self, *, doc: dict[str, Any], push: bool = True) -> None:
-        """Take what is newer, pass it on down the tree."""
+        """Take what is newer, pass it on down the tree. `doc` holds any of `conf` (whole), `delta`, `reg`, `eps`."""
         fresh = False
         conf = doc.get("conf")
         if conf is not None and (self.table is None or conf["config-version"] > self.table.stamp):
-            self.conf, self.table = conf, Table(doc=conf)
+            self._configure(doc=conf)
             fresh = True
-            self.note(event="config-applied", stamp=self.table.stamp, routes=len(self.table.routes))
-            self.configured()
+        if "delta" in doc:
+            fresh = self._change(delta=doc["delta"]) or fresh
         reg = doc.get("reg")
         if reg is not None and reg["mods"] > self.mods:
             self.mods, self.evac, self.members = reg["mods"], set(reg["evac"]), dict(reg["members"])
@@ -141,14 +181,30 @@
         if fresh and push:
             self.push()
 
+    def _configure(self, *, doc: dict[str, Any]) -> None:
+        self.conf = self.past.add(doc=doc)
+        self.table, self.torn, self.behind = Table(doc=self.conf), False, -1.0
+        self.note(event="config-applied", stamp=self.table.stamp, routes=len(self.table.routes))
+        self.configured()
+
+    def _change(self, *, delta: Delta) -> bool:
+        if self.table is None or self.torn or delta["to"] <= self.table.stamp:
+            return False
+        doc = self.past.taken(delta=delta)
+        if doc is None:
+            self.torn, self.hearted = True, -9.0
+            self.log.warn("config-change-unfit", base=delta["base"], to=delta["to"], stamp=self.table.stamp)
+            return False
+        self._configure(doc=doc)
+        return True
+
     def push(self) -> None:
         """Send news to the nodes whose hearts this one watches."""
         for uid, at in self.heard.items():
-            if self.now - at < ALIVE_S and uid in self.have:
-                doc = self.newer(have=self.have[uid])
+            if self.now - at < ALIVE_S:
+                doc = self.newer(uid=uid)
                 if doc:
                     self.send(uid=uid, kind=Kind.NEWS, body=doc)
-                    self.have[uid] = self.mine()
 
     def configured(self) -> None:
         """A newer configuration is in force here."""
@@ -193,26 +249,51 @@
     def heart(self) -> dict[str, Any]:
         """A heart's body."""
         return {"u": self.uid, "site": self.startup.site, "kind": self.kind, "name": self.startup.name,
-                "ctl": self.startup.binds.get("control", ""), "boot": self.boot, "t": self.now, "have": self.mine()}
+                "ctl": self.startup.binds.get("control", ""), "boot": self.boot, "t": self.now,
+                "have": {**self.mine(), "mbps": self.startup.link_mbps}}
 
     def beat_hearts(self) -> None:
-        """Send hearts when due."""
+        """Send hearts when due. One watcher at a time is asked for the whole configuration, should it be needed;
+        a watcher is told if frames of its got lost."""
         if self.now - self.hearted < HEART_S:
             return
         self.hearted = self.now
         body = self.heart()
-        for uid in self.targets():
-            self.send(uid=uid, kind=Kind.HEART, body=body)
+        to = self.targets()
+        known = [u for u in to if self.now - self.spoke.get(addr_of(uid=u), -9.0) < ASK_S] or to
+        late = self.behind >= 0 and self.now - self.behind > ASK_S
+        if known and (self.asked not in known or late):
+            self.asked = known[(known.index(self.asked) + 1) % len(known) if self.asked in known else 0]
+            self.behind = self.now if late else self.behind
+        for uid in to:
+            more = {"whole": uid == self.asked, "lost": addr_of(uid=uid) in self.missed}
+            self.send(uid=uid, kind=Kind.HEART, body={**body, "have": {**body["have"], **more}})
+        self.missed.clear()
+
+    def told(self, *, uid: str, stamp: int) -> None:
+        """A watcher answered a heart; it has this version of the configuration."""
+        self.spoke[addr_of(uid=uid)] = self.now
+        if stamp > self.mine()["conf"] and self.behind < 0:
+            self.behind = self.now
+
+    def lost_from(self, *, uid: str) -> None:
+        """Frames of another node got lost: tell it soon."""
+        self.missed.add(addr_of(uid=uid))
+        self.hearted = min(self.hearted, self.now - HEART_S + GAP_S)
 
     def hear(self, *, b: dict[str, Any]) -> None:
         """Another node's heart."""
-        uid = b["u"]
+        uid, have = b["u"], b["have"]
+        was = self.have.get(uid)
+        if was is not None and (have.get("lost") or have["conf"] < was["conf"] or have["mods"] < was["mods"]
+                                or self.info[uid]["boot"] != b["boot"]):
+            self.sent.pop(uid, None)      # what was on its way is lost, or was refused
         self.heard[uid] = self.now
         self.info[uid] = {k: b[k] for k in ("site", "kind", "name", "ctl", "boot")}
-        self.have[uid] = b["have"]
+        self.have[uid] = have
         if len(self.heard) > 4096:
             for old in [u for u, at in self.heard.items() if self.now - at > 60]:
-                for table in (self.heard, self.info, self.have):
+                for table in (self.heard, self.info, self.have, self.sent):
                     table.pop(old, None)
 
     def load(self, *, body: bytes) -> Any:
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -168,8 +168,8 @@
 
     def _heart(self, *, b: dict[str, Any]) -> None:
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"]}
-        news = self.newer(have=b["have"])
+        body: dict[str, Any] = {"t": b["t"], "c": self.mine()["conf"]}
+        news = self.newer(uid=b["u"])
         if news:
             body["news"] = news
         if b["kind"] == "edge":
@@ -187,6 +187,7 @@
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
+            self.told(uid=uid, stamp=m.get("c", 0))
             if m.get("lease"):
                 self.lease = max(self.lease, m["t"] + LEASE_S)
         for u in m.get("up", []):
@@ -200,6 +201,7 @@
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
+        self.lost_from(uid=uid)
         self.agent.gap(uid=uid)
         for g, p in self.placers.items():
             if self.reps[g].serving():
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -11,11 +11,12 @@
 from ..job.spec import group_of, job_id, parse
 from ..wire.frame import Kind
 from ..wire.http import Limits, Request, Response
-from .base import JOB_GROUPS, NodeBase
+from .base import ALIVE_S, FANOUT, JOB_GROUPS, NodeBase
 
 MARGIN_S = 0.15
 READY_S = 1.5
 VIA_S = 1.0           # relays that have been out of contact this long are left for the cores
+FULL_S = 10.0         # a relay that had no room is not asked again this long
 RETRY = (("retry-after", "1"),)
 
 
@@ -43,6 +44,7 @@
         self.closing = False
         self.via: list[str] = []
         self.via_at = -9.0
+        self.shun: dict[str, float] = {}      # relays that have no room, and until when
         self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._parsed)
 
     def configured(self) -> None:
@@ -156,8 +158,14 @@
         m = self.load(body=body)
         if kind is Kind.HEARTOK:
             self.contact = max(self.contact, self.now - m.get("age", 0.0))
-            if m.get("via"):
-                self.via, self.via_at = m["via"], self.now
+            self.told(uid=uid, stamp=m.get("c", 0))
+            if m.get("full"):
+                self.shun[uid] = self.now + FULL_S
+                self.via = [u for u in self.via if u != uid]
+            elif m.get("via"):
+                via = [u for u in m["via"] if self.shun.get(u, -9.0) < self.now]
+                if via:
+                    self.via, self.via_at = via, self.now
             elif uid in self.via and m.get("age", 0.0) < VIA_S:
                 self.via_at = self.now
             self.take_news(doc=m.get("news", {}))
@@ -168,23 +176,33 @@
         elif kind is Kind.REPLY:
             self.calls.reply(m=m)
 
+    def children(self) -> int:
+        """How many edges this one may feed: at 2 Mbit/s four, whose hearts and changes take a tenth of the link."""
+        return max(1, min(FANOUT, int(2 * self.startup.link_mbps)))
+
     def _relay(self, *, b: dict[str, Any]) -> None:
-        """Feed news to another edge, telling how old the own contact with the cores is."""
+        """Feed news to another edge, telling how old the own contact with the cores is; or turn it away."""
+        fed = sum(self.now - at < ALIVE_S for u, at in self.heard.items() if u != b["u"])
+        if fed >= self.children():
+            self.send(uid=b["u"], kind=Kind.HEARTOK, body={"t": b["t"], "age": self.now - self.contact, "full": True})
+            return
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"], "age": max(0.0, self.now - self.contact)}
-        news = self.newer(have=b["have"])
+        body: dict[str, Any] = {"t": b["t"], "age": max(0.0, self.now - self.contact), "c": self.mine()["conf"]}
+        news = self.newer(uid=b["u"])
         if news:
             body["news"] = news
         self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
 
     def targets(self) -> list[str]:
-        """Relays named by a core that feeds enough edges, as long as they are in contact; else the ring."""
-        if self.via and self.now - self.via_at < VIA_S:
+        """Relays named by a core that feeds enough edges, as long as they are in contact; else the ring. The whole
+        configuration comes from cores, whose links carry it."""
+        if self.via and self.now - self.via_at < VIA_S and self.table is not None and not self.torn:
             return self.via
         return super().targets()
 
     def gap(self, *, uid: str) -> None:
-        """Frames were lost: calls repeat by themselves."""
+        """Frames were lost: calls repeat by themselves, news at once if told."""
+        self.lost_from(uid=uid)
 
     def tick(self) -> None:
         """Several times a second."""
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -192,8 +192,9 @@
                 rep.barrier(then=("reply", uid, rid, status, doc))
                 return
             if ev is not None:
-                rep.commit(ev=ev, then=("news", {"conf": ev["doc"]}))
-                self.note(event="config-accepted", stamp=ev["doc"]["config-version"])
+                rep.commit(ev=ev)
+                rep.barrier(then=("news", {"conf": self.reg.conf}))
+                self.note(event="config-accepted", stamp=self.reg.stamp)
             rep.barrier(then=("reply", uid, rid, 200, {}))
         elif op == "getconf":
             rep.barrier(then=("reply", uid, rid, 200 if self.reg.conf else 404, self.reg.conf or {}))
