Chief at scale: minions indexed by owner and rack, hearts carry digests, moves and admissions in batches

An agent gets the word only when its digest fits or it listed what it holds. New minions of 50 ms share a commit; a dead agent's minions move at most 256 a tick, spread by racks; in calm times racks come home, 16 minions each half second, and only once their agent has let go. The former primary has 0.5 s to be heard before its minions move.

--- /dev/null
+++ b/tests/simherd.py
@@ -0,0 +1,57 @@
+"""Many minions in the simulated cluster, and what it takes to have them all back."""
+
+from tests.simfleet import Oracle, SimCaller, SimMinion, config
+from tests.simnet import Sim
+from yarrowloom.agent.minion import Phase
+
+
+def herd(*, seed: int, minions: int, cores: int = 5, edges: int = 2, rack: int = 12,
+         **kw: float) -> tuple[Sim, Oracle, SimCaller, list[SimMinion]]:
+    """A configured cluster whose minions all call within the first second; `rack` of them share a rack."""
+    sim = Sim(seed=seed, cores=cores, edges=edges, **kw)  # type: ignore[arg-type]
+    oracle = Oracle(sim=sim)
+    fleet = []
+    for i in range(minions):
+        site = i // rack % len(sim.sites)
+        fleet.append(SimMinion(sim=sim, oracle=oracle, mid=f"i-{i}", site=f"z{site}", cap=(4000, 8000, 0), work=0.5,
+                               labels=("a", f"r{site}-{i // rack}")))
+    sim.run(seconds=1.0)
+    status, _ = sim.ask(ip=sim.core_ips[0], method="PUT", path="/config", doc=config(version=3),
+                        headers={"if-match": "0"})
+    assert status == 200
+    return sim, oracle, SimCaller(sim=sim, oracle=oracle), fleet
+
+
+def attached(*, sim: Sim) -> dict[str, str]:
+    """By minion: the machine whose agent may act and has all groups on it."""
+    out: dict[str, str] = {}
+    for ip in sim.core_ips:
+        if not sim.procs[ip].up:
+            continue
+        node = sim.core(ip)
+        node.now = sim.now
+        if node.trusted():
+            for m in node.agent.minions.values():
+                if m.phase is Phase.KNOWN and all(g in m.att for g in node.groups()):
+                    out[m.mid] = ip
+    return out
+
+
+def serves(*, sim: Sim) -> bool:
+    """Every group is served."""
+    return all(sim.serving(g=g) for g in range(2))
+
+
+def loads(*, sim: Sim) -> dict[str, int]:
+    """By machine: how many minions its agent has by group 0's record."""
+    reg = sim.core(sim.serving(g=0)[0]).reg
+    return {ip: sum(reg.owners.load(uid=u) for u in reg.members if u.split(":")[0] == ip) for ip in sim.core_ips}
+
+
+def back(*, sim: Sim, n: int, limit: float = 40.0) -> tuple[float, float]:
+    """Seconds from now until every group is served, and until `n` minions are attached."""
+    t0 = sim.now
+    assert sim.until(cond=lambda: serves(sim=sim), limit=limit)
+    mid = sim.now - t0
+    assert sim.until(cond=lambda: len(attached(sim=sim)) >= n, limit=limit), len(attached(sim=sim))
+    return mid, sim.now - t0
--- /dev/null
+++ b/tests/test_chief.py
@@ -0,0 +1,218 @@
+"""The chief with many minions: work counted, moves bounded, racks kept together, everything back after a herd kill."""
+
+import random
+from typing import Any
+
+import pytest
+
+import yarrowloom.node.chief as chief
+from tests.simfleet import Oracle, SimCaller
+from tests.simherd import attached, back, herd, loads, serves
+from tests.simnet import Sim
+from yarrowloom.fleet.owners import Owners, Picker, Place, place, total
+from yarrowloom.fleet.registry import Registry
+from yarrowloom.node.hub import CoreHub
+
+TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
+
+
+def watch(*, sim: Sim, monkeypatch: pytest.MonkeyPatch) -> list[tuple[float, int]]:
+    """(time, number of minions) of each commit of owners from now on."""
+    out: list[tuple[float, int]] = []
+    old = CoreHub.commit0
+
+    def commit0(self: CoreHub, *, ev: dict[str, Any], **kw: Any) -> None:
+        if ev["t"] == "own":
+            out.append((sim.now, len(ev["ms"])))
+        old(self, ev=ev, **kw)
+    monkeypatch.setattr(CoreHub, "commit0", commit0)
+    return out
+
+
+def racks(*, sim: Sim) -> dict[Place, set[str]]:
+    reg = sim.core(sim.serving(g=0)[0]).reg
+    out: dict[Place, set[str]] = {}
+    for row in reg.minions.values():
+        out.setdefault(place(row=row), set()).add(row["o"])
+    return out
+
+
+def settled(*, n: int, seed: int, **kw: Any) -> tuple[Sim, Oracle, SimCaller]:
+    """Minions attached and evened out."""
+    sim, oracle, caller, _ = herd(seed=seed, minions=n, **kw)
+    back(sim=sim, n=n)
+    sim.run(seconds=20.0)
+    return sim, oracle, caller
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_index_of_owners_follows_every_event(seed: int) -> None:
+    rng = random.Random(seed)
+    reg = Registry()
+    for _ in range(300):
+        mids = [f"i-{rng.randrange(40)}" for _ in range(rng.randint(1, 5))]
+        if rng.random() < 0.7:
+            info = {"site": rng.choice("ab"), "svc": "s", "labels": rng.choice([[], ["k"], ["k", "r1"], ["k", "r2"]])}
+            reg.apply({"t": "own", "ms": [[m, rng.choice("xyz"), info if rng.random() < 0.5 else {}] for m in mids]})
+        else:
+            reg.apply({"t": "gone", "m": mids[0], "f": rng.choice([0, reg.fence])})
+        if rng.random() < 0.05:
+            reg.load(reg.dump())
+        fresh = Owners(rows=reg.minions)
+        assert (fresh.by, fresh.sums, fresh.spots) == (reg.owners.by, reg.owners.sums, reg.owners.spots)
+        for uid in "xyz":
+            rows = [(m, r["f"]) for m, r in reg.minions.items() if r["o"] == uid]
+            assert reg.owners.digest(uid=uid) == total(rows=rows)
+
+
+def test_picks_keep_racks_together_and_spread_them() -> None:
+    pick = Picker(owners=Owners(rows={}), sites={"a": "z0", "b": "z0", "c": "z1"})
+    got = [pick.pick(spot=Place("z0", f"r{i // 12}")) for i in range(48)]
+    assert [got.count(u) for u in "abc"] == [24, 24, 0] and all(len(set(got[i:i + 12])) == 1 for i in (0, 12, 24, 36))
+    assert {pick.pick(spot=Place("z9", f"q{i}")) for i in range(60)} == {"a", "b", "c"}
+
+
+def test_a_storm_of_new_minions_makes_few_commits(monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, _, _, _ = herd(seed=31, minions=1)
+    made = watch(sim=sim, monkeypatch=monkeypatch)
+    sim, _, _, _ = herd(seed=31, minions=350)
+    back(sim=sim, n=350)
+    first = [n for at, n in made if at < 102.2]
+    assert sum(first) >= 350 and len(first) <= 1.3 / chief.ADMIT_S and max(first) <= chief.BATCH
+
+
+def test_hearts_of_calm_times_do_not_list_minions() -> None:
+    sim, _, _ = settled(n=350, seed=32)
+    primary = sim.core(sim.serving(g=0)[0])
+    seen: list[int] = []
+    for ip in sim.core_ips:
+        node = sim.core(ip)
+        old = node.heart
+
+        def heart(old: Any = old) -> dict[str, Any]:
+            body: dict[str, Any] = old()
+            seen.append("own" in body)
+            return body
+        node.heart = heart  # type: ignore[method-assign]
+    seq = primary.reps[0].seq
+    sim.run(seconds=5.0)
+    assert len(seen) >= 5 * 18 and not any(seen)
+    assert primary.reps[0].seq == seq
+
+
+@pytest.mark.parametrize("lost", [0, 2])
+def test_a_lost_core_s_minions_spread_by_racks_and_come_home_slowly(lost: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Machine 0 stands in a site of two cores, machine 2 alone in its site."""
+    sim, oracle, caller = settled(n=210, seed=33 + lost)
+    even = loads(sim=sim)
+    ip = sim.core_ips[lost]
+    assert even[ip] >= 24 and all(len(o) == 1 for o in racks(sim=sim).values())
+    made = watch(sim=sim, monkeypatch=monkeypatch)
+    t0 = sim.now
+    sim.kill(ip=ip, power=True)
+    assert sim.until(cond=lambda: serves(sim=sim) and len(attached(sim=sim)) == 210, limit=6.0)
+    assert sum(n for _, n in made) == even[ip] and max(n for _, n in made) <= chief.BATCH
+    assert all(len(o) == 1 for o in racks(sim=sim).values())
+    now = loads(sim=sim)
+    if lost == 2:
+        gain = [now[u] - even[u] for u in sim.core_ips if u != ip]
+        assert sum(gain) == even[ip] and min(gain) >= 12
+    jids = [caller.submit(stages=[TASK]) for _ in range(5)]
+    sim.run(seconds=12.0)
+    made.clear()
+    sim.boot(ip=ip)
+    for _ in range(20):
+        jids.append(caller.submit(stages=[{**TASK, "task-count": 12}]))
+        sim.run(seconds=1.0)
+    after = loads(sim=sim)
+    assert max(abs(after[u] - even[u]) for u in even) <= 12 and len(attached(sim=sim)) == 210
+    assert made and max(n for _, n in made) <= chief.EASE
+    for at, _ in made:
+        assert sum(n for when, n in made if at <= when < at + 1.0) <= 1.0 / chief.EASE_S * chief.EASE + chief.EASE
+    sim.run(seconds=5.0)
+    assert all(caller.state(jid=j) == (200, "complete") for j in jids)
+    assert oracle.broken == [] and sim.now > t0
+
+
+def test_moves_of_many_are_cut_into_batches(monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, oracle, _ = settled(n=120, seed=41)
+    monkeypatch.setattr(chief, "BATCH", 10)
+    made = watch(sim=sim, monkeypatch=monkeypatch)
+    held = loads(sim=sim)
+    ip = max((u for u in sim.core_ips if u not in sim.serving(g=0)), key=lambda u: held[u])
+    had = held[ip]
+    sim.kill(ip=ip)
+    assert sim.until(cond=lambda: serves(sim=sim) and len(attached(sim=sim)) == 120, limit=8.0)
+    rows = [n for _, n in made]
+    assert sum(rows) == had > 20 and max(rows) <= 10 and len({at for at, _ in made}) == len(made)
+    assert oracle.broken == []
+
+
+def test_a_restarted_core_gets_new_fences_in_batches_before_its_minions(monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, oracle, _ = settled(n=120, seed=42)
+    monkeypatch.setattr(chief, "BATCH", 10)
+    ip = next(u for u in sim.core_ips if u not in sim.serving(g=0) and u not in sim.serving(g=1))
+    mids = set(sim.core(ip).agent.minions)
+    before = {m: sim.core(sim.serving(g=0)[0]).reg.minions[m]["f"] for m in mids}
+    sim.kill(ip=ip)
+    sim.boot(ip=ip)
+    assert sim.until(cond=lambda: len(attached(sim=sim)) == 120, limit=6.0)
+    reg = sim.core(sim.serving(g=0)[0]).reg
+    held = sim.core(ip).agent.minions
+    assert set(held) == mids and len(mids) > 20
+    assert all(held[m].fence == reg.minions[m]["f"] > before[m] for m in mids)
+    assert oracle.broken == []
+
+
+@pytest.mark.parametrize("minions", [27, 100, 350])
+def test_after_a_herd_kill_all_is_back_soon_however_many_minions(minions: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, oracle, caller = settled(n=minions, seed=50 + minions)
+    had = loads(sim=sim)
+    jids = [caller.submit(stages=[TASK]) for _ in range(10)]
+    sim.run(seconds=0.3)
+    made = watch(sim=sim, monkeypatch=monkeypatch)
+    for ip in sim.core_ips:
+        sim.kill(ip=ip)
+        sim.at(delay=0.6 + 0.4 * sim.rng.random(), fn=lambda ip=ip: sim.boot(ip=ip))  # type: ignore[misc]
+    sim.run(seconds=1.0)
+    served, whole = back(sim=sim, n=minions)
+    assert served <= 1.5 and whole <= 2.5
+    assert loads(sim=sim) == had and sum(n for _, n in made) == 0
+    sim.run(seconds=8.0)
+    assert all(caller.state(jid=j) == (200, "complete") for j in jids) and oracle.broken == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_while_minions_change_hands(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Frames are lost, cores end and freeze, and the chief moves racks between any agents almost all the time."""
+    monkeypatch.setattr(chief, "CALM_S", 0.6)
+    monkeypatch.setattr(chief, "FRESH_S", 0.3)
+    sim, oracle, caller, fleet = herd(seed=60 + seed, minions=24, cores=5, rack=4)
+
+    def uneven(self: Picker, *, most: int) -> list[tuple[str, str]]:
+        there = sim.rng.choice(list(self.owners.spots.values()))
+        was = sim.rng.choice(list(there))
+        to = sim.rng.choice(list(self.sites))
+        return [(mid, to) for mid in list(there[was])[:most]] if to != was and was in self.sites else []
+    monkeypatch.setattr(Picker, "uneven", uneven)
+    made = watch(sim=sim, monkeypatch=monkeypatch)
+    jids = []
+    for i in range(40):
+        sim.loss = 0.02 if i % 10 < 7 else 0.0
+        gang = {"gang": True} if i % 3 == 0 else {}
+        jids.append(caller.submit(stages=[{**TASK, **gang}, {**TASK, "depends-on": [0]}]))
+        if i % 8 == 3:
+            ip = sim.rng.choice(sim.core_ips)
+            if sim.procs[ip].up and all(p.up for p in sim.procs.values()):
+                if sim.rng.random() < 0.5:
+                    sim.kill(ip=ip, power=sim.rng.random() < 0.5)
+                    sim.at(delay=0.5 + 3 * sim.rng.random(), fn=lambda ip=ip: sim.boot(ip=ip))  # type: ignore[misc]
+                else:
+                    sim.freeze(ip=ip, seconds=1.0 + 2 * sim.rng.random())
+        sim.run(seconds=1.0)
+    sim.loss = 0.0
+    monkeypatch.setattr(Picker, "uneven", lambda self, *, most: [])
+    sim.run(seconds=15.0)
+    assert oracle.broken == [] and sum(n for _, n in made) > 60
+    assert all(caller.state(jid=j)[1] == "complete" for j in jids if j in oracle.accepted)
+    assert len(attached(sim=sim)) == len(fleet)
--- /dev/null
+++ b/yarrowloom/fleet/owners.py
@@ -0,0 +1,120 @@
+"""Which agent holds which minions: an index over group 0's rows that follows each change in one step."""
+
+from typing import Any, NamedTuple
+from zlib import crc32
+
+from ..agent.choice import rack
+
+Row = dict[str, Any]
+
+
+class Place(NamedTuple):
+    """Where a minion stands: its site and its rack ("" where it has none)."""
+
+    site: str
+    rack: str
+
+
+def place(*, row: Row) -> Place:
+    """The place of a minion's row."""
+    return Place(row.get("site", ""), rack(labels=row.get("labels", [])))
+
+
+def mark(*, mid: str, fence: int) -> int:
+    """One minion's share of a digest."""
+    return crc32(f"{mid}/{fence}".encode())
+
+
+def total(*, rows: list[tuple[str, int]]) -> list[int]:
+    """The digest of what an agent holds, (minion, fence) each: their number, and the sum of their marks.
+
+    >>> total(rows=[("i-1", 3), ("i-2", 4)]) == total(rows=[("i-2", 4), ("i-1", 3)]) != total(rows=[("i-1", 7)])
+    True
+    """
+    return [len(rows), sum(mark(mid=mid, fence=f) for mid, f in rows)]
+
+
+class Owners:
+    """Invariants: `by` has each minion under its row's owner and no empty entries; `sums` are the sums of marks of
+    those; `spots` has, by place and owner, the minions there."""
+
+    def __init__(self, *, rows: dict[str, Row]) -> None:
+        self.by: dict[str, dict[str, None]] = {}
+        self.sums: dict[str, int] = {}
+        self.spots: dict[Place, dict[str, dict[str, None]]] = {}
+        for mid, row in rows.items():
+            self.put(mid=mid, row=row)
+
+    def put(self, *, mid: str, row: Row, old: Row | None = None) -> None:
+        """A minion has a new row; `old`: the one it had."""
+        if old is not None:
+            self.drop(mid=mid, row=old)
+        uid = row["o"]
+        self.by.setdefault(uid, {})[mid] = None
+        self.sums[uid] = self.sums.get(uid, 0) + mark(mid=mid, fence=row["f"])
+        self.spots.setdefault(place(row=row), {}).setdefault(uid, {})[mid] = None
+
+    def drop(self, *, mid: str, row: Row) -> None:
+        """A minion's row is no more."""
+        uid, spot = row["o"], place(row=row)
+        held, there = self.by[uid], self.spots[spot]
+        del held[mid], there[uid][mid]
+        self.sums[uid] -= mark(mid=mid, fence=row["f"])
+        if not held:
+            del self.by[uid], self.sums[uid]
+        if not there[uid]:
+            del there[uid]
+        if not there:
+            del self.spots[spot]
+
+    def load(self, *, uid: str) -> int:
+        """How many minions an agent has."""
+        return len(self.by.get(uid, ()))
+
+    def digest(self, *, uid: str) -> list[int]:
+        """What `total` gives for an agent's minions."""
+        return [self.load(uid=uid), self.sums.get(uid, 0)]
+
+
+class Picker:
+    """Picks agents for many minions at once; each pick counts for the next. Invariant: `load` has live agents only.
+
+    `sites`: the live agents and the sites they stand in."""
+
+    def __init__(self, *, owners: Owners, sites: dict[str, str]) -> None:
+        self.owners = owners
+        self.sites = sites
+        self.load = {u: owners.load(uid=u) for u in sites}
+        self.near: dict[str, list[str]] = {}
+        for uid, site in sites.items():
+            self.near.setdefault(site, []).append(uid)
+        self.picked: dict[Place, str] = {}
+
+    def pick(self, *, spot: Place) -> str:
+        """The agent for a minion: in its site, where its rack already is, else the least loaded."""
+        near = self.near.get(spot.site) or list(self.sites)
+        held = self.owners.spots.get(spot, {}) if spot.rack else {}
+        pool = [u for u in near if u in held]
+        if spot.rack and not pool and spot in self.picked:
+            pool = [self.picked[spot]]
+        out = min(pool or near, key=lambda u: (self.load[u], u))
+        self.load[out] += 1
+        self.picked[spot] = out
+        return out
+
+    def uneven(self, *, most: int) -> list[tuple[str, str]]:
+        """Up to `most` minions, of one place and agent, that should move, and to whom: what is away from a site
+        that has agents comes home; else the fullest agent of a site gives a rack to the emptiest if that evens."""
+        for spot, there in self.owners.spots.items():
+            home = self.near.get(spot.site, [])
+            for uid, mids in there.items() if home else ():
+                if uid not in home and uid in self.sites:
+                    return [(mid, self.pick(spot=spot)) for mid in list(mids)[:most]]
+        for site, uids in self.near.items():
+            full, bare = max(uids, key=lambda u: self.load[u]), min(uids, key=lambda u: self.load[u])
+            half = (self.load[full] - self.load[bare]) // 2
+            for spot, there in self.owners.spots.items() if half > 0 else ():
+                held = list(there.get(full, ()))
+                if spot.site == site and held and (not spot.rack or len(held) <= min(half, most)):
+                    return [(mid, bare) for mid in held[:min(half, most)]]
+        return []
--- a/yarrowloom/fleet/registry.py
+++ b/yarrowloom/fleet/registry.py
@@ -7,6 +7,7 @@
 
 from ..base.errs import Finding, InvalidError, StampError
 from . import conf, delta
+from .owners import Owners
 
 _SEEN = 256
 
@@ -18,7 +19,7 @@
 
 class Registry:
     """Invariants: the configuration's stamp only rises; `fence` is above every fence given out; a minion has at
-    most one owner; `mods` rises with every change of evacuations or members."""
+    most one owner; `mods` rises with every change of evacuations or members; `owners` follows `minions`."""
 
     def __init__(self) -> None:
         self.conf: dict[str, Any] | None = None
@@ -26,6 +27,7 @@
         self.evac: list[str] = []
         self.members: dict[str, dict[str, Any]] = {}
         self.minions: dict[str, dict[str, Any]] = {}
+        self.owners = Owners(rows=self.minions)
         self.fence = 0
         self.mods = 0
 
@@ -44,6 +46,7 @@
         doc = orjson.loads(orjson.dumps(doc))
         for key in ("conf", "calls", "evac", "members", "minions", "fence", "mods"):
             setattr(self, key, doc[key])
+        self.owners = Owners(rows=self.minions)
 
     def apply(self, ev: dict[str, Any]) -> None:
         """Take one event."""
@@ -67,12 +70,14 @@
         elif kind == "own":
             for mid, owner, info in ev["ms"]:
                 self.fence += 1
-                old = self.minions.get(mid, {})
-                self.minions[mid] = {**old, **info, "o": owner, "f": self.fence}
+                old = self.minions.get(mid)
+                row = self.minions[mid] = {**(old or {}), **info, "o": owner, "f": self.fence}
+                self.owners.put(mid=mid, row=row, old=old)
         elif kind == "gone":
-            row = self.minions.get(ev["m"])
-            if row is not None and row["f"] <= ev["f"]:
+            gone = self.minions.get(ev["m"])
+            if gone is not None and gone["f"] <= ev["f"]:
                 del self.minions[ev["m"]]
+                self.owners.drop(mid=ev["m"], row=gone)
 
     def judge(self, *, method: str, base: str | None, body: bytes) -> dict[str, Any] | None:
         """The event that a PUT or PATCH makes; None: accepted before. Raises what is wrong with it.
--- a/yarrowloom/node/chief.py
+++ b/yarrowloom/node/chief.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from ..agent.choice import rack
+from ..fleet.owners import Picker, place
 from ..record.epoch import addr_of
 from ..wire.frame import Kind
 
@@ -11,23 +11,37 @@
 
 LEASE_S = 1.5                       # how long one word of the chief lets an agent act
 DEAD_S = LEASE_S * 1.05 + 0.3       # silence after which its minions go to others
+LATE_S = 0.5                        # the former primary has this long to be heard before its minions go to others
 DROP_S = 30.0
+BATCH = 256                         # minions given out in one commit, and in one tick
+ADMIT_S = 0.05                      # new minions that come within this time share a commit
+CALM_S = 6.0                        # nothing had to move for this long: minions may move back
+FRESH_S = 1.0                       # nor a core been enrolled for this long
+EASE_S = 0.5                        # how often up to EASE of them, of one rack, do
+EASE = 16
+SHED_S = 2.0                        # an agent that has not let go of minions by then keeps them
 
 
 class Chief:
-    """Volatile; one lives while this node serves group 0. Invariant: a minion is given to another agent only once
-    the former agent's word from any chief has run out."""
+    """Volatile; one lives while this node serves group 0. Invariants: a minion is given to another agent only once
+    the former agent's word from any chief has run out, or it has said that it let go; an agent gets the word only
+    in answer to a heart whose digest fits what it should hold, or which lists what it holds."""
 
     def __init__(self, *, node: "CoreHub", late: str) -> None:
         self.node = node
         now = node.now
-        # `late`: the primary before this one, whose agent acted on that duty's promise alone, which has run out.
-        self.last: dict[str, float] = {u: now for u in {*node.reg.members, *self._owners()} if u != late}
+        self.last: dict[str, float] = {u: now for u in {*node.reg.members, *node.reg.owners.by}}
+        if late in self.last:
+            # The primary before this one: its agent acted on that duty's promise alone, which has run out.
+            self.last[late] = now - DEAD_S + LATE_S
         self.boots: dict[str, int] = {}
-        self.pending: dict[str, list[tuple[str, int]]] = {}
-
-    def _owners(self) -> set[str]:
-        return {row["o"] for row in self.node.reg.minions.values()}
+        self.asks: list[tuple[str, int, dict[str, Any]]] = []      # who-calls for new minions: uid, rid, body
+        self.admitted = -9.0
+        self.stale: dict[str, list[str]] = {}    # by agent: minions whose fence is from before its process began anew
+        self.shed: dict[str, tuple[str, str]] = {}      # minions that should change hands: from whom, to whom
+        self.asked: set[str] = set()             # of these, those that their agent held when it was asked
+        self.eased = now
+        self.stirred = now if node.reg.minions else now - CALM_S + FRESH_S
 
     def live(self, *, uid: str) -> bool:
         """Counted in and heard of lately."""
@@ -38,86 +52,146 @@
         return uid != self.node.uid and self.node.now - self.last.get(uid, -99.0) > DEAD_S
 
     def heart(self, *, b: dict[str, Any]) -> dict[str, Any]:
-        """A core's heart: enrol it, renew its word, tell it what it owns."""
+        """A core's heart: enrol it, renew its word, tell it what it owns.
+
+        `dig`: the digest of what it holds; `own`: all of that, if it was asked for (`list` in the answer)."""
         node, uid = self.node, b["u"]
         if b["kind"] != "core":
             return {}
         if uid not in node.reg.members:
-            old = [u for u in node.reg.members if addr_of(uid=u) == addr_of(uid=uid)]
-            for gone in old:
-                node.commit0(ev={"t": "drop", "uid": gone})
-            info = {k: b[k] for k in ("site", "name", "ctl")}
-            node.commit0(ev={"t": "enrol", "uid": uid, "info": info}, news=True)
-            node.note(event="core-enrolled", uid=uid, replaces=",".join(old))
-        was = self.last.get(uid)
-        if was is None or self.dead(uid=uid):
-            self._move(owner=uid)
+            self._enrol(b=b)
+        if uid != node.uid and (uid not in self.last or self.dead(uid=uid)) and self._move(owner=uid):
+            return {}
         self.last[uid] = node.now
         if self.boots.get(uid) not in (None, b["boot"]):
+            self.stale[uid] = list(node.reg.owners.by.get(uid, ()))
             self._renew(uid=uid)
         self.boots[uid] = b["boot"]
-        have = {mid: f for mid, f in b.get("own", [])}
-        mine = {mid: row for mid, row in node.reg.minions.items() if row["o"] == uid}
-        give = [[mid, row["f"], row] for mid, row in mine.items() if have.get(mid, 0) < row["f"]]
-        drop = [mid for mid in have if mid not in mine]
-        return {"lease": True, "own": give, "dis": drop}
+        leave = [mid for mid, (was, _) in self.shed.items() if was == uid]
+        if "own" not in b:
+            if b["dig"] != node.reg.owners.digest(uid=uid):
+                return {"list": True}
+            self.asked.update(leave)
+            return {"lease": True, **({"shed": leave} if leave else {})}
+        have = dict(b["own"])
+        self._let_go(uid=uid, mids=[mid for mid in leave if mid in self.asked and mid not in have])
+        mine = node.reg.owners.by.get(uid, {})
+        old = {*self.stale.get(uid, ())}
+        give = [self._row(mid) for mid in mine
+                if have.get(mid, 0) < node.reg.minions[mid]["f"] and mid not in old and mid not in self.shed]
+        return {"lease": True, "own": give, "dis": [mid for mid in have if mid not in mine]}
+
+    def _row(self, mid: str) -> list[Any]:
+        row = self.node.reg.minions[mid]
+        return [mid, row["f"], row]
+
+    def _enrol(self, *, b: dict[str, Any]) -> None:
+        node, uid = self.node, b["u"]
+        old = [u for u in node.reg.members if addr_of(uid=u) == addr_of(uid=uid)]
+        for gone in old:
+            node.commit0(ev={"t": "drop", "uid": gone})
+        node.commit0(ev={"t": "enrol", "uid": uid, "info": {k: b[k] for k in ("site", "name", "ctl")}}, news=True)
+        node.note(event="core-enrolled", uid=uid, replaces=",".join(old))
+        self.stirred = max(self.stirred, node.now - CALM_S + FRESH_S)
+
+    def _picker(self) -> Picker:
+        members = self.node.reg.members
+        live = {u: str(row.get("site", "")) for u, row in members.items() if self.live(uid=u)}
+        return Picker(owners=self.node.reg.owners, sites=live or {self.node.uid: self.node.startup.site})
+
+    def _give(self, *, rows: list[list[Any]]) -> None:
+        """Commit new owners, (minion, owner, what is new of its row); they are told once it is durable."""
+        self.node.commit0(ev={"t": "own", "ms": rows}, then=("owned", [row[0] for row in rows]))
 
     def _renew(self, *, uid: str) -> None:
         """A core's process began anew: its minions get new fences."""
-        rows = [[mid, uid, {}] for mid, row in self.node.reg.minions.items() if row["o"] == uid]
+        mids = self.stale.pop(uid)
+        self.stale.update({uid: mids[BATCH:]} if mids[BATCH:] else {})
+        mine = self.node.reg.owners.by.get(uid, {})
+        rows: list[list[Any]] = [[mid, uid, {}] for mid in mids[:BATCH] if mid in mine]
         if rows:
-            self.node.commit0(ev={"t": "own", "ms": rows})
-
-    def select(self, *, site: str, labels: list[str]) -> str:
-        """The agent for a minion: in its site, where its rack already is, else the least loaded."""
-        node = self.node
-        live = [u for u in node.reg.members if self.live(uid=u)] or [node.uid]
-        near = [u for u in live if node.reg.members.get(u, {}).get("site") == site] or live
-        load: dict[str, int] = {u: 0 for u in near}
-        mates: dict[str, int] = {}
-        name = rack(labels=labels)
-        for row in node.reg.minions.values():
-            if row["o"] in load:
-                load[row["o"]] += 1
-                if name and row.get("labels") and rack(labels=row["labels"]) == name and row.get("site") == site:
-                    mates[row["o"]] = mates.get(row["o"], 0) + 1
-        pool = [u for u in near if u in mates] or near
-        return min(pool, key=lambda u: (load[u], u))
+            self._give(rows=rows)
+        self.stirred = self.node.now
 
     def who(self, *, uid: str, rid: int, b: dict[str, Any]) -> None:
-        """Which agent holds a minion; a new one gets an owner."""
+        """Which agent holds a minion; a new one gets an owner, together with others that come at the time."""
         row = self.node.reg.minions.get(b["m"])
-        if row is None:
-            owner = self.select(site=b["site"], labels=b["labels"])
-            info = {k: b[k] for k in ("site", "svc", "labels")}
-            self.node.commit0(ev={"t": "own", "ms": [[b["m"], owner, info]]}, then=("owned", b["m"]))
-        else:
-            owner = row["o"]
-        self.node.reps[0].barrier(then=("reply", uid, rid, 200, {"o": owner}))
-
-    def owned(self, *, mid: str) -> None:
-        """An ownership is durable: tell the owner."""
-        row = self.node.reg.minions.get(mid)
         if row is not None:
-            self.node.send(uid=row["o"], kind=Kind.HEARTOK, body={"own": [[mid, row["f"], row]]})
-
-    def _move(self, *, owner: str) -> None:
-        """Give a dead agent's minions to live ones."""
+            self.node.reps[0].barrier(then=("reply", uid, rid, 200, {"o": row["o"]}))
+            return
+        self.asks.append((uid, rid, b))
+        if len(self.asks) >= BATCH or self.node.now - self.admitted >= ADMIT_S:
+            self._admit()
+
+    def _admit(self) -> None:
+        node, asks = self.node, self.asks
+        self.asks, self.admitted = [], node.now
+        pick, rows = self._picker(), dict[str, list[Any]]()
+        for _, _, b in asks:
+            if b["m"] not in node.reg.minions and b["m"] not in rows:
+                info = {k: b[k] for k in ("site", "svc", "labels")}
+                rows[b["m"]] = [b["m"], pick.pick(spot=place(row=info)), info]
+        if rows:
+            self._give(rows=list(rows.values()))
+        for uid, rid, b in asks:
+            node.reps[0].barrier(then=("reply", uid, rid, 200, {"o": node.reg.minions[b["m"]]["o"]}))
+
+    def owned(self, *, mids: list[str]) -> None:
+        """Ownerships are durable: tell the owners."""
+        by: dict[str, list[Any]] = {}
+        for mid in mids:
+            row = self.node.reg.minions.get(mid)
+            if row is not None:
+                by.setdefault(row["o"], []).append(self._row(mid))
+        for uid, rows in by.items():
+            self.node.send(uid=uid, kind=Kind.HEARTOK, body={"own": rows})
+
+    def _move(self, *, owner: str) -> bool:
+        """Give some of a dead agent's minions to live ones; whether there were any."""
         node = self.node
-        rows = []
-        for mid, row in node.reg.minions.items():
-            if row["o"] == owner:
-                rows.append([mid, self.select(site=row.get("site", ""), labels=row.get("labels", [])), {}])
+        mids = list(node.reg.owners.by.get(owner, ()))[:BATCH]
+        if not mids:
+            return False
+        pick = self._picker()
+        node.note(event="minions-moved", owner=owner, count=len(mids))
+        self._give(rows=[[mid, pick.pick(spot=place(row=node.reg.minions[mid])), {}] for mid in mids])
+        self.stirred = node.now
+        return True
+
+    def _let_go(self, *, uid: str, mids: list[str]) -> None:
+        """An agent holds these no longer, as it was asked to."""
+        to = {mid: self.shed.pop(mid)[1] for mid in mids}
+        mine = self.node.reg.owners.by.get(uid, {})
+        rows: list[list[Any]] = [[mid, new, {}] for mid, new in to.items() if mid in mine and self.live(uid=new)]
         if rows:
-            node.note(event="minions-moved", owner=owner, count=len(rows))
-            node.commit0(ev={"t": "own", "ms": rows}, then=("owned-all",))
+            self.node.note(event="minions-evened", owner=uid, count=len(rows))
+            self._give(rows=rows)
+
+    def _ease(self) -> None:
+        """In calm times, ask an agent to let go of minions that belong elsewhere, a few at a time."""
+        node, now = self.node, self.node.now
+        if self.shed and now - self.eased < SHED_S or now - self.eased < EASE_S:
+            return
+        self.shed.clear()
+        self.asked.clear()
+        agents = {*node.reg.members, *node.reg.owners.by}
+        if now - self.stirred < CALM_S or not all(self.live(uid=u) for u in agents):
+            return
+        rows = self._picker().uneven(most=EASE)
+        self.eased = now
+        self.shed = {mid: (node.reg.minions[mid]["o"], new) for mid, new in rows}
 
     def tick(self) -> None:
-        """Look for agents whose word has run out."""
+        """Look for agents whose word has run out; one batch of each kind of work."""
         node = self.node
-        for uid in sorted(self._owners()):
-            if self.dead(uid=uid):
-                self._move(owner=uid)
+        if self.asks and node.now - self.admitted >= ADMIT_S:
+            self._admit()
+        for uid in sorted(node.reg.owners.by):
+            if self.dead(uid=uid) and self._move(owner=uid):
+                break
+        if self.stale:
+            self._renew(uid=next(iter(self.stale)))
+        self._ease()
         for uid in list(node.reg.members):
             if uid != node.uid and node.now - self.last.get(uid, node.now) > DROP_S:
                 node.commit0(ev={"t": "drop", "uid": uid}, news=True)
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -5,6 +5,7 @@
 
 from ..base.log import Log
 from ..base.startup import Startup
+from ..fleet.owners import total
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
@@ -26,9 +27,8 @@
         super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand)
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
-            "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
-            "stops": self._stops, "orders": self._orders, "endsok": self._endsok, "giveback": self._giveback,
-            "selfown": self._selfown}
+            "reply": self._reply, "news": self._news, "owned": self._owned, "stops": self._stops,
+            "orders": self._orders, "endsok": self._endsok, "giveback": self._giveback, "selfown": self._selfown}
 
     # -- effects
 
@@ -56,16 +56,13 @@
     def _news(self, doc: dict[str, Any]) -> None:
         self.take_news(doc=doc)
 
-    def _owned(self, mid: str) -> None:
+    def _owned(self, mids: list[str]) -> None:
         if self.chief is not None:
-            self.chief.owned(mid=mid)
+            self.chief.owned(mids=mids)
 
     def _selfown(self, doc: dict[str, Any]) -> None:
         self._heartok(uid=self.uid, m=doc)
 
-    def _owned_all(self) -> None:
-        self.hearted = -9.0
-
     def _stops(self, g: int, rows: list[Any]) -> None:
         if g in self.placers:
             self.placers[g].stops(rows)
@@ -98,8 +95,12 @@
             rep.flush()
 
     def heart(self) -> dict[str, Any]:
-        """A core's heart tells what its agent owns."""
-        return {**super().heart(), "own": [[m.mid, m.fence] for m in self.agent.minions.values()]}
+        """A core's heart tells what its agent owns: a digest, and all of it if the chief asked."""
+        own = [(m.mid, m.fence) for m in self.agent.minions.values()]
+        body = {**super().heart(), "dig": total(rows=own)}
+        if self.listing:
+            body["own"] = own
+        return body
 
     def on(self, *, uid: str, kind: Kind, body: bytes) -> None:
         """One frame from `uid`."""
@@ -198,6 +199,9 @@
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
             self.agent.disown(mid=mid)
+        if m.get("list") or m.get("shed"):
+            self.let_go(mids=m.get("shed", []))
+            self.listing, self.hearted = True, -9.0
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
@@ -216,10 +220,11 @@
         self.ticked = self.now
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
-            own = self.chief.heart(b=self.heart())
-            if own["own"] or own["dis"]:
-                self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+            if self.hearted == self.now:
+                self._self_heart()
             self.chief.tick()
+        if self.hearted == self.now:
+            self.listing = False
         self.calls.tick()
         for rep in self.reps.values():
             rep.tick()
@@ -229,6 +234,15 @@
                 p.tick()
         self._flush()
 
+    def _self_heart(self) -> None:
+        """The chief's word to the agent of its own node."""
+        assert self.chief is not None
+        own = self.chief.heart(b=self.heart())
+        if "own" not in own:
+            self._heartok(uid=self.uid, m=own)
+        elif own["own"] or own["dis"]:
+            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+
     def leave(self) -> None:
         """The process is to end: hand the groups served here to their backups."""
         for rep in self.reps.values():
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -45,6 +45,7 @@
         self.agent = Agent(hub=self, hold_ms=int(hold), lag_ms=startup.beat_ms,
                            stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)))
         self.lease = -9.0
+        self.listing = False                 # the chief wants to be told all that the agent holds
         self.roster: dict[str, float] = {}
         self.owner: dict[str, tuple[str, float]] = {}
         self.before: dict[int, str] = {}
@@ -138,6 +139,13 @@
         """The agent may act: group 0's primary gave its word lately, or is this node."""
         return self.now < self.lease or (self.chief is not None and self.reps[0].serving())
 
+    def let_go(self, *, mids: list[str]) -> None:
+        """The chief wants these given to others: those that have no order on its way out are let go of."""
+        for mid in mids:
+            m = self.agent.minions.get(mid)
+            if m is not None and all(r.sent or r.live for r in m.runs.values()):
+                self.agent.disown(mid=mid)
+
     def evacuated(self, *, site: str) -> bool:
         """Nothing may start there."""
         return site in self.evac
