--- a/yarrowloom/fleet/owners.py
+++ b/yarrowloom/fleet/owners.py
@@ -103,13 +103,20 @@
         return out
 
     def uneven(self, *, most: int) -> list[tuple[str, str]]:
-        """Up to `most` minions, of one place and agent, that should move, and to whom: what is away from a site
-        that has agents comes home; else the fullest agent of a site gives a rack to the emptiest if that evens."""
+        """Up to `most` minions that should move, and to whom: what is away from a site that has agents comes home,
+        the lesser part of a rack joins the greater, and the fullest agent of a site gives a rack to the emptiest."""
+        out: list[tuple[str, str]] = []
         for spot, there in self.owners.spots.items():
             home = self.near.get(spot.site, [])
-            for uid, mids in there.items() if home else ():
-                if uid not in home and uid in self.sites:
-                    return [(mid, self.pick(spot=spot)) for mid in list(mids)[:most]]
+            parts = sorted((len(mids), uid) for uid, mids in there.items() if uid in self.sites)
+            best = max((p for p in parts if p[1] in home), default=None)
+            for size, uid in parts if home else ():
+                stray = uid not in home or (spot.rack and best is not None and uid != best[1])
+                if stray and (not out or len(out) + size <= most):
+                    out += [(mid, self.pick(spot=spot) if best is None else best[1])
+                            for mid in list(there[uid])[:most - len(out)]]
+        if out:
+            return out
         for site, uids in self.near.items():
             full, bare = max(uids, key=lambda u: self.load[u]), min(uids, key=lambda u: self.load[u])
             half = (self.load[full] - self.load[bare]) // 2
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -1,5 +1,6 @@
 """The edge node: callers' requests pass a chain of filters, each of which may answer."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,8 +14,9 @@
 from ..wire.http import Limits, Request, Response
 from .base import ALIVE_S, FANOUT, JOB_GROUPS, NodeBase
 
-MARGIN_S = 0.15
-READY_S = 1.5
+MARGIN_S = 0.2        # an answer leaves this long before its caller's deadline, or a third of what is left before
+READY_S = 2.5         # a core that is merely busy answers something within this time
+HAND_MIN, HAND_MAX = 64, 1024
 VIA_S = 1.0           # relays that have been out of contact this long are left for the cores
 FULL_S = 10.0         # a relay that had no room is not asked again this long
 RETRY = (("retry-after", "1"),)
@@ -30,13 +32,15 @@
     route: dict[str, Any] | None = None
     rest: str = ""
     job: dict[str, Any] | None = None
+    ttl: float = 0.0      # seconds until it must be answered
 
 
 Filter = Callable[[Way], Response | None]
 
 
 class EdgeNode(NodeBase):
-    """Invariant: a request is answered 503 or 429 only if nothing of it was sent on."""
+    """Invariants: a request is answered 503 or 429 only if nothing of it was sent on; `hand` counts the bytes of the
+    bodies of the calls in hand, which are at most `hand_most` calls and about a sixteenth of the memory."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log) -> None:
         super().__init__(startup=startup, uid=uid, boot=boot, kind="edge", log=log)
@@ -45,7 +49,11 @@
         self.via: list[str] = []
         self.via_at = -9.0
         self.shun: dict[str, float] = {}      # relays that have no room, and until when
-        self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._parsed)
+        self.reached = -9.0           # when a core last answered a call
+        self.hand = 0
+        self.hand_most = min(max(2 * startup.memory_mb, HAND_MIN), HAND_MAX)
+        self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._timely, self._roomy,
+                                            self._parsed)
 
     def configured(self) -> None:
         """The operator's limits hold for callers from now on."""
@@ -57,8 +65,9 @@
         self.limits.idle_ms = int(lim.get("idle-timeout-ms", self.limits.idle_ms))
 
     def ready(self) -> bool:
-        """Can serve: configured, in contact, and knows who keeps the records."""
-        return (self.table is not None and not self.closing and self.now - self.contact < READY_S
+        """Can serve: configured, answered by cores lately, and knows who keeps the records."""
+        near = self.now - max(self.contact, self.reached) < READY_S
+        return (near and self.table is not None and not self.closing
                 and all(g in self.eps for g in range(JOB_GROUPS + 1)))
 
     def http(self, *, call: Any, req: Request) -> None:
@@ -97,6 +106,25 @@
             return Response.of(400 if method == "POST" else 410, {"error": "not a job id"})
         return None
 
+    def _timely(self, way: Way) -> Response | None:
+        """How long the caller waits: by the route, or less by its own word."""
+        assert way.route is not None
+        left = float(way.route["deadline-ms"])
+        try:
+            said = float(way.req.headers.get("x-deadline-ms", left))
+        except ValueError:
+            said = left
+        left = min(left, said if math.isfinite(said) else left) / 1000
+        way.ttl = left - min(MARGIN_S, left / 3)
+        return Response.of(503, {"error": "no time left"}, headers=RETRY) if left <= 0 else None
+
+    def _roomy(self, way: Way) -> Response | None:
+        """A bounded number of calls is in hand; more are turned away before anything is done for them."""
+        size = len(way.req.body)
+        if len(self.calls.open) < self.hand_most and self.hand + size <= self.startup.memory_mb << 16:
+            return None
+        return Response.of(503, {"error": "too many calls in hand"}, headers=RETRY)
+
     def _parsed(self, way: Way) -> Response | None:
         if way.req.method != "POST":
             return None
@@ -109,16 +137,13 @@
     def _forward(self, way: Way) -> None:
         assert way.route is not None
         name, method = way.route["name"], way.req.method
-        ttl = float(way.route["deadline-ms"])
-        try:
-            ttl = min(ttl, float(way.req.headers.get("x-deadline-ms", ttl)))
-        except ValueError:
-            pass
-        ttl = max(ttl / 1000 - MARGIN_S, 0.05)
+        ttl, size = way.ttl, len(way.req.body)
+        self.hand += size
         if method == "GET" and not way.rest:
             count: dict[str, Any] = {"left": JOB_GROUPS, "sum": 0}
             for g in range(1, JOB_GROUPS + 1):
-                self.calls.start(g=g, op="count", b={"q": name}, done=("count", way.call, count), ttl=ttl)
+                self.calls.start(g=g, op="count", b={"q": name}, done=("count", way.call, size if g == 1 else 0, count),
+                                 ttl=ttl)
             return
         g = group_of(jid=way.rest, groups=JOB_GROUPS)
         b: dict[str, Any] = {"id": way.rest, "q": name}
@@ -126,12 +151,13 @@
             assert way.job is not None
             b["j"] = {**way.job, "svc": way.route["backend"], "mt": int(way.route.get("max-tries", 1))}
         op = {"POST": "put", "GET": "get", "DELETE": "del"}[method]
-        self.calls.start(g=g, op=op, b=b, done=(op, way.call), ttl=ttl)
+        self.calls.start(g=g, op=op, b=b, done=(op, way.call, size), ttl=ttl)
 
     def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
         """An answer of the records, or none in time."""
+        self.hand -= done[2]
         if done[0] == "count":
-            box = done[2]
+            box = done[3]
             if box["left"] <= 0:
                 return
             box["left"] -= 1
@@ -174,6 +200,7 @@
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.REPLY:
+            self.reached = self.now
             self.calls.reply(m=m)
 
     def children(self) -> int:
