--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -239,6 +239,8 @@
                     return
                 if lost and lane is Lane.WORK and ip != dst:
                     to.node.gap(uid=uid)
+                elif lost and lane is Lane.URGENT and ip != dst:
+                    to.node.lost_from(uid=uid)
                 if kind is not None:
                     to.node.on(uid=uid, kind=kind, m=orjson.loads(body))
             self.step(dst, to, take)
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -5,6 +5,7 @@
 
 from ..base.log import Log
 from ..base.startup import Startup
+from ..fleet.owners import total
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
@@ -27,9 +28,8 @@
         self.hand = InHand()
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
-            "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
-            "stops": self._stops, "orders": self._orders, "endsok": self._endsok,
-            "selfown": self._selfown}
+            "reply": self._reply, "news": self._news, "owned": self._owned, "stops": self._stops,
+            "orders": self._orders, "endsok": self._endsok, "selfown": self._selfown}
 
     # -- effects
 
@@ -57,16 +57,13 @@
     def _news(self, doc: dict[str, Any]) -> None:
         self.take_news(doc=doc)
 
-    def _owned(self, mid: str) -> None:
+    def _owned(self, mids: list[str]) -> None:
         if self.chief is not None:
-            self.chief.owned(mid=mid)
+            self.chief.owned(mids=mids)
 
     def _selfown(self, doc: dict[str, Any]) -> None:
         self._heartok(uid=self.uid, m=doc)
 
-    def _owned_all(self) -> None:
-        self.hearted = -9.0
-
     def _stops(self, g: int, rows: list[Any]) -> None:
         if g in self.placers:
             self.placers[g].stops(rows)
@@ -96,8 +93,12 @@
             rep.flush()
 
     def heart(self) -> dict[str, Any]:
-        """A core's heart tells what its agent owns."""
-        return {**super().heart(), "own": [[m.mid, m.fence] for m in self.agent.minions.values()]}
+        """A core's heart tells what its agent owns: a digest, and all of it if the chief asked."""
+        own = [(m.mid, m.fence) for m in self.agent.minions.values()]
+        body = {**super().heart(), "dig": total(rows=own)}
+        if self.listing:
+            body["own"] = own
+        return body
 
     def on(self, *, uid: str, kind: Kind, m: Any) -> None:
         """One message from `uid`, parsed; it is the node's from now on."""
@@ -187,8 +188,8 @@
 
     def _heart(self, *, b: dict[str, Any]) -> None:
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"]}
-        news = self.newer(have=b["have"])
+        body: dict[str, Any] = {"t": b["t"], "c": self.mine()["conf"]}
+        news = self.newer(uid=b["u"])
         if news:
             body["news"] = news
         if b["kind"] == "edge":
@@ -206,6 +207,7 @@
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
+            self.told(uid=uid, stamp=m.get("c", 0))
             if m.get("lease"):
                 self.lease = max(self.lease, m["t"] + LEASE_S)
         for u in m.get("up", []):
@@ -216,10 +218,14 @@
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
             self.agent.disown(mid=mid)
+        if m.get("list") or m.get("shed"):
+            self.let_go(mids=m.get("shed", []))
+            self.listing, self.hearted = True, -9.0
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
         self.calls.lost(uid=uid)
+        self.lost_from(uid=uid)
         self.agent.gap(uid=uid)
         for g, p in self.placers.items():
             if self.reps[g].serving():
@@ -233,10 +239,11 @@
         self.ticked = self.now
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
-            own = self.chief.heart(b=self.heart())
-            if own["own"] or own["dis"]:
-                self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+            if self.hearted == self.now:
+                self._self_heart()
             self.chief.tick()
+        if self.hearted == self.now:
+            self.listing = False
         self.calls.tick()
         self.hand.sweep(now=self.now)
         for rep in self.reps.values():
@@ -255,6 +262,15 @@
             for uid, when in at.items():
                 at[uid] = min(when + slept, self.now)
 
+    def _self_heart(self) -> None:
+        """The chief's word to the agent of its own node."""
+        assert self.chief is not None
+        own = self.chief.heart(b=self.heart())
+        if "own" not in own:
+            self._heartok(uid=self.uid, m=own)
+        elif own["own"] or own["dis"]:
+            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+
     def leave(self) -> None:
         """The process is to end: hand the groups served here to their backups."""
         for rep in self.reps.values():
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -78,8 +78,10 @@
         self.wake.set()
 
     def _frames(self, uid: str, lane: Lane, rows: Rows, lost: bool) -> None:
-        if lost:
+        if lost and lane is Lane.WORK:
             self.post(fn=partial(self.node.gap, uid=uid), rank=Rank.WORK)
+        elif lost and lane is Lane.URGENT:
+            self.post(fn=partial(self.node.lost_from, uid=uid), rank=Rank.URGENT)
         for kind, m in rows:
             rank = rank_of(kind=kind, m=m)
             until = time.monotonic() + float(m.get("ttl", WAIT_S)) if rank is Rank.LATE else math.inf
--- a/yarrowloom/place/binding.py
+++ b/yarrowloom/place/binding.py
@@ -61,7 +61,7 @@
         att = Attempt(group=group, need=len(decision.placed), plan=plan)
         asks: dict[str, list[tuple[str, int, int]]] = {}
         back: list[Held] = []
-        group.out.update(idx for idx, _ in decision.placed)
+        group.out.update(decision.placed)
         for mid, idxs in plan.items():
             spot = self.room.spots[mid]
             for held in self.pool.take(mid=mid, size=group.size, n=len(idxs)):
@@ -81,6 +81,9 @@
     def _ask(self, *, att: Attempt, agent: str, on: list[tuple[str, int, int]], n: int, been: list[str]) -> None:
         """Send a request for room: metadata only."""
         group = att.group
+        avoid = self._there(group=group) if group.apart else {}
+        for mid, _, k in on if group.apart else ():
+            avoid[mid] -= k                    # what is asked for now is not there yet
         self.rid += 1
         att.open += 1
         self.asks[self.rid] = LeaseAsk(rid=self.rid, agent=agent, at=self.hub.now, size=group.size, attempt=att, on=on,
@@ -88,15 +91,17 @@
         body: dict[str, Any] = {
             "g": self.g, "rid": self.rid, "svc": group.svc, "cpu": group.size.cpu, "mem": group.size.mem,
             "gpu": group.size.gpu, "req": group.req, "near": group.near, "n": n, "been": been, "apart": group.apart,
-            "avoid": self._there(group=group) if group.apart else {}, "on": [[mid, k] for mid, _, k in on]}
+            "avoid": avoid, "on": [[mid, k] for mid, _, k in on]}
         if group.gang:
             body.update(all=True, mark=MARK_S)
         self.hub.send(uid=agent, kind=Kind.LEASE, body=body)
 
     def _there(self, *, group: Group) -> dict[str, int]:
-        """Members that run, by minion."""
+        """Members that run or are on their way, by minion."""
         unit = self.jobs.jobs[group.jid]["u"][group.key]
         out: dict[str, int] = {}
+        for mid in group.out.values():
+            out[mid] = out.get(mid, 0) + 1
         for i, st in enumerate(unit["s"]):
             if st == RUN:
                 out[unit["m"][i]] = out.get(unit["m"][i], 0) + 1
@@ -126,7 +131,7 @@
             else:
                 self.release([held])
         if len(got) < ask.n:
-            if b["to"] and not att.group.gang and len(ask.been) < HOPS:
+            if b["to"] and not att.group.gang and not att.group.apart and len(ask.been) < HOPS:
                 self._ask(att=att, agent=b["to"], on=[], n=ask.n - len(got), been=[*ask.been, b["to"]])
             else:
                 att.bad = True
@@ -164,7 +169,8 @@
                 att.bad = True
                 group.out.clear()
         left = [i for idxs in att.plan.values() for i in idxs]
-        group.out.difference_update(left)
+        for i in left:
+            group.out.pop(i, None)
         if live and (att.bad or left):       # the snapshot was old
             if group.gang and group.phase is Phase.BOUND:
                 self.backlog.wake(group=group)
@@ -184,7 +190,7 @@
         x: list[tuple[int, int, str]] = []
         orders: list[Any] = []
         for i, held in batch:
-            group.out.discard(i)
+            group.out.pop(i, None)
             if unit["s"][i] != WAIT:
                 self.release([held])
                 continue
--- a/yarrowloom/place/group.py
+++ b/yarrowloom/place/group.py
@@ -32,8 +32,8 @@
 
 @dataclass(slots=True, kw_only=True)
 class Group:
-    """A step's tasks. Invariants: `out` holds the members that a cycle placed and whose leases are not granted yet;
-    `prio` is its place in the queue: past use, the queue's rank, the latest start within its aim, the time first
+    """A step's tasks. Invariants: `out` holds the members that a cycle placed and whose leases are not granted yet,
+    with their minions; `prio` is its place in the queue: past use, the queue's rank, the latest start within its aim, the time first
     seen, then its name."""
 
     jid: str
@@ -49,7 +49,7 @@
     apart: int = 0
     est: int = 0
     late_at: float = 0.0           # wall seconds after which it earns nothing any more
-    out: set[int] = field(default_factory=set)
+    out: dict[int, str] = field(default_factory=dict)
     phase: Phase = Phase.ACTIVE
     tries: int = 0                 # failed cycles in a row
     again: float = 0.0             # end of its backoff
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -197,4 +197,4 @@
             self.log.warn("frame-malformed", peer=frm.uid, why=repr(err))
             lane, rows, lost = Lane.WORK, [], True
         if rows or lost:
-            self.sink(frm.uid, lane, rows, lost and lane is Lane.WORK)
+            self.sink(frm.uid, lane, rows, lost)
