--- a/tests/test_chief.py
+++ b/tests/test_chief.py
@@ -72,6 +72,17 @@
     assert {pick.pick(spot=Place("z9", f"q{i}")) for i in range(60)} == {"a", "b", "c"}
 
 
+def test_small_differences_move_nobody() -> None:
+    def rows(**n: int) -> dict[str, Any]:
+        return {f"{u}{i}": {"o": u, "f": 1, "site": "z0", "labels": ["k", f"{u}{i // 3}"]}
+                for u, k in n.items() for i in range(k)}
+    sites = {"a": "z0", "b": "z0"}
+    for a, b, some in ((7, 0, False), (40, 31, False), (9, 0, True), (60, 44, True)):
+        got = Picker(owners=Owners(rows=rows(a=a, b=b)), sites=sites).uneven(most=16)
+        assert bool(got) is some and all(mid[0] == "a" and to == "b" for mid, to in got)
+    assert Picker(owners=Owners(rows=rows(a=60, b=44)), sites={"a": "z0"}).uneven(most=16) == []
+
+
 def test_a_storm_of_new_minions_makes_few_commits(monkeypatch: pytest.MonkeyPatch) -> None:
     sim, _, _, _ = herd(seed=31, minions=1)
     made = watch(sim=sim, monkeypatch=monkeypatch)
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from tests.simlink import LinkSim, large, patched, put
 from yarrowloom.node.base import FANOUT
 from yarrowloom.wire.frame import Kind
@@ -114,3 +116,85 @@
     put(sim, method="PATCH", doc=patched(version=5), base=3)
     rest = [n for n in sim.edges() if n.startup.ip != relay]
     assert sim.until(cond=lambda: all(n.table is not None and n.table.stamp == 5 for n in rest), limit=2.5)
+
+
+def apply(doc: dict[str, Any], change: dict[str, Any]) -> dict[str, Any]:
+    """What PROTOCOL says of a change; `doc` stays as it is."""
+    rows = {r["name"]: r for r in doc["route-table"]}
+    rows.update({r["name"]: r for r in change["upserts"]["route-table"]})
+    for name in change["removals"]["route-table"]:
+        rows.pop(name, None)
+    return {**doc, "config-version": change["config-version"], "route-table": list(rows.values())}
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_changes_arrive_whole_whatever_gets_lost(seed: int) -> None:
+    """Frames lost, edges cut off and ended, cores ended; each edge holds exactly what was sent under its version."""
+    sim = LinkSim(seed=80 + seed, cores=5, edges=10)
+    sim.run(seconds=2.0)
+    doc = large(version=3, routes=60)
+    docs = {3: doc}
+    put(sim, method="PUT", doc=doc, base=0)
+    seen: dict[str, tuple[str, int]] = {}
+    for step in range(25):
+        version = doc["config-version"] + sim.rng.randint(1, 4)
+        sim.loss = sim.rng.choice([0.0, 0.05, 0.2])
+        what = sim.rng.choice(["cut", "edge", "core", "none", "heal"])
+        ip = sim.rng.choice(sim.edge_ips)
+        if what == "cut":
+            for core in sim.rng.sample(sim.core_ips, 3):
+                sim.cut(a=ip, b=core, one_way=sim.rng.random() < 0.5)
+        elif what == "edge":
+            sim.kill(ip=ip)
+            sim.boot(ip=ip)
+        elif what == "core" and step % 5 == 0:
+            core = sim.rng.choice(sim.core_ips)
+            sim.kill(ip=core, power=True)
+            sim.at(delay=1.0, fn=lambda core=core: sim.boot(ip=core))  # type: ignore[misc]
+        elif what == "heal":
+            sim.heal()
+        if sim.rng.random() < 0.8:
+            change = patched(version=version, n=sim.rng.randint(0, 3))
+            put(sim, method="PATCH", doc=change, base=doc["config-version"])
+            doc = apply(doc, change)
+        else:
+            rows = list(doc["route-table"])
+            sim.rng.shuffle(rows)
+            new = {**doc, "config-version": version, "route-table": rows}
+            put(sim, method="PUT", doc=new, base=doc["config-version"])
+            doc = new
+        docs[version] = doc
+        sim.run(seconds=sim.rng.random())
+        for node in sim.edges():
+            if node.conf is not None:
+                stamp = node.conf["config-version"]
+                assert node.conf == docs[stamp]
+                uid, was = seen.get(node.startup.ip, ("", 0))
+                assert uid != node.uid or stamp >= was
+                seen[node.startup.ip] = (node.uid, stamp)
+    sim.loss = 0.0
+    sim.heal()
+    sim.run(seconds=1.0)
+    put(sim, method="PATCH", doc=patched(version=1000), base=doc["config-version"])
+    assert sim.until(cond=lambda: sim.stamps() == {1000}, limit=2.5)
+    assert all(n.conf == apply(doc, patched(version=1000)) for n in sim.edges())
+
+
+@pytest.mark.parametrize("power", [False, True])
+def test_changes_that_were_acknowledged_outlive_all_processes(power: bool) -> None:
+    sim = LinkSim(seed=90, cores=5, edges=2)
+    sim.run(seconds=2.0)
+    doc = large(version=3)
+    put(sim, method="PUT", doc=doc, base=0)
+    for version in range(4, 20, 3):
+        change = patched(version=version, n=2)
+        put(sim, method="PATCH", doc=change, base=doc["config-version"])
+        doc = apply(doc, change)
+    for ip in sim.core_ips + sim.edge_ips:
+        sim.kill(ip=ip, power=power)
+    sim.run(seconds=1.0)
+    for ip in sim.core_ips + sim.edge_ips:
+        sim.boot(ip=ip)
+    assert sim.until(cond=lambda: sim.stamps() == {doc["config-version"]}, limit=6.0)
+    assert sim.ask(ip=sim.core_ips[1], method="GET", path="/config") == (200, doc)
+    assert all(n.conf == doc for n in sim.edges())
--- a/yarrowloom/fleet/owners.py
+++ b/yarrowloom/fleet/owners.py
@@ -6,6 +6,7 @@
 from ..agent.choice import rack
 
 Row = dict[str, Any]
+GAP = 8               # agents of a site whose minions differ by less, or by less than a quarter, stay as they are
 
 
 class Place(NamedTuple):
@@ -119,7 +120,8 @@
             return out
         for site, uids in self.near.items():
             full, bare = max(uids, key=lambda u: self.load[u]), min(uids, key=lambda u: self.load[u])
-            half = (self.load[full] - self.load[bare]) // 2
+            gap = self.load[full] - self.load[bare]
+            half = gap // 2 if gap >= GAP and 4 * gap >= self.load[full] else 0
             for spot, there in self.owners.spots.items() if half > 0 else ():
                 held = list(there.get(full, ()))
                 if spot.site == site and held and (not spot.rack or len(held) <= min(half, most)):
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -174,8 +174,8 @@
         if news:
             body["news"] = news
         if b["kind"] == "edge":
-            fed = sorted(u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u))[:FANOUT]
-            if b["u"] not in fed:
+            edges = [u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u)]
+            if len(edges) > FANOUT and b["u"] not in (fed := sorted(edges)[:FANOUT]):
                 body["via"] = ring(uid=b["u"], among=fed, n=2)
         if self.chief is not None and self.reps[0].serving():
             body.update(self.chief.heart(b=b))
