--- a/yarrowloom/place/group.py
+++ b/yarrowloom/place/group.py
@@ -33,8 +33,8 @@
 @dataclass(slots=True, kw_only=True)
 class Group:
     """A step's tasks. Invariants: `out` holds the members that a cycle placed and whose leases are not granted yet,
-    with their minions; `prio` is its place in the queue: past use, the queue's rank, the latest start within its aim, the time first
-    seen, then its name."""
+    with their minions; `prio` is its place in the queue: past use, the queue's rank, the latest start within its aim,
+    the time first seen, then its name."""
 
     jid: str
     key: str
