--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -145,3 +145,17 @@
         caller.submit(stages=[{**TASK, "task-count": 5, "cpus": 500, "anti-affinity": 1}])
         sim.run(seconds=0.1)
     finish(sim=sim, oracle=oracle, caller=caller)
+
+
+def test_the_operator_is_told_why_a_job_waits_from_any_core() -> None:
+    sim, _, caller, _ = cluster(seed=7801, minions=3)
+    jid = caller.submit(stages=[{**TASK, "requires": "nowhere"}])
+    sim.run(seconds=2.0)
+    got: list[tuple[int, Any]] = [sim.ask(ip=ip, method="GET", path=f"/jobs/{jid}") for ip in sim.core_ips]
+    assert sorted(status for status, _ in got) == [200, 307, 307]
+    doc = next(doc for status, doc in got if status == 200)
+    assert doc["state"] == "pending" and doc["groups"][0]["members-waiting"] == 0
+    assert "never" in doc["groups"][0]["last"] and doc["groups"][0]["cycles-failed"] > 1
+    home = sim.serving(g=1)[0]
+    assert sim.ask(ip=home, method="GET", path="/jobs/0000000000000001")[0] == 410
+    assert sim.ask(ip=home, method="GET", path="/jobs/zz")[0] == 400
--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -42,6 +42,26 @@
             raise UsageError(text=f"{addr}: answered {res.status}; is it a control address?")
         return orjson.dumps(orjson.loads(res.content), option=orjson.OPT_INDENT_2).decode()
 
+    def explain(self, addr: str, job: str) -> str:
+        """Say why a job waits: ask the core node at a control address (HOST:PORT) about a job's ID."""
+        import httpcore
+        import orjson
+
+        from .base.errs import UsageError
+        url = f"http://{addr}/jobs/{job}"
+        try:
+            for _ in range(3):
+                res = httpcore.request("GET", url, extensions={
+                    "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
+                if res.status != 307:
+                    break
+                url = dict(res.headers)[b"location"].decode()
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
+            raise UsageError(text=f"{url}: not reached ({type(err).__name__})") from err
+        if res.status != 200:
+            raise UsageError(text=f"{url}: answered {res.status}: {res.content.decode(errors='replace')[:200]}")
+        return orjson.dumps(orjson.loads(res.content), option=orjson.OPT_INDENT_2).decode()
+
     def load(self, *addrs: str, host: str, prefix: str, jobs: int = 50, rate: float = 5.0, seed: int = 1) -> str:
         """Send a seeded mix of jobs to front addresses and report latencies, losses and repeats."""
         import trio
--- a/yarrowloom/node/control.py
+++ b/yarrowloom/node/control.py
@@ -7,7 +7,9 @@
 import orjson
 
 from ..base.errs import YarrowError
+from ..job.spec import group_of, job_id
 from ..wire.http import JSON, Request, Response
+from .base import JOB_GROUPS
 
 if TYPE_CHECKING:
     from .hub import CoreHub
@@ -114,3 +116,24 @@
 def state(node: "CoreHub", call: Any, req: Request, _arg: str) -> None:
     """What this node knows, for the operator's command line."""
     node.respond(call=call, res=Response(status=200, body=orjson.dumps(node.describe()), headers=JSON))
+
+
+@declare("GET", r"/jobs/([^/]+)")
+def explain(node: "CoreHub", call: Any, req: Request, jid: str) -> None:
+    """Why a job waits: its groups, their last cycle, its place in the queue. Elsewhere than at the placing node, the
+    answer names that one (307)."""
+    if not job_id(text=jid):
+        node.respond(call=call, res=Response.of(400, {"error": "not a job id"}))
+        return
+    g = group_of(jid=jid, groups=JOB_GROUPS)
+    if g in node.placers and node.reps[g].serving():
+        job = node.jobs[g].jobs.get(jid)
+        node.respond(call=call, res=Response.of(410, {"error": "no such job"}) if job is None else Response.of(200, {
+            "id": jid, "queue": job["q"], "state": job["st"], "groups": node.placers[g].explain(jid=jid)}))
+        return
+    prim = node.primary(g=g)
+    ctl = node.info.get(prim[0], {}).get("ctl") or node.members.get(prim[0], {}).get("ctl") if prim else ""
+    if not ctl:
+        node.respond(call=call, res=Response.of(503, {"error": "no placing node known"}))
+    else:
+        node.respond(call=call, res=Response(status=307, headers=(("location", f"http://{ctl}/jobs/{jid}"),)))
