--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -69,7 +69,7 @@
     assert Ring(folder=str(tmp_path), files=4, size=4096).load() == [b"x"]
 
 
-def test_files_grow_where_a_checkpoint_would_fill_them(tmp_path: Path) -> None:
+def test_files_grow_where_a_checkpoint_would_fill_them(tmp_path: pathlib.Path) -> None:
     """A file that a checkpoint nearly fills would be left again after a few records, each time for another one."""
     ring = Ring(folder=str(tmp_path), files=4, size=4096, most=32768)
     ring.load()
