--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -22,7 +22,7 @@
 FANOUT = 24           # edges that a core feeds itself: 33 of them at 5 cores need no relays, with two cores lost either
 RESEND_S = 0.5        # news that a heart does not confirm within this time, and twice its own on the link, goes again
 ASK_S = 1.5           # a watcher that was asked for the whole configuration and has not sent it by then is passed over
-GAP_S = 0.1           # how soon a heart tells of lost frames
+GAP_S = 0.1           # hearts of a node that lacks news which others have are this far apart
 
 
 @dataclass(kw_only=True, slots=True)
@@ -89,7 +89,7 @@
         self.have: dict[str, dict[str, Any]] = {}
         self.sent: dict[str, Sent] = {}
         self.spoke: dict[str, float] = {}    # by address: when it last answered a heart
-        self.missed: set[str] = set()        # addresses whose frames got lost since the last hearts
+        self.missed: set[str] = set()        # addresses whose news got lost since the last hearts
         self.asked = ""                      # the watcher that is to send the whole configuration if need be
         self.behind = -1.0                   # since when others tell of a newer configuration; below 0: they do not
         self.hearted = -9.0
@@ -254,8 +254,9 @@
 
     def beat_hearts(self) -> None:
         """Send hearts when due. One watcher at a time is asked for the whole configuration, should it be needed;
-        a watcher is told if frames of its got lost."""
-        if self.now - self.hearted < HEART_S:
+        a watcher is told if news of its got lost."""
+        hasty = self.missed if self.behind < 0 else self.now - self.behind < ASK_S
+        if self.now - self.hearted < (GAP_S if hasty else HEART_S):
             return
         self.hearted = self.now
         body = self.heart()
@@ -270,16 +271,22 @@
             self.send(uid=uid, kind=Kind.HEART, body={**body, "have": {**body["have"], **more}})
         self.missed.clear()
 
-    def told(self, *, uid: str, stamp: int) -> None:
-        """A watcher answered a heart; it has this version of the configuration."""
+    def told(self, *, uid: str, m: dict[str, Any]) -> None:
+        """A watcher answered a heart and tells of its versions; its news came before on the same way, or got lost:
+        the next heart says so, and soon."""
         self.spoke[addr_of(uid=uid)] = self.now
-        if stamp > self.mine()["conf"] and self.behind < 0:
+        mine = self.mine()
+        late = m.get("conf", 0) > mine["conf"]
+        if late and self.behind < 0:
             self.behind = self.now
-
-    def lost_from(self, *, uid: str) -> None:
-        """Frames of another node got lost: tell it soon."""
-        self.missed.add(addr_of(uid=uid))
-        self.hearted = min(self.hearted, self.now - HEART_S + GAP_S)
+        if late or m.get("mods", -1) > mine["mods"]:
+            self.missed.add(addr_of(uid=uid))
+
+    def answer(self, *, b: dict[str, Any]) -> dict[str, Any]:
+        """What a heart is answered at least: its time, the versions held here, news."""
+        mine = self.mine()
+        news = self.newer(uid=b["u"])
+        return {"t": b["t"], "conf": mine["conf"], "mods": mine["mods"], **({"news": news} if news else {})}
 
     def hear(self, *, b: dict[str, Any]) -> None:
         """Another node's heart."""
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -169,10 +169,7 @@
 
     def _heart(self, *, b: dict[str, Any]) -> None:
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"], "c": self.mine()["conf"]}
-        news = self.newer(uid=b["u"])
-        if news:
-            body["news"] = news
+        body = self.answer(b=b)
         if b["kind"] == "edge":
             edges = [u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u)]
             if len(edges) > FANOUT and b["u"] not in (fed := sorted(edges)[:FANOUT]):
@@ -185,16 +182,26 @@
                 return
         self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
 
+    def _self_heart(self) -> None:
+        """The chief's word to the agent of its own node."""
+        assert self.chief is not None
+        own = self.chief.heart(b=self.heart())
+        if "own" not in own:
+            self._heartok(uid=self.uid, m=own)
+        elif own["own"] or own["dis"]:
+            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
-            self.told(uid=uid, stamp=m.get("c", 0))
             if m.get("lease"):
                 self.lease = max(self.lease, m["t"] + LEASE_S)
         for u in m.get("up", []):
             self.roster[u] = self.now
         if "news" in m:
             self.take_news(doc=m["news"])
+        if "t" in m:
+            self.told(uid=uid, m=m)
         for mid, fence, info in m.get("own", []):
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
@@ -205,7 +212,6 @@
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
-        self.lost_from(uid=uid)
         self.agent.gap(uid=uid)
         for g, p in self.placers.items():
             if self.reps[g].serving():
@@ -234,15 +240,6 @@
                 p.tick()
         self._flush()
 
-    def _self_heart(self) -> None:
-        """The chief's word to the agent of its own node."""
-        assert self.chief is not None
-        own = self.chief.heart(b=self.heart())
-        if "own" not in own:
-            self._heartok(uid=self.uid, m=own)
-        elif own["own"] or own["dis"]:
-            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
-
     def leave(self) -> None:
         """The process is to end: hand the groups served here to their backups."""
         for rep in self.reps.values():
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -184,7 +184,6 @@
         m = self.load(body=body)
         if kind is Kind.HEARTOK:
             self.contact = max(self.contact, self.now - m.get("age", 0.0))
-            self.told(uid=uid, stamp=m.get("c", 0))
             if m.get("full"):
                 self.shun[uid] = self.now + FULL_S
                 self.via = [u for u in self.via if u != uid]
@@ -195,6 +194,7 @@
             elif uid in self.via and m.get("age", 0.0) < VIA_S:
                 self.via_at = self.now
             self.take_news(doc=m.get("news", {}))
+            self.told(uid=uid, m=m)
         elif kind is Kind.HEART:
             self._relay(b=m)
         elif kind is Kind.NEWS:
@@ -214,10 +214,7 @@
             self.send(uid=b["u"], kind=Kind.HEARTOK, body={"t": b["t"], "age": self.now - self.contact, "full": True})
             return
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"], "age": max(0.0, self.now - self.contact), "c": self.mine()["conf"]}
-        news = self.newer(uid=b["u"])
-        if news:
-            body["news"] = news
+        body = {**self.answer(b=b), "age": max(0.0, self.now - self.contact)}
         self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
 
     def targets(self) -> list[str]:
@@ -228,8 +225,7 @@
         return super().targets()
 
     def gap(self, *, uid: str) -> None:
-        """Frames were lost: calls repeat by themselves, news at once if told."""
-        self.lost_from(uid=uid)
+        """Frames were lost: calls repeat by themselves."""
 
     def tick(self) -> None:
         """Several times a second."""
