--- a/tests/simlink.py
+++ b/tests/simlink.py
@@ -32,27 +32,20 @@
     def rate(self, ip: str) -> float:
         return self.mbps if ip.split(".")[2] == "1" else 100 * self.mbps
 
-    def _send(self, ip: str, proc: Proc, dst: str, kind: Any, body: bytes) -> None:
-        size, at = len(body) + HEAD, self.now
+    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
+        size = len(body) + HEAD
         for end in ((ip, "out"), (dst, "in")) if ip != dst else ():
-            at = self.free[end] = max(at, self.free.get(end, 0.0)) + size * 8e-6 / self.rate(end[0])
-        m = orjson.loads(body) if kind in (Kind.HEARTOK, Kind.NEWS) else {}
-        if m:
+            at = max(self.now, self.free.get(end, 0.0)) + size * 8e-6 / self.rate(end[0])
+            self.free[end] = at
+            self.last[ip, dst] = max(self.last.get((ip, dst), 0.0), at)
+        if kind in (Kind.HEARTOK, Kind.NEWS):
+            m = orjson.loads(body)
             self.frames.append((self.now, ip, dst, kind, size, m))
-        gone = bool(m) and self.lose(ip, dst, kind, m)
-        if ip == dst:
-            super()._send(ip, proc, dst, kind, body)
-        else:
-            self.at(delay=at - self.now, fn=lambda: self._carried(ip, proc, dst, kind, body, gone=gone))
-
-    def _carried(self, ip: str, proc: Proc, dst: str, kind: Any, body: bytes, *, gone: bool) -> None:
-        """A frame has left the links; it keeps its place among those of its way."""
-        was = (ip, dst) in self.cuts
-        if gone:
-            self.cuts.add((ip, dst))
+            if self.lose(ip, dst, kind, m):
+                key = (ip, dst, proc.life)
+                self.seq[key] = self.seq.get(key, 0) + 1
+                return
         super()._send(ip, proc, dst, kind, body)
-        if not was:
-            self.cuts.discard((ip, dst))
 
     def edges(self) -> list[EdgeNode]:
         out = []
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -282,6 +282,10 @@
         if late or m.get("mods", -1) > mine["mods"]:
             self.missed.add(addr_of(uid=uid))
 
+    def lost_from(self, *, uid: str) -> None:
+        """Frames of another node got lost, perhaps news: the next heart tells it."""
+        self.missed.add(addr_of(uid=uid))
+
     def answer(self, *, b: dict[str, Any]) -> dict[str, Any]:
         """What a heart is answered at least: its time, the versions held here, news."""
         mine = self.mine()
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -182,15 +182,6 @@
                 return
         self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
 
-    def _self_heart(self) -> None:
-        """The chief's word to the agent of its own node."""
-        assert self.chief is not None
-        own = self.chief.heart(b=self.heart())
-        if "own" not in own:
-            self._heartok(uid=self.uid, m=own)
-        elif own["own"] or own["dis"]:
-            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
-
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
@@ -212,6 +203,7 @@
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
+        self.lost_from(uid=uid)
         self.agent.gap(uid=uid)
         for g, p in self.placers.items():
             if self.reps[g].serving():
@@ -240,6 +232,15 @@
                 p.tick()
         self._flush()
 
+    def _self_heart(self) -> None:
+        """The chief's word to the agent of its own node."""
+        assert self.chief is not None
+        own = self.chief.heart(b=self.heart())
+        if "own" not in own:
+            self._heartok(uid=self.uid, m=own)
+        elif own["own"] or own["dis"]:
+            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+
     def leave(self) -> None:
         """The process is to end: hand the groups served here to their backups."""
         for rep in self.reps.values():
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -225,7 +225,8 @@
         return super().targets()
 
     def gap(self, *, uid: str) -> None:
-        """Frames were lost: calls repeat by themselves."""
+        """Frames were lost: calls repeat by themselves, news at once if told."""
+        self.lost_from(uid=uid)
 
     def tick(self) -> None:
         """Several times a second."""
