--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -189,10 +189,7 @@
 
     def _heart(self, *, b: dict[str, Any]) -> None:
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"], "c": self.mine()["conf"]}
-        news = self.newer(uid=b["u"])
-        if news:
-            body["news"] = news
+        body = self.answer(b=b)
         if b["kind"] == "edge":
             edges = [u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u)]
             if len(edges) > FANOUT and b["u"] not in (fed := sorted(edges)[:FANOUT]):
@@ -208,13 +205,14 @@
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
-            self.told(uid=uid, stamp=m.get("c", 0))
             if m.get("lease"):
                 self.lease = max(self.lease, m["t"] + LEASE_S)
         for u in m.get("up", []):
             self.roster[u] = self.now
         if "news" in m:
             self.take_news(doc=m["news"])
+        if "t" in m:
+            self.told(uid=uid, m=m)
         for mid, fence, info in m.get("own", []):
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
