--- /dev/null
+++ b/tests/test_learn_calls.py
@@ -0,0 +1,258 @@
+"""Calls: the predictor against an oracle on seeded streams; floods, clock steps, the off switch, bounds."""
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+import pytest
+
+from yarrowloom.job.spec import Step, parse
+from yarrowloom.learn import History, Prediction, Why
+from yarrowloom.learn import calls as calls_mod
+from yarrowloom.learn import follow as follow_mod
+from yarrowloom.learn import history as hist_mod
+
+T0 = 1_700_000_000_000
+
+
+def steps(*rows: dict[str, Any]) -> list[Step]:
+    out: list[Step] = parse(body=orjson.dumps({"task-spec": "x", "stages": list(rows) or [{"task-count": 1}]}))["steps"]
+    return out
+
+
+class Stream:
+    """Jobs in the order of time; `hits` and `asked` count predictions made just before against what then came."""
+
+    def __init__(self) -> None:
+        self.h = History()
+        self.n = 0
+
+    def job(self, *, at: int, q: str = "q", rows: list[Step] | None = None, **more: Any) -> None:
+        self.n += 1
+        self.h.note_job(at=at, jid=f"{self.n:016x}", q=q, svc=f"s-{q}", steps=rows or steps(), **more)
+
+    def ask(self, *, now: int, horizon: int = 5000, q: str = "q") -> Prediction | None:
+        return next((p for p in self.h.predict(now_ms=now, horizon_ms=horizon) if p.queue == q), None)
+
+
+def periodic(*, rng: random.Random, period: int, jitter: float, n: int, start: int = T0) -> Iterator[int]:
+    for i in range(n):
+        yield start + i * period + round(rng.gauss(0, jitter * period))
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize(("period", "jitter"), [(2_000, 0.0), (7_000, 0.02), (60_000, 0.03), (3_600_000, 0.01)])
+def test_period_is_found_and_its_phase_kept(seed: int, period: int, jitter: float) -> None:
+    s, rng = Stream(), random.Random(seed)
+    right = told = 0
+    for i, at in enumerate(periodic(rng=rng, period=period, jitter=jitter, n=80)):
+        if i >= 16:
+            p = s.ask(now=at - period // 4, horizon=period // 2)
+            told += p is not None
+            right += p is not None and p.early - 150 <= at <= p.late + 150 and p.confidence > 0.6
+        s.job(at=at)
+    assert told >= 60 and right >= 0.9 * told, (told, right)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_period_with_calls_left_out_and_strays(seed: int) -> None:
+    s, rng = Stream(), random.Random(seed)
+    right = told = 0
+    for i, at in enumerate(periodic(rng=rng, period=10_000, jitter=0.01, n=120)):
+        if rng.random() < 0.1:
+            continue
+        if i >= 40:
+            p = s.ask(now=at - 2_000)
+            told += p is not None
+            right += p is not None and p.early - 300 <= at <= p.late + 300
+        s.job(at=at)
+        if rng.random() < 0.05:
+            s.job(at=at + rng.randint(1_000, 8_000))
+    assert told >= 50 and right >= 0.8 * told, (told, right)
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("mean", [800, 3_000])
+def test_poisson_chance_is_calibrated(seed: int, mean: int) -> None:
+    """Of the calls said to come within 2 s with a chance, about that share comes."""
+    s, rng = Stream(), random.Random(seed)
+    at, said, came, asked = float(T0), 0.0, 0, 0
+    for i in range(400):
+        nxt = at + rng.expovariate(1 / mean)
+        if i > 40:
+            p = s.ask(now=int(at) + 300, horizon=2_000)
+            if p is not None and nxt > at + 300:
+                asked += 1
+                said += p.confidence
+                came += nxt <= at + 2_300
+        at = nxt
+        s.job(at=int(at))
+    assert asked > 40 and abs(said - came) / asked < 0.25, (asked, said, came)
+
+
+def test_burst_sizes_are_expected_and_bounded() -> None:
+    s = Stream()
+    for i in range(20):
+        for j in range(12):
+            s.job(at=T0 + 30_000 * i + 10 * j)
+    p = s.ask(now=T0 + 30_000 * 20 - 2_000)
+    assert p is not None and 8 <= p.jobs <= 13
+    for j in range(50_000):
+        s.job(at=T0 + 30_000 * 20 + j // 1000)
+    p = s.ask(now=T0 + 30_000 * 21 - 2_000)
+    assert p is None or p.jobs <= calls_mod.JOBS_MOST
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("by_end", [False, True])
+def test_followers(seed: int, by_end: bool) -> None:
+    """B comes 2 to 3 s after A, which comes at random; nothing else tells of B."""
+    s, rng = Stream(), random.Random(seed)
+    at, right, told = T0, 0, 0
+    a, b = steps({"task-count": 4}), steps({"task-count": 9, "gang": True, "affinity": "r1"})
+    for i in range(60):
+        at += rng.randint(15_000, 90_000)
+        s.job(at=at, q="a", rows=a)
+        t = at
+        if by_end:
+            t += rng.randint(500, 4_000)
+            s.h.note_over(at=t, jid=f"{s.n:016x}", q="a", steps=a, done=True)
+        then = t + rng.randint(2_000, 3_000)
+        if i >= 15:
+            p = s.ask(now=t + 500, q="b", horizon=5_000)
+            told += p is not None and p.why is Why.FOLLOW
+            right += p is not None and p.early <= then <= p.late
+        s.job(at=then, q="b", rows=b)
+    assert told >= 35 and right >= 0.85 * told
+    assert p is not None and (p.n, p.gang, p.near, p.svc) == (9, True, "r1", "s-b")
+
+
+def test_chance_neighbours_are_no_followers() -> None:
+    s, rng = Stream(), random.Random(3)
+    ats = sorted((T0 + rng.randint(0, 3_600_000), q) for q in "ab" for _ in range(700))
+    for at, q in ats:
+        s.job(at=at, q=q)
+        assert not any(p.why is Why.FOLLOW and p.confidence > 0.95 for p in
+                       s.h.predict(now_ms=at + 10, horizon_ms=300))
+
+
+def test_change_of_regime_switches_off_and_comes_back() -> None:
+    """Wrong predictions switch the kind off by themselves; once the calls are regular again it is back."""
+    s, rng = Stream(), random.Random(4)
+    at = T0
+    for _ in range(40):
+        at += 10_000
+        s.job(at=at)
+    assert s.ask(now=at + 8_000) is not None
+    for _ in range(40):
+        at += round(10 ** rng.uniform(2.6, 6))
+        s.job(at=at)
+    p = s.ask(now=at + 8_000)
+    assert p is None or p.why is not Why.PERIOD
+    for _ in range(40):
+        at += 4_000
+        s.job(at=at)
+    p = s.ask(now=at + 3_000)
+    assert p is not None and abs(p.likely - at - 4_000) < 300 and p.confidence > 0.8
+
+
+def test_silence_ends_predictions_without_any_event() -> None:
+    s = Stream()
+    for i in range(40):
+        s.job(at=T0 + 5_000 * i)
+    end = T0 + 5_000 * 39
+    seen = [s.ask(now=end + 5_000 * k + 2_000) for k in range(8)]
+    confs = [p.confidence if p is not None else 0.0 for p in seen]
+    assert confs[0] > 0.8 and confs == sorted(confs, reverse=True) and confs[-1] == 0.0
+
+
+@pytest.mark.parametrize("jump", [-3_600_000, -30_000, -1_500, 1_500, 30_000, 3_600_000])
+def test_clock_steps_cost_a_few_calls_at_most(jump: int) -> None:
+    s = Stream()
+    for i in range(40):
+        s.job(at=T0 + 6_000 * i)
+        s.job(at=T0 + 6_000 * i + 1_000, q="other", rows=steps({"task-count": 1, "cpus": 9}))
+    shifted = T0 + 40 * 6_000 + jump
+    for p in s.h.predict(now_ms=shifted, horizon_ms=5_000):
+        assert shifted <= p.early <= p.likely <= p.late <= shifted + 60_000
+    for i in range(12):
+        s.job(at=shifted + 6_000 * i)
+        s.job(at=shifted + 6_000 * i + 1_000, q="other", rows=steps({"task-count": 1, "cpus": 9}))
+    p2 = s.ask(now=shifted + 6_000 * 11 + 4_000)
+    assert p2 is not None and abs(p2.likely - shifted - 6_000 * 12) < 400
+
+
+def test_known_times_are_told_without_learning_until_the_job_is_over() -> None:
+    s = Stream()
+    s.job(at=T0, first=T0 + 1_000, period=4_000, times=3)
+    assert [p.likely - T0 for k in range(6) for p in s.h.predict(now_ms=T0 + 2_000 * k, horizon_ms=1_999)] == [
+        1_000, 5_000, 9_000]
+    p = s.ask(now=T0, horizon=60_000)
+    assert p is not None and (p.why, p.jobs, p.confidence) == (Why.TIMED, 3.0, 1.0)
+    s.h.note_over(at=T0 + 3_000, jid=f"{1:016x}", q="q", steps=steps(), done=False)
+    assert s.ask(now=T0 + 3_000, horizon=60_000) is None
+
+
+def test_floods_cost_at_most_the_bounds_and_push_out_no_proven_kind() -> None:
+    s, rng = Stream(), random.Random(7)
+    at = T0
+    for _ in range(20):
+        at += 5_000
+        s.job(at=at, q="good")
+    for i in range(20_000):
+        s.job(at=at + i // 10, q=f"x{rng.randint(0, 10**9)}", rows=steps({"task-count": rng.randint(1, 200)}),
+              **({"first": rng.randint(0, 10**14), "period": rng.randint(0, 10), "times": 5} if i % 3 == 0 else {}))
+    assert "good" in {k.queue for k in s.h.kinds.values()}
+    _bounds(s.h)
+
+
+def _bounds(h: History) -> None:
+    assert len(h.fresh) <= hist_mod.FRESH and len(h.kinds) <= hist_mod.KINDS and len(h.timers) <= hist_mod.TIMERS
+    assert not set(h.fresh) & set(h.kinds)
+    assert h.follow.count == sum(len(m) for m in h.follow.pairs.values()) <= follow_mod.PAIRS
+    assert all(len(m) <= follow_mod.EACH for m in h.follow.pairs.values())
+    assert len(h.follow.recent) <= follow_mod.RECENT
+    for kind in [*h.fresh.values(), *h.kinds.values()]:
+        c = kind.calls
+        assert len(c.gaps) <= calls_mod.GAPS and len(c.forms) <= calls_mod.FORMS and len(c.racks) <= calls_mod.RACKS
+    got = h.predict(now_ms=h.clock - h.shift, horizon_ms=10**9)
+    assert len(got) <= hist_mod.MOST
+    assert h.looked <= hist_mod.KINDS + hist_mod.TIMERS + follow_mod.RECENT * follow_mod.EACH
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_fuzz(seed: int) -> None:
+    """Any events in any order: bounds hold, predictions are sane, asking changes nothing, a reload goes on alike."""
+    rng = random.Random(seed)
+    s, twin = Stream(), History()
+    at = T0
+    for i in range(1200):
+        at += rng.choice([0, 0, 1, 50, 300, 1000, 5000, 5000, 5000, 100_000, -1000, -10**7, 10**8])
+        q = f"q{rng.randint(0, rng.choice([3, 300]))}"
+        rows = steps(*({"task-count": rng.choice([1, 3, 6_000]), "cpus": rng.choice([0, 500, 1 << 31]),
+                        "gpus": rng.choice([0, 8, 1 << 20]), "gang": rng.random() < 0.3,
+                        "affinity": rng.choice(["", "r1", f"r{i}"]), "depends-on": [0] if k else []}
+                       for k in range(rng.randint(1, 3))))
+        jid = f"{rng.randint(0, 500):016x}"
+        if rng.random() < 0.7:
+            more = {"first": at + rng.randint(-10**6, 10**6), "period": rng.choice([0, 1, 5000]),
+                    "times": rng.choice([1, 10**9])} if rng.random() < 0.1 else {}
+            for h in (s.h, twin):
+                h.note_job(at=at, jid=jid, q=q, svc="s", steps=rows, **more)
+        else:
+            done = rng.random() < 0.8
+            for h in (s.h, twin):
+                h.note_over(at=at, jid=jid, q=q, steps=rows, done=done)
+        if i % 60 == 0:
+            was = s.h.dump()
+            now = at + rng.randint(-10**5, 10**5)
+            for p in s.h.predict(now_ms=now, horizon_ms=20_000):
+                assert p.early <= p.likely <= p.late and now <= p.early <= now + 20_000
+                assert 0 < p.confidence <= 1 and 1 <= p.jobs <= calls_mod.JOBS_MOST
+            _bounds(s.h)
+            assert s.h.dump() == was
+            twin = History()
+            twin.load(orjson.loads(orjson.dumps(was)))
+            assert twin.dump() == was
+    assert twin.dump() == s.h.dump()
--- /dev/null
+++ b/tests/test_learn_runs.py
@@ -0,0 +1,152 @@
+"""Run times: quantiles against an oracle on seeded streams, changes, bad input, bounds."""
+
+import math
+import random
+from typing import Any
+
+import orjson
+import pytest
+
+from yarrowloom.job.spec import Step, parse
+from yarrowloom.learn import History
+from yarrowloom.learn import runs as runs_mod
+
+
+def step(**more: Any) -> Step:
+    out: Step = parse(body=orjson.dumps({"task-spec": "x", "stages": [{
+        "task-count": 2, "cpus": 1000, "mem-mb": 100, "estimate-ms": 1000, **more}]}))["steps"][0]
+    return out
+
+
+def feed(h: History, *, rng: random.Random, n: int, ratio: float, sigma: float, q: str = "q", est: int = 0,
+         tag: str = "") -> None:
+    for i in range(n):
+        guess = est or rng.choice([400, 1000, 5000])
+        h.note_end(q=q, step=step(**{"estimate-ms": guess}), task=f"{q}{tag}{ratio}.0.0.{i}", run=1, how="done",
+                   ms=guess * ratio * math.exp(rng.gauss(0, sigma)))
+
+
+def test_from_the_first_job_on_the_estimate_stands() -> None:
+    t = History().times(q="q", step=step())
+    assert (round(t.p50), t.n, t.confidence) == (1000, 0, 0.0)
+    assert t.p50 <= t.p90 <= t.p95 <= 2100
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_quantiles_cover_what_they_say(seed: int) -> None:
+    """Asked before each run, p90 and p95 cover about their share of runs, p50 about half."""
+    rng = random.Random(seed)
+    h = History()
+    ratio, sigma = rng.uniform(0.3, 4), rng.uniform(0.05, 0.6)
+    under = {"p50": 0, "p90": 0, "p95": 0}
+    total = 1500
+    for i in range(total):
+        guess = rng.choice([300, 900, 4000])
+        ms = guess * ratio * math.exp(rng.gauss(0, sigma))
+        st = step(**{"estimate-ms": guess})
+        if i >= 40:
+            t = h.times(q="q", step=st)
+            for name in under:
+                under[name] += ms <= getattr(t, name)
+        h.note_end(q="q", step=st, task=f"a.0.0.{i}", run=1, how="done", ms=ms)
+    share = {k: v / (total - 40) for k, v in under.items()}
+    assert 0.42 <= share["p50"] <= 0.58, share
+    assert 0.85 <= share["p90"] <= 0.97, share
+    assert 0.92 <= share["p95"] <= 1.0, share
+
+
+@pytest.mark.parametrize("to", [0.2, 0.5, 2.0, 8.0])
+def test_follows_a_change_within_few_runs(to: float) -> None:
+    h = History()
+    rng = random.Random(1)
+    feed(h, rng=rng, n=200, ratio=1.0, sigma=0.1)
+    feed(h, rng=rng, n=10, ratio=to, sigma=0.1, tag="x")
+    assert 0.7 * to < h.times(q="q", step=step()).p50 / 1000 < 1.4 * to
+
+
+def test_a_single_outlier_moves_no_median() -> None:
+    h = History()
+    feed(h, rng=random.Random(2), n=100, ratio=1.0, sigma=0.05)
+    before = h.times(q="q", step=step()).p50
+    h.note_end(q="q", step=step(), task="z.0.0.0", run=1, how="done", ms=10**9)
+    assert abs(h.times(q="q", step=step()).p50 / before - 1) < 0.05
+
+
+def test_random_estimates_are_seen_through() -> None:
+    """Where the estimate says nothing, the run time itself is used."""
+    h, rng = History(), random.Random(3)
+    for i in range(64):
+        h.note_end(q="q", step=step(**{"estimate-ms": int(10 ** rng.uniform(1, 6))}), task=f"a.0.0.{i}", run=1,
+                   how="done", ms=2000 * math.exp(rng.gauss(0, 0.1)))
+    for guess in (10, 1_000_000):
+        assert 1500 < h.times(q="q", step=step(**{"estimate-ms": guess})).p90 < 3500
+
+
+def test_far_runs_are_brought_to_near_ones() -> None:
+    h, rng = History(), random.Random(4)
+    for i in range(64):
+        far = rng.choice([1.0, 3.0])
+        h.note_end(q="q", step=step(), task=f"a.0.0.{i}", run=1, how="done", ms=1500 * far, far=far)
+    assert round(h.times(q="q", step=step()).p95) == pytest.approx(1500, rel=0.01)
+    assert round(h.times(q="q", step=step(), far=3.0).p95) == pytest.approx(4500, rel=0.01)
+
+
+@pytest.mark.parametrize("how", ["failed", "stopped", "lapsed", "broken", "alone", "refused", "lost", "void"])
+def test_only_whole_done_runs_count_and_only_once(how: str) -> None:
+    h = History()
+    for i in range(50):
+        h.note_end(q="q", step=step(), task=f"a.0.0.{i}", run=1, how=how, ms=7)
+        h.note_end(q="q", step=step(), task=f"b.0.0.{i}", run=1, how="done", ms=7, whole=False)
+        h.note_end(q="q", step=step(**{"long-running": True}), task=f"c.0.0.{i}", run=1, how="done", ms=7)
+    assert h.dump() == History().dump()
+    h.note_end(q="q", step=step(), task="d.0.0.0", run=2, how="done", ms=7)
+    once = h.dump()
+    for _ in range(5):
+        h.note_end(q="q", step=step(), task="d.0.0.0", run=2, how="done", ms=70000)
+    assert h.dump() == once
+
+
+@pytest.mark.parametrize("est", [0, 1, 1 << 42])
+@pytest.mark.parametrize("ms", [0, 1, 3000.5, 1e18, -5])
+def test_bad_input_harms_only_its_own_kind(est: int, ms: float) -> None:
+    h = History()
+    feed(h, rng=random.Random(5), n=40, ratio=2.0, sigma=0.05)
+    before = h.times(q="q", step=step())
+    for i in range(300):
+        h.note_end(q="bad", step=step(**{"estimate-ms": est}), task=f"x.0.0.{i}", run=1, how="done", ms=ms)
+        h.note_end(q="q", step=step(**{"estimate-ms": 0}), task=f"y.0.0.{i}", run=1, how="done", ms=ms)
+    assert h.times(q="q", step=step()) == before
+    t = h.times(q="bad", step=step(**{"estimate-ms": est}))
+    assert 0 < t.p50 <= t.p90 <= t.p95 < math.inf
+
+
+def test_bounded_whatever_comes() -> None:
+    """Floods of queues and shapes stay within the bounds; what is in use outlives a flood smaller than the table."""
+    h, rng = History(), random.Random(6)
+    feed(h, rng=rng, n=40, ratio=3.0, sigma=0.01)
+    for i in range(20_000):
+        h.note_end(q=f"q{rng.randint(0, 5000)}", step=step(cpus=rng.randint(0, 1 << 31)), task=f"f.0.0.{i}", run=1,
+                   how="done", ms=rng.choice([0, 10, 1e30]))
+        if i % 50 == 0:
+            h.note_end(q="q", step=step(), task=f"g.0.0.{i}", run=1, how="done", ms=3000)
+    assert len(h.runs.rings) <= runs_mod.KEYS and len(h.runs.seen) <= runs_mod.SEEN
+    assert all(len(r.rows) <= runs_mod.KEEP for r in h.runs.rings.values())
+    assert 2800 < h.times(q="q", step=step()).p50 < 3300
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_round_trip_and_determinism(seed: int) -> None:
+    """Loaded at any moment from JSON, the twin goes on to the same state and the same answers."""
+    rng = random.Random(seed)
+    one, two = History(), History()
+    for i in range(1500):
+        args: dict[str, Any] = {"q": f"q{rng.randint(0, 400)}", "task": f"{rng.randint(0, 900)}.0.0.1",
+                                "step": step(**{"estimate-ms": rng.choice([0, 5, 900])}), "run": rng.randint(1, 3),
+                                "how": rng.choice(["done", "done", "failed"]), "ms": rng.expovariate(0.001)}
+        one.note_end(**args)
+        two.note_end(**args)
+        if i % 300 == 7:
+            two = History()
+            two.load(orjson.loads(orjson.dumps(one.dump())))
+    assert one.dump() == two.dump()
+    assert one.times(q="q1", step=step()) == two.times(q="q1", step=step())
--- /dev/null
+++ b/yarrowloom/learn/history.py
@@ -0,0 +1,231 @@
+"""The one history of warm jobs and backfill: kept by the reducer of jobs, fed by its events, asked by placing nodes."""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Any
+
+from .calls import JOBS_MOST, Calls
+from .follow import Follow, What
+from .kind import Form, Prediction, Why, kind_key, root
+from .runs import Runs, Times
+
+if TYPE_CHECKING:
+    from ..job.spec import Step
+
+FRESH = 64             # kinds on probation
+KINDS = 128            # kinds that were called PROVEN times
+PROVEN = 3
+TIMERS = 256
+STEP_MS = 2_000        # the time of day going back by more than this is a step of the clock
+FINER = 0.15           # a period, being the finer word, is believed unless the gaps are surer by this
+MOST = 64              # predictions of one call
+
+
+class Kind:
+    """What is known of one kind. All but `calls` is fixed by the kind's key, or is the newest seen."""
+
+    __slots__ = ("calls", "gang", "queue", "req", "svc", "tight")
+
+    def __init__(self, *, queue: str, svc: str, req: str, gang: bool, tight: bool, calls: Calls) -> None:
+        self.queue, self.svc, self.req, self.gang, self.tight, self.calls = queue, svc, req, gang, tight, calls
+
+    def dump(self) -> Any:
+        """As plain data."""
+        return [self.queue, self.svc, self.req, self.gang, self.tight, self.calls.dump()]
+
+    @classmethod
+    def load(cls, doc: Any) -> "Kind":
+        """Undo `dump`."""
+        queue, svc, req, gang, tight, calls = doc
+        return cls(queue=queue, svc=svc, req=req, gang=gang, tight=tight, calls=Calls.load(calls))
+
+
+class History:
+    """State of a reducer: the same events give the same state. Times come in with the events, as wall milliseconds.
+
+    Invariants: inner time is wall time plus `shift` and never goes back (`clock` is the newest); `fresh` and
+    `kinds` are bounded by FRESH and KINDS, have no key in common and stand in the order of use, so a flood of new
+    kinds pushes out new kinds only; `timers` is bounded by TIMERS; only proven kinds are followed or predicted.
+    `looked` counts the candidates weighed by the last `predict`; it is no part of the state.
+
+    >>> step = {"n": 1, "cpu": 500, "mem": 64, "gpu": 0, "est": 900, "deps": [], "ck": False, "gang": False,
+    ...         "tight": False, "req": "", "near": "", "apart": 0, "dup": False, "last": False}
+    >>> h = History()
+    >>> for i in range(12):
+    ...     h.note_job(at=60_000 * i, jid=f"{i:016x}", q="rebuild", svc="s", steps=[step])
+    >>> [(p.why.value, p.likely) for p in h.predict(now_ms=715_000, horizon_ms=10_000)]
+    [('period', 720000)]
+    >>> round(h.times(q="rebuild", step=step).p50)
+    900
+    """
+
+    def __init__(self) -> None:
+        self.runs = Runs()
+        self.follow = Follow()
+        self.fresh: dict[str, Kind] = {}
+        self.kinds: dict[str, Kind] = {}
+        self.timers: dict[str, list[Any]] = {}
+        self.clock = 0
+        self.shift = 0
+        self.looked = 0
+
+    # -- events
+
+    def _inner(self, at: int) -> tuple[int, int]:
+        """(inner time, how long nothing came before it)."""
+        t = at + self.shift
+        if t < self.clock:
+            if self.clock - t > STEP_MS:
+                self.shift += self.clock - t
+            t = self.clock
+        quiet = t - self.clock if self.clock else 0
+        self.clock = t
+        return t, quiet
+
+    def note_job(self, *, at: int, jid: str, q: str, svc: str, steps: "Sequence[Step]", first: int = 0,
+                 period: int = 0, times: int = 0) -> None:
+        """A job was taken at wall time `at`, of queue `q`, with tasks for service `svc`. Never raises for a job that
+        `job.spec.parse` lets through. With `times`, the due times are known and nothing is learned."""
+        first_step = root(steps=steps)
+        key = kind_key(q=q, steps=steps, period=period if times else 0)
+        form = Form(first_step["cpu"], first_step["mem"], first_step["gpu"], first_step["req"])
+        if times:
+            self.timers.pop(jid, None)
+            if len(self.timers) >= TIMERS:
+                del self.timers[next(iter(self.timers))]
+            self.timers[jid] = [key, q, svc, list(form), first_step["gang"], first_step["tight"], first_step["n"],
+                                first_step["near"], first, period, times]
+            return
+        t, quiet = self._inner(at)
+        kind = self.kinds.pop(key, None)
+        if kind is not None:
+            self.kinds[key] = kind
+        else:
+            kind = self.fresh.pop(key, None)
+            if kind is None:
+                kind = Kind(queue=q, svc=svc, req=form.req, gang=first_step["gang"], tight=first_step["tight"],
+                            calls=Calls())
+                if len(self.fresh) >= FRESH:
+                    del self.fresh[next(iter(self.fresh))]
+            self.fresh[key] = kind
+        kind.svc = svc
+        began = kind.calls.put(t=t, form=form, n=first_step["n"], near=first_step["near"], quiet=quiet)
+        if key in self.fresh:
+            if kind.calls.n < PROVEN:
+                return
+            del self.fresh[key]
+            self._room()
+            self.kinds[key] = kind
+        if began:
+            self.follow.called(kind=key, at=t)
+            self.follow.trigger(kind=key, what=What.CALL, at=t)
+
+    def _room(self) -> None:
+        """Forget the least useful of the four proven kinds called longest ago, if there are too many."""
+        if len(self.kinds) < KINDS:
+            return
+        old = [key for key, _ in zip(self.kinds, range(4), strict=False)]
+        worst = min(old, key=lambda k: (self.kinds[k].calls.pscore.on + self.kinds[k].calls.gscore.on, old.index(k)))
+        del self.kinds[worst]
+        self.follow.drop(kind=worst)
+
+    def note_over(self, *, at: int, jid: str, q: str, steps: "Sequence[Step]", done: bool) -> None:
+        """A job has ended at wall time `at`; `done`: it is complete, not failed or cancelled."""
+        if self.timers.pop(jid, None) is None and done:
+            key = kind_key(q=q, steps=steps)
+            if key in self.kinds:
+                self.follow.trigger(kind=key, what=What.END, at=self._inner(at)[0])
+
+    def note_end(self, *, q: str, step: "Step", task: str, run: int, how: str, ms: float, far: float = 1.0,
+                 whole: bool = True) -> None:
+        """Run `run` of `task` ended as `how` after `ms` milliseconds of running. `far`: by how much being away from
+        its data made it longer (1.0: not at all); `whole`: it began without saved progress. All but whole `done` runs
+        are passed over, and so is an end told again among the last SEEN ones. One member of a gang stands for all."""
+        self.runs.note(q=q, step=step, task=task, run=run, how=how, ms=ms, far=far, whole=whole)
+
+    # -- questions; none of them changes the state
+
+    def times(self, *, q: str, step: "Step", far: float = 1.0) -> Times:
+        """How long a task of this step runs, in milliseconds, if being away makes it `far` times as long."""
+        return self.runs.times(q=q, step=step, far=far)
+
+    def predict(self, *, now_ms: int, horizon_ms: int) -> list[Prediction]:
+        """Calls expected from now until the horizon, the earliest first; at most MOST, one for each kind beside the
+        known times. Weighs at most KINDS + TIMERS + RECENT x EACH candidates."""
+        now = max(now_ms + self.shift, self.clock)
+        off = now - now_ms
+        best: dict[str, Prediction] = {}
+        self.looked = 0
+
+        def take(*, key: str, why: Why, early: float, likely: float, late: float, confidence: float,
+                 jobs: float) -> None:
+            if confidence <= 0 or early > now + horizon_ms or (key in best and best[key].confidence >= confidence):
+                return
+            kind = self.kinds[key]
+            form, n = kind.calls.shape(req=kind.req)
+            best[key] = Prediction(
+                kind=key, why=why, early=int(max(early, now)) - off, likely=int(max(likely, now)) - off,
+                late=int(max(late, now)) - off, queue=kind.queue, svc=kind.svc, form=form, gang=kind.gang,
+                tight=kind.tight, n=n, near=kind.calls.rack(), confidence=min(confidence, 1.0),
+                jobs=min(JOBS_MOST, max(jobs, 1.0)))
+
+        for key, kind in self.kinds.items():
+            calls = kind.calls
+            self.looked += 1
+            beat = calls.beat(now=now)
+            if beat is not None:
+                beats = 1 + max(0.0, now + horizon_ms - beat[0]) // calls.period
+                take(key=key, why=Why.PERIOD, early=beat[0] - calls.tol(), likely=beat[0], late=beat[0] + calls.tol(),
+                     confidence=beat[1], jobs=beats * calls.usual)
+            gap = calls.gap(now=now, horizon=horizon_ms)
+            if gap is not None and (beat is None or gap[3] > beat[1] + FINER):
+                take(key=key, why=Why.GAPS, early=gap[0], likely=gap[1], late=gap[2], confidence=gap[3],
+                     jobs=max(gap[3] * calls.usual, calls.rate(now=now) * horizon_ms))
+        for trig in self.follow.recent:
+            for key, pair in self.follow.pairs.get((trig.kind, trig.what), {}).items():
+                self.looked += 1
+                if not pair.open or key not in self.kinds or not pair.lags:
+                    continue
+                low, mid, high = pair.band()
+                if now <= trig.at + high:
+                    calls = self.kinds[key].calls
+                    take(key=key, why=Why.FOLLOW, early=trig.at + low, likely=trig.at + mid, late=trig.at + high,
+                         confidence=pair.worth(rate=calls.rate(now=now)), jobs=calls.usual)
+        out = [*best.values(), *self._timed(now_ms=now_ms, horizon_ms=horizon_ms)]
+        return sorted(out, key=lambda p: (p.early, -p.confidence, p.kind))[:MOST]
+
+    def _timed(self, *, now_ms: int, horizon_ms: int) -> list[Prediction]:
+        """Known times, which are wall times and need no learning."""
+        out = []
+        for key, q, svc, form, gang, tight, n, near, first, period, times in self.timers.values():
+            self.looked += 1
+            k = max(0, -((first - now_ms) // period)) if period else 0
+            due = first + k * period
+            if k >= times or not now_ms <= due <= now_ms + horizon_ms:
+                continue
+            more = (now_ms + horizon_ms - due) // period if period else times - 1
+            out.append(Prediction(
+                kind=key, why=Why.TIMED, early=due, likely=due, late=due, queue=q, svc=svc, form=Form(*form),
+                gang=gang, tight=tight, n=n, near=near, confidence=1.0,
+                jobs=min(JOBS_MOST, 1.0 + min(more, times - 1 - k))))
+        return out
+
+    # -- checkpoint
+
+    def dump(self) -> Any:
+        """All of it, as plain JSON data that shares nothing with the state."""
+        return {"runs": self.runs.dump(), "follow": self.follow.dump(), "clock": self.clock, "shift": self.shift,
+                "fresh": [[k, v.dump()] for k, v in self.fresh.items()],
+                "kinds": [[k, v.dump()] for k, v in self.kinds.items()],
+                "timers": [[k, *v] for k, v in self.timers.items()]}
+
+    def load(self, doc: Any) -> None:
+        """Replace all of it. `doc` may be empty: a record from before there was a history."""
+        self.__init__()  # type: ignore[misc]
+        if not doc:
+            return
+        self.runs.load(doc["runs"])
+        self.follow.load(doc["follow"])
+        self.clock, self.shift = doc["clock"], doc["shift"]
+        self.fresh = {k: Kind.load(v) for k, v in doc["fresh"]}
+        self.kinds = {k: Kind.load(v) for k, v in doc["kinds"]}
+        self.timers = {k: list(v) for k, *v in doc["timers"]}
