--- a/yarrowloom/learn/calls.py
+++ b/yarrowloom/learn/calls.py
@@ -85,7 +85,7 @@
             self.lo, self.hi = vals[cut], vals[-1 - cut]
             self.lo -= self.lo // 10
             self.hi += self.hi // 10
-        if not self.period and len(vals) >= 4:
+        if not self.period and len(vals) >= 4 and (self.n < 2 * GAPS or self.n % 4 == 0):
             self._lock(t=t)
 
     def _beat(self, *, t: int, quiet: int) -> None:
--- a/yarrowloom/learn/runs.py
+++ b/yarrowloom/learn/runs.py
@@ -1,5 +1,6 @@
 """Run times by queue and shape: quantiles of the newest runs, beside the caller's estimate."""
 
+import functools
 import math
 import zlib
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -31,7 +32,10 @@
 
 
 def _log(ms: float) -> int:
-    return round(math.log(min(max(ms, 1.0), MOST_MS)) * SCALE)
+    return int(math.log(1.0 if ms < 1.0 else MOST_MS if ms > MOST_MS else ms) * SCALE + 0.5)
+
+
+_log_est = functools.lru_cache(4096)(_log)
 
 
 def rank(*, vals: list[int], q: float) -> int:
@@ -61,17 +65,21 @@
         self.cache = None
         rows = self.rows
         rows.append([ran, est])
-        if len(rows) > KEEP:
+        n = len(rows)
+        if n > KEEP:
             del rows[0]
-        off = ran - est
-        if len(rows) >= 8:
+        if n >= 8:
+            off = ran - est
             if self.since == 0:
                 offs = sorted([r - e for r, e in rows[:-1]])
                 cut = len(offs) // 10
                 self.lo, self.hi = offs[cut] - 24, offs[-1 - cut] + 24
                 self.since = 8
             self.since -= 1
-            self.out = max(self.out, 0) + 1 if off > self.hi else min(self.out, 0) - 1 if off < self.lo else 0
+            if self.lo <= off <= self.hi:
+                self.out = 0
+                return
+            self.out = max(self.out, 0) + 1 if off > self.hi else min(self.out, 0) - 1
             if abs(self.out) >= SHIFT_RUN:
                 del rows[:-SHIFT_RUN]
                 self.out = self.since = 0
@@ -100,12 +108,13 @@
         """See `History.note_end`."""
         if how != "done" or not whole or ms < 0 or step["last"]:
             return
+        seen = self.seen
         mark = zlib.crc32(task.encode(), run)
-        if mark in self.seen:
+        if mark in seen:
             return
-        self.seen[mark] = None
-        if len(self.seen) > SEEN:
-            del self.seen[next(iter(self.seen))]
+        seen[mark] = None
+        if len(seen) > SEEN:
+            del seen[next(iter(seen))]
         key = run_key(q=q, step=step)
         ring = self.rings.pop(key, None)
         if ring is None:
@@ -113,11 +122,11 @@
             if len(self.rings) >= KEYS:
                 del self.rings[next(iter(self.rings))]
         self.rings[key] = ring
-        ring.put(ran=_log(ms / max(far, 1.0)), est=_log(step["est"] or BLIND_MS))
+        ring.put(ran=_log(ms / far if far > 1.0 else ms), est=_log_est(step["est"] or BLIND_MS))
 
     def times(self, *, q: str, step: "Step", far: float = 1.0) -> Times:
         """See `History.times`."""
-        est = _log(step["est"] or BLIND_MS)
+        est = _log_est(step["est"] or BLIND_MS)
         ring = self.rings.get(run_key(q=q, step=step))
         n = len(ring.rows) if ring is not None else 0
         by_est, vals = ring.sorted() if ring is not None else (True, [])
