--- a/tests/test_learn_calls.py
+++ b/tests/test_learn_calls.py
@@ -12,6 +12,7 @@
 from yarrowloom.learn import calls as calls_mod
 from yarrowloom.learn import follow as follow_mod
 from yarrowloom.learn import history as hist_mod
+from yarrowloom.learn.score import Score
 
 T0 = 1_700_000_000_000
 
@@ -137,6 +138,48 @@
                        s.h.predict(now_ms=at + 10, horizon_ms=300))
 
 
+def test_what_comes_all_the_time_follows_nothing() -> None:
+    """B always comes soon after A, but it always comes soon; only a follower that is rare by itself is one."""
+    pair = follow_mod.Pair()
+    for lag in (300, 500, 800, 400, 600, 700):
+        pair.triggered()
+        pair.followed(lag=lag)
+    assert pair.worth(rate=1 / 500) == 0.0
+    assert pair.worth(rate=1 / 60_000) > 0.8
+    for _ in range(12):
+        pair.triggered()
+    assert pair.worth(rate=1 / 60_000) == 0.0
+
+
+def test_trust_has_hysteresis() -> None:
+    score = Score()
+    states = []
+    for ok in [True] * 4 + [False] * 7 + [True] * 2 + [False] * 6 + [True] * 14:
+        score.push(ok=ok)
+        states.append(score.trust.value)
+    flips = [b for a, b in zip(["fresh", *states], states, strict=False) if a != b]
+    assert flips == ["on", "off", "on"]
+    assert states[6] == "on" and states[-8] == "off"
+    assert Score.load(score.dump()).dump() == score.dump()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_confidence_in_a_loose_period_is_what_comes_true(seed: int) -> None:
+    s, rng = Stream(), random.Random(seed)
+    said, came, told = 0.0, 0, 0
+    at = T0
+    for i in range(300):
+        at += 20_000 + (round(rng.uniform(-1, 1) * 9_000) if rng.random() < 0.6 else 0)
+        kind = next(iter(s.h.kinds.values()), None)
+        beat = kind.calls.beat(now=kind.calls.at + 1_000) if kind is not None else None
+        if i > 30 and kind is not None and beat is not None:
+            told += 1
+            said += beat[1]
+            came += abs(at - beat[0]) <= kind.calls.tol()
+        s.job(at=at)
+    assert told == 0 or abs(said - came) / told < 0.2, (told, said, came)
+
+
 def test_change_of_regime_switches_off_and_comes_back() -> None:
     """Wrong predictions switch the kind off by themselves; once the calls are regular again it is back."""
     s, rng = Stream(), random.Random(4)
