--- a/tests/test_learn_warm.py
+++ b/tests/test_learn_warm.py
@@ -167,3 +167,14 @@
     assert [r.kind for r in got][:2] == ["sure", "cheap"]
     heavy = rich(bounds=Bounds(on=True, core_s=24.0, tasks=99))
     assert heavy.plan(now_ms=900, steady=900.0, preds=rows, weight={"q": 5.0})[0].kind == "sure"
+
+
+def test_light_queues_leave_half_the_purse_to_the_weightiest() -> None:
+    """A stream of small sure calls can't drain what the urgent queue needs."""
+    w = rich(bounds=Bounds(on=True, core_s=40.0, tasks=99))
+    small = [pred(kind=f"s{i}", queue="small", early=0, likely=0, late=10**6) for i in range(50)]
+    weight = {"urgent": 100.0, "small": 1.0}
+    w.plan(now_ms=0, steady=0.0, preds=small, weight=weight)
+    assert w.rooms and sum(r.cores * (r.until - r.since) / 1000 for r in w.rooms.values()) <= 10.0
+    got = w.plan(now_ms=0, steady=0.0, preds=[pred(kind="u", queue="urgent", early=0, late=10**6)], weight=weight)
+    assert got[0].kind == "u"
--- a/yarrowloom/learn/warm.py
+++ b/yarrowloom/learn/warm.py
@@ -77,11 +77,14 @@
     def plan(self, *, now_ms: int, steady: float, preds: Sequence[Prediction],
              weight: Mapping[str, float] | None = None) -> list[Room]:
         """All room wanted from now on, the worthiest first. `now_ms`: wall, as the predictions; `steady`: a clock
-        that never goes back, milliseconds; `weight` of queues (1 if not named). Weighs at most WEIGH_MOST."""
+        that never goes back, milliseconds; `weight` of queues (1 if not named): all but the weightiest leave half of
+        the purse to those. Weighs at most WEIGH_MOST."""
         self._settle(steady=steady)
         if not self.bounds.on:
             self.drop(steady=steady)
             return []
+        weights = weight or {}
+        top = max(weights.values(), default=1.0)
         new = []
         for p in preds[:WEIGH_MOST]:
             if p.kind in self.rooms or p.confidence < self.bounds.least or p.early - self.bounds.lead_ms > now_ms:
@@ -91,21 +94,22 @@
             until = steady + min(self.bounds.expiry_ms, max(0, p.late - now_ms) + self.bounds.lead_ms)
             n = p.n * max(1, int(p.jobs * p.confidence))
             cost = max(p.form.cores, 0.001) * p.n * (until - steady) / 1000
-            worth = p.confidence * (weight or {}).get(p.queue, 1.0) / cost if cost > 0 else 0.0
+            worth = p.confidence * weights.get(p.queue, 1.0) / cost if cost > 0 else 0.0
             new.append(Room(p.kind, p.queue, p.svc, p.form, n, p.gang, p.tight, p.near, steady, until, worth))
             if p.gang:
                 new[-1] = new[-1]._replace(n=p.n)
         for room in sorted(new, key=lambda r: (-r.worth, r.kind)):
             if room.kind not in self.rooms:
-                self._admit(room=room, steady=steady)
+                self._admit(room=room, steady=steady, spare=weights.get(room.queue, 1.0) < top)
         return sorted(self.rooms.values(), key=lambda r: (-r.worth, r.kind))
 
-    def _admit(self, *, room: Room, steady: float) -> None:
-        """Take a room in as far as the bounds let it; a gang whole or not at all."""
+    def _admit(self, *, room: Room, steady: float, spare: bool) -> None:
+        """Take a room in as far as the bounds let it; a gang whole or not at all. `spare`: leave half the purse."""
         left = self.bounds.tasks - sum(r.n for r in self.rooms.values() if r.svc == room.svc)
         purse = self.purse - sum(r.cores * max(0.0, r.until - steady) / 1000 for r in self.rooms.values())
+        purse -= self.bounds.core_s / 4 if spare else 0.0
         each = room.form.cores * (room.until - steady) / 1000
-        n = min(room.n, left, int(purse / each) if each > 0 else room.n)
+        n = min(room.n, left, int(max(0.0, purse) / each) if each > 0 else room.n)
         if n >= (room.n if room.gang else 1):
             self.rooms[room.kind] = room._replace(n=n)
 
