--- a/tests/test_learn_calls.py
+++ b/tests/test_learn_calls.py
@@ -8,7 +8,7 @@
 import pytest
 
 from yarrowloom.job.spec import Step, parse
-from yarrowloom.learn import History, Prediction, Why
+from yarrowloom.learn import History, Prediction, Why, queue_key
 from yarrowloom.learn import calls as calls_mod
 from yarrowloom.learn import follow as follow_mod
 from yarrowloom.learn import history as hist_mod
@@ -180,6 +180,23 @@
     assert told == 0 or abs(said - came) / told < 0.2, (told, said, came)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_jobs_of_all_sizes_are_expected_for_their_queue_as_a_whole(seed: int) -> None:
+    """No two alike, so no kind is called often; the queue is. Its room holds most of them."""
+    s, rng = Stream(), random.Random(seed)
+    told = fits = 0
+    for i in range(120):
+        at = T0 + 10_000 * i + rng.randint(-300, 300)
+        rows = steps({"task-count": rng.randint(2, 9), "cpus": rng.randint(500, 20_000), "gpus": rng.randint(1, 8)})
+        got = [p for p in s.h.predict(now_ms=at - 2_000, horizon_ms=4_000) if p.queue == "q"]
+        assert len({p.kind.endswith("/*") for p in got}) <= 1
+        if i >= 30:
+            told += len(got) == 1 and got[0].kind == queue_key(q="q") and abs(got[0].likely - at) < 1_000
+            fits += any(p.form.cpu >= rows[0]["cpu"] for p in got)
+        s.job(at=at, rows=rows)
+    assert told >= 80 and fits >= 35, (told, fits)
+
+
 def test_change_of_regime_switches_off_and_comes_back() -> None:
     """Wrong predictions switch the kind off by themselves; once the calls are regular again it is back."""
     s, rng = Stream(), random.Random(4)
--- a/yarrowloom/learn/__init__.py
+++ b/yarrowloom/learn/__init__.py
@@ -5,9 +5,9 @@
 
 from .fill import Filler, Minion, Reservation, Run, in_the_way, may_fill, reserve
 from .history import History
-from .kind import Form, Prediction, Why, kind_key
+from .kind import Form, Prediction, Why, kind_key, queue_key
 from .runs import Times
 from .warm import Bounds, Room, Warm
 
 __all__ = ["Bounds", "Filler", "Form", "History", "Minion", "Prediction", "Reservation", "Room", "Run", "Times",
-           "Warm", "Why", "in_the_way", "kind_key", "may_fill", "reserve"]
+           "Warm", "Why", "in_the_way", "kind_key", "may_fill", "queue_key", "reserve"]
--- a/yarrowloom/learn/calls.py
+++ b/yarrowloom/learn/calls.py
@@ -8,7 +8,7 @@
 
 BURST_MS = 250        # what comes within this of a call's first job belongs to the same call
 GAPS = 16
-FORMS = 4
+FORMS = 8
 RACKS = 4
 SHORT_MS = 10_000.0   # time constants of the two rates
 LONG_MS = 300_000.0
@@ -169,9 +169,10 @@
         long = self.long * math.exp(-dt / LONG_MS) / LONG_MS
         return min(short, long) if short < long else (short + long) / 2
 
-    def shape(self, *, req: str) -> tuple[Form, int]:
-        """What holds any of the last few, and how many tasks they mostly had."""
-        cpu, mem, gpu = (max(f[i] for f in self.forms) for i in range(3))
+    def shape(self, *, req: str, whole: bool) -> tuple[Form, int]:
+        """What holds any of the last few (`whole`) or most of them, and how many tasks they mostly had."""
+        at = len(self.forms) - 1 if whole else 5 * len(self.forms) // 8
+        cpu, mem, gpu = (sorted(f[i] for f in self.forms)[at] for i in range(3))
         ns = sorted(f[3] for f in self.forms)
         return Form(cpu=cpu, mem=mem, gpu=gpu, req=req), ns[len(ns) // 2]
 
--- a/yarrowloom/learn/follow.py
+++ b/yarrowloom/learn/follow.py
@@ -4,10 +4,11 @@
 import math
 from typing import Any, NamedTuple
 
+from .kind import related
 from .score import Score
 
 WITHIN_MS = 20_000      # what comes later than this follows nothing
-RECENT = 8              # triggers that may still be followed
+RECENT = 12             # triggers that may still be followed
 EACH = 3                # followers kept for each trigger
 PAIRS = 256
 LAGS = 8
@@ -96,7 +97,7 @@
         """A call began: which of the recent triggers does it follow?"""
         for trig in self.recent:
             lag = at - trig.at
-            if trig.kind == kind or lag > WITHIN_MS:
+            if lag > WITHIN_MS or related(one=trig.kind, two=kind):
                 continue
             mine = self.pairs.get((trig.kind, trig.what))
             pair = mine.get(kind) if mine is not None else None
--- a/yarrowloom/learn/history.py
+++ b/yarrowloom/learn/history.py
@@ -5,13 +5,13 @@
 
 from .calls import JOBS_MOST, Calls
 from .follow import Follow, What
-from .kind import Form, Prediction, Why, kind_key, root
+from .kind import Form, Prediction, Why, kind_key, queue_key, root
 from .runs import Runs, Times
 
 if TYPE_CHECKING:
     from ..job.spec import Step
 
-FRESH = 64             # kinds on probation
+FRESH = 192            # kinds on probation
 KINDS = 128            # kinds that were called PROVEN times
 PROVEN = 3
 TIMERS = 256
@@ -44,8 +44,9 @@
 
     Invariants: inner time is wall time plus `shift` and never goes back (`clock` is the newest); `fresh` and
     `kinds` are bounded by FRESH and KINDS, have no key in common and stand in the order of use, so a flood of new
-    kinds pushes out new kinds only; `timers` is bounded by TIMERS; only proven kinds are followed or predicted.
-    `looked` counts the candidates weighed by the last `predict`; it is no part of the state.
+    kinds pushes out new kinds only; each job counts for its kind and for its queue as a whole; `timers` is bounded
+    by TIMERS; only proven kinds are followed or predicted. `looked` counts the candidates weighed by the last
+    `predict`; it is no part of the state.
 
     >>> step = {"n": 1, "cpu": 500, "mem": 64, "gpu": 0, "est": 900, "deps": [], "ck": False, "gang": False,
     ...         "tight": False, "req": "", "near": "", "apart": 0, "dup": False, "last": False}
@@ -96,19 +97,22 @@
                                 first_step["near"], first, period, times]
             return
         t, quiet = self._inner(at)
+        for name in (key, queue_key(q=q)):
+            self._call(key=name, t=t, quiet=quiet, q=q, svc=svc, step=first_step, form=form)
+
+    def _call(self, *, key: str, t: int, quiet: int, q: str, svc: str, step: "Step", form: Form) -> None:
         kind = self.kinds.pop(key, None)
         if kind is not None:
             self.kinds[key] = kind
         else:
             kind = self.fresh.pop(key, None)
             if kind is None:
-                kind = Kind(queue=q, svc=svc, req=form.req, gang=first_step["gang"], tight=first_step["tight"],
-                            calls=Calls())
+                kind = Kind(queue=q, svc=svc, req=form.req, gang=step["gang"], tight=step["tight"], calls=Calls())
                 if len(self.fresh) >= FRESH:
                     del self.fresh[next(iter(self.fresh))]
             self.fresh[key] = kind
-        kind.svc = svc
-        began = kind.calls.put(t=t, form=form, n=first_step["n"], near=first_step["near"], quiet=quiet)
+        kind.svc, kind.req, kind.gang, kind.tight = svc, form.req, step["gang"], step["tight"]
+        began = kind.calls.put(t=t, form=form, n=step["n"], near=step["near"], quiet=quiet)
         if key in self.fresh:
             if kind.calls.n < PROVEN:
                 return
@@ -131,9 +135,10 @@
     def note_over(self, *, at: int, jid: str, q: str, steps: "Sequence[Step]", done: bool) -> None:
         """A job has ended at wall time `at`; `done`: it is complete, not failed or cancelled."""
         if self.timers.pop(jid, None) is None and done:
-            key = kind_key(q=q, steps=steps)
-            if key in self.kinds:
-                self.follow.trigger(kind=key, what=What.END, at=self._inner(at)[0])
+            t, _ = self._inner(at)
+            for key in (kind_key(q=q, steps=steps), queue_key(q=q)):
+                if key in self.kinds:
+                    self.follow.trigger(kind=key, what=What.END, at=t)
 
     def note_end(self, *, q: str, step: "Step", task: str, run: int, how: str, ms: float, far: float = 1.0,
                  whole: bool = True) -> None:
@@ -161,7 +166,7 @@
             if confidence <= 0 or early > now + horizon_ms or (key in best and best[key].confidence >= confidence):
                 return
             kind = self.kinds[key]
-            form, n = kind.calls.shape(req=kind.req)
+            form, n = kind.calls.shape(req=kind.req, whole=not key.endswith("/*"))
             best[key] = Prediction(
                 kind=key, why=why, early=int(max(early, now)) - off, likely=int(max(likely, now)) - off,
                 late=int(max(late, now)) - off, queue=kind.queue, svc=kind.svc, form=form, gang=kind.gang,
@@ -190,9 +195,23 @@
                     calls = self.kinds[key].calls
                     take(key=key, why=Why.FOLLOW, early=trig.at + low, likely=trig.at + mid, late=trig.at + high,
                          confidence=pair.worth(rate=calls.rate(now=now)), jobs=calls.usual)
-        out = [*best.values(), *self._timed(now_ms=now_ms, horizon_ms=horizon_ms)]
+        out = [*self._either(best=best), *self._timed(now_ms=now_ms, horizon_ms=horizon_ms)]
         return sorted(out, key=lambda p: (p.early, -p.confidence, p.kind))[:MOST]
 
+    def _either(self, *, best: dict[str, Prediction]) -> list[Prediction]:
+        """A queue as a whole, or its kinds one by one: the finer word, unless the coarse one is surer by FINER."""
+        sure: dict[str, float] = {}
+        for key, p in best.items():
+            if key != queue_key(q=p.queue):
+                sure[p.queue] = max(sure.get(p.queue, 0.0), p.confidence)
+        out = []
+        for key, p in best.items():
+            all_of = best.get(queue_key(q=p.queue))
+            coarse = all_of is not None and all_of.confidence > sure.get(p.queue, 0.0) + FINER
+            if coarse == (key == queue_key(q=p.queue)):
+                out.append(p)
+        return out
+
     def _timed(self, *, now_ms: int, horizon_ms: int) -> list[Prediction]:
         """Known times, which are wall times and need no learning."""
         out = []
--- a/yarrowloom/learn/kind.py
+++ b/yarrowloom/learn/kind.py
@@ -85,6 +85,26 @@
     return f"{q}/{zlib.crc32(repr((sig, [s['req'] for s in steps[:SIGNED]], period.bit_length())).encode()):08x}"
 
 
+def queue_key(*, q: str) -> str:
+    """The kind that stands for all jobs of a queue, whatever their sizes.
+
+    >>> queue_key(q="a")
+    'a/*'
+    """
+    return f"{q}/*"
+
+
+def related(*, one: str, two: str) -> bool:
+    """Two kinds of which one contains the other.
+
+    >>> related(one="a/*", two="a/01"), related(one="a/02", two="a/01"), related(one="a/*", two="b/*")
+    (True, False, False)
+    """
+    q, _, rest = one.rpartition("/")
+    p, _, other = two.rpartition("/")
+    return q == p and (rest == other or "*" in (rest, other))
+
+
 def run_key(*, q: str, step: "Step") -> RunKey:
     """What run times are kept by: queue, shape, and whether the caller gave an estimate at all."""
     return q, step["cpu"].bit_length(), step["mem"].bit_length(), step["gpu"].bit_length(), step["est"] > 0
--- a/yarrowloom/learn/warm.py
+++ b/yarrowloom/learn/warm.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 from .hist import Hist
-from .kind import Form, Prediction
+from .kind import Form, Prediction, queue_key
 
 KINDS = 256              # kinds with a back-off or figures
 BACK_MOST_MS = 600_000.0
@@ -148,6 +148,10 @@
 
     # -- what became of it
 
+    def room(self, *, q: str, kind: str) -> Room | None:
+        """The room that waits for a job of this queue and kind (`kind_key`), if any."""
+        return self.rooms.get(kind) or self.rooms.get(queue_key(q=q))
+
     def hit(self, *, kind: str, steady: float, wait_ms: float) -> None:
         """A job of the kind came and started in its room, `wait_ms` after its call; the room is closed."""
         self._settle(steady=steady)
