--- a/tests/test_learn_runs.py
+++ b/tests/test_learn_runs.py
@@ -10,6 +10,7 @@
 from yarrowloom.job.spec import Step, parse
 from yarrowloom.learn import History
 from yarrowloom.learn import runs as runs_mod
+from yarrowloom.learn import slow as slow_mod
 
 
 def step(**more: Any) -> Step:
@@ -128,21 +129,57 @@
         h.note_end(q=f"q{rng.randint(0, 5000)}", step=step(cpus=rng.randint(0, 1 << 31)), task=f"f.0.0.{i}", run=1,
                    how="done", ms=rng.choice([0, 10, 1e30]))
         if i % 50 == 0:
-            h.note_end(q="q", step=step(), task=f"g.0.0.{i}", run=1, how="done", ms=3000)
+            h.note_end(q="q", step=step(), task=f"g.0.0.{i}", run=1, how="done", ms=3000, mid=f"n{i}")
+    assert len(h.runs.slow.rows) <= slow_mod.MINIONS
     assert len(h.runs.rings) <= runs_mod.KEYS and len(h.runs.seen) <= runs_mod.SEEN
     assert all(len(r.rows) <= runs_mod.KEEP for r in h.runs.rings.values())
     assert 2800 < h.times(q="q", step=step()).p50 < 3300
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_slow_minions_are_told_apart_from_slow_kinds(seed: int) -> None:
+    """Two of ten minions three times as slow: the others' quantiles stay, and a change that all see is none of theirs.
+    Once they are well again they are like the others."""
+    h, rng = History(), random.Random(seed)
+
+    def run(*, n: int, ratio: float, slow: float, tag: str) -> None:
+        for i in range(n):
+            mid = f"m{rng.randint(0, 9)}"
+            h.note_end(q="q", step=step(), task=f"{tag}.0.0.{i}", run=1, how="done", mid=mid,
+                       ms=1000 * ratio * math.exp(rng.gauss(0, 0.05)) * (slow if mid in ("m0", "m1") else 1))
+
+    run(n=400, ratio=1.0, slow=3.0, tag="a")
+    assert 900 < h.times(q="q", step=step()).p90 < 1400
+    assert 2300 < h.times(q="q", step=step(), mid="m0").p50 < 3800
+    assert h.times(q="q", step=step(), mid="m5") == h.times(q="q", step=step())
+    run(n=200, ratio=4.0, slow=3.0, tag="b")
+    assert 3600 < h.times(q="q", step=step()).p50 < 4600
+    assert h.times(q="q", step=step(), mid="m5") == h.times(q="q", step=step())
+    run(n=400, ratio=4.0, slow=1.0, tag="c")
+    assert h.times(q="q", step=step(), mid="m0") == h.times(q="q", step=step())
+    assert 3600 < h.times(q="q", step=step()).p50 < 4600
+
+
+def test_slowness_is_relative_to_the_middle_minion() -> None:
+    slow = slow_mod.Slow()
+    for i in range(1000):
+        slow.note(mid=f"m{i % 10}", off=500 if i % 10 else 1100)
+    assert {slow.log(mid=f"m{k}") for k in range(1, 10)} == {0}
+    assert 550 <= slow.log(mid="m0") <= 650
+    assert slow.log(mid="unknown") == 0
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_round_trip_and_determinism(seed: int) -> None:
     """Loaded at any moment from JSON, the twin goes on to the same state and the same answers."""
     rng = random.Random(seed)
     one, two = History(), History()
-    for i in range(1500):
-        args: dict[str, Any] = {"q": f"q{rng.randint(0, 400)}", "task": f"{rng.randint(0, 900)}.0.0.1",
+    for i in range(3000):
+        args: dict[str, Any] = {"q": f"q{rng.choice([0, 1, rng.randint(0, 400)])}",
+                                "task": f"{rng.randint(0, 900)}.0.0.1",
                                 "step": step(**{"estimate-ms": rng.choice([0, 5, 900])}), "run": rng.randint(1, 3),
-                                "how": rng.choice(["done", "done", "failed"]), "ms": rng.expovariate(0.001)}
+                                "how": rng.choice(["done", "done", "failed"]), "ms": rng.expovariate(0.001),
+                                "mid": rng.choice(["", f"m{rng.randint(0, 700)}", f"m{rng.randint(0, 7)}"])}
         one.note_end(**args)
         two.note_end(**args)
         if i % 300 == 7:
--- a/yarrowloom/learn/history.py
+++ b/yarrowloom/learn/history.py
@@ -141,17 +141,19 @@
                     self.follow.trigger(kind=key, what=What.END, at=t)
 
     def note_end(self, *, q: str, step: "Step", task: str, run: int, how: str, ms: float, far: float = 1.0,
-                 whole: bool = True) -> None:
+                 whole: bool = True, mid: str = "") -> None:
         """Run `run` of `task` ended as `how` after `ms` milliseconds of running. `far`: by how much being away from
-        its data made it longer (1.0: not at all); `whole`: it began without saved progress. All but whole `done` runs
-        are passed over, and so is an end told again among the last SEEN ones. One member of a gang stands for all."""
-        self.runs.note(q=q, step=step, task=task, run=run, how=how, ms=ms, far=far, whole=whole)
+        its data made it longer (1.0: not at all); `whole`: it began without saved progress; `mid`: the minion, if slow
+        ones are to be told apart. All but whole `done` runs are passed over, and so is an end told again among the
+        last SEEN ones. One member of a gang stands for all."""
+        self.runs.note(q=q, step=step, task=task, run=run, how=how, ms=ms, far=far, whole=whole, mid=mid)
 
     # -- questions; none of them changes the state
 
-    def times(self, *, q: str, step: "Step", far: float = 1.0) -> Times:
-        """How long a task of this step runs, in milliseconds, if being away makes it `far` times as long."""
-        return self.runs.times(q=q, step=step, far=far)
+    def times(self, *, q: str, step: "Step", far: float = 1.0, mid: str = "") -> Times:
+        """How long a task of this step runs, in milliseconds, if being away makes it `far` times as long; on the
+        minion `mid`, or on one that is not slow."""
+        return self.runs.times(q=q, step=step, far=far, mid=mid)
 
     def predict(self, *, now_ms: int, horizon_ms: int) -> list[Prediction]:
         """Calls expected from now until the horizon, the earliest first; at most MOST, one for each kind beside the
--- a/yarrowloom/learn/runs.py
+++ b/yarrowloom/learn/runs.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from .kind import RunKey, run_key
+from .slow import Slow
 
 if TYPE_CHECKING:
     from ..job.spec import Step
@@ -102,9 +103,10 @@
     def __init__(self) -> None:
         self.rings: dict[RunKey, Ring] = {}
         self.seen: dict[int, None] = {}
+        self.slow = Slow()
 
     def note(self, *, q: str, step: "Step", task: str, run: int, how: str, ms: float, far: float = 1.0,
-             whole: bool = True) -> None:
+             whole: bool = True, mid: str = "") -> None:
         """See `History.note_end`."""
         if how != "done" or not whole or ms < 0 or step["last"]:
             return
@@ -122,9 +124,12 @@
             if len(self.rings) >= KEYS:
                 del self.rings[next(iter(self.rings))]
         self.rings[key] = ring
-        ring.put(ran=_log(ms / far if far > 1.0 else ms), est=_log_est(step["est"] or BLIND_MS))
+        ran, est = _log(ms / far if far > 1.0 else ms), _log_est(step["est"] or BLIND_MS)
+        if mid and len(ring.rows) >= 8:
+            ran -= self.slow.note(mid=mid, off=ran - est - (ring.lo + ring.hi) // 2)
+        ring.put(ran=ran, est=est)
 
-    def times(self, *, q: str, step: "Step", far: float = 1.0) -> Times:
+    def times(self, *, q: str, step: "Step", far: float = 1.0, mid: str = "") -> Times:
         """See `History.times`."""
         est = _log_est(step["est"] or BLIND_MS)
         ring = self.rings.get(run_key(q=q, step=step))
@@ -132,19 +137,20 @@
         by_est, vals = ring.sorted() if ring is not None else (True, [])
         if n < len(PRIOR):
             vals = sorted([*vals, *(_log(p * 1000) - _log(1000) for p in PRIOR[n:])])
-        base = est if by_est else 0
+        base = (est if by_est else 0) + (self.slow.log(mid=mid) if mid else 0)
         p50, p90, p95 = (far * math.exp((base + rank(vals=vals, q=q)) / SCALE) for q in (0.5, 0.9, 0.95))
         return Times(p50=p50, p90=p90, p95=p95, n=n, confidence=n / (n + 4))
 
     def dump(self) -> Any:
         """As plain data."""
         return {"r": [[list(k), r.out, r.lo, r.hi, r.since, [list(x) for x in r.rows]] for k, r in self.rings.items()],
-                "s": list(self.seen)}
+                "s": list(self.seen), "m": self.slow.dump()}
 
     def load(self, doc: Any) -> None:
         """Replace all."""
         self.rings = {}
         self.seen = dict.fromkeys(doc["s"])
+        self.slow = Slow.load(doc["m"])
         for (q, cpu, mem, gpu, est), out, lo, hi, since, rows in doc["r"]:
             ring = Ring()
             ring.out, ring.lo, ring.hi, ring.since, ring.rows = out, lo, hi, since, [list(r) for r in rows]
