--- /dev/null
+++ b/tests/learn_trial.py
@@ -0,0 +1,83 @@
+"""A trial by hand, no test: seeded streams of calls against `History` and `Warm`, no cluster; figures of docs/warm.md.
+
+    python -m tests.learn_trial
+"""
+
+import random
+from collections.abc import Callable, Iterator
+
+import orjson
+
+from yarrowloom.job.spec import Step, parse
+from yarrowloom.learn import Bounds, History, Warm, kind_key
+
+T0 = 1_700_000_000_000
+SECS = 600.0
+Stream = tuple[str, Callable[[], list[Step]], Iterator[float]]
+
+
+def job(*, n: int, cpu: int, gpu: int) -> list[Step]:
+    out: list[Step] = parse(body=orjson.dumps({"task-spec": "x", "stages": [
+        {"task-count": n, "cpus": cpu, "gpus": gpu}]}))["steps"]
+    return out
+
+
+def poisson(*, rng: random.Random, rate: float) -> Iterator[float]:
+    t = 0.0
+    while t < SECS:
+        t += rng.expovariate(rate)
+        yield t
+
+
+def sizes(*, rng: random.Random, n: int, cpu: int, gpu: tuple[int, int]) -> Callable[[], list[Step]]:
+    return lambda: job(n=max(1, round(n * rng.uniform(.5, 1.5))), cpu=round(cpu * rng.uniform(.6, 1.5)),
+                       gpu=rng.randint(*gpu))
+
+
+def run(*, name: str, streams: list[Stream], weight: dict[str, float] | None = None) -> None:
+    """Print calls that found a room of their kind or queue, of all calls, and what the rooms cost."""
+    evs = sorted((t, q, i) for i, (q, _, ts) in enumerate(streams) for t in ts if t < SECS)
+    hist, warm = History(), Warm(bounds=Bounds(on=True, core_s=3000.0, tasks=64))
+    hits: dict[str, list[int]] = {}
+    k, t = 0, 0.0
+    while t < SECS:
+        t += 0.1
+        while k < len(evs) and evs[k][0] <= t:
+            at, q, i = evs[k]
+            k += 1
+            steps = streams[i][1]()
+            room = warm.room(q=q, kind=kind_key(q=q, steps=steps))
+            row = hits.setdefault(q, [0, 0])
+            row[0] += room is not None
+            row[1] += 1
+            if room is not None:
+                warm.hit(kind=room.kind, steady=at * 1000, wait_ms=0)
+            else:
+                warm.began_cold(kind=kind_key(q=q, steps=steps), wait_ms=0)
+            hist.note_job(at=T0 + int(at * 1000), jid=f"{k:016x}", q=q, svc="s", steps=steps)
+        now = T0 + int(t * 1000)
+        warm.plan(now_ms=now, steady=t * 1000, preds=hist.predict(now_ms=now, horizon_ms=4000), weight=weight)
+    print(name, {q: f"{a}/{b}" for q, (a, b) in sorted(hits.items())}, "unused", warm.misses,
+          "core-s a minute", round(warm.held / SECS * 60))
+
+
+def main() -> None:
+    """Both sites' rates and a pair of periodic kinds, three seeds."""
+    for seed in range(3):
+        rng = random.Random(seed)
+        run(name="tsr", weight={"rebuild": 100.0}, streams=[
+            ("rebuild", sizes(rng=rng, n=4, cpu=10_000, gpu=(1, 8)), poisson(rng=rng, rate=.87)),
+            ("fare", sizes(rng=rng, n=3, cpu=3700, gpu=(1, 2)), poisson(rng=rng, rate=6.5)),
+            ("alloc", sizes(rng=rng, n=12, cpu=2800, gpu=(1, 1)), poisson(rng=rng, rate=.835))])
+        run(name="akat", weight={"photo": 100.0}, streams=[
+            ("price", sizes(rng=rng, n=6, cpu=2000, gpu=(0, 0)), poisson(rng=rng, rate=3.83)),
+            ("xref", sizes(rng=rng, n=14, cpu=4300, gpu=(0, 0)), poisson(rng=rng, rate=.299)),
+            ("photo", sizes(rng=rng, n=2, cpu=13_000, gpu=(2, 8)), poisson(rng=rng, rate=.535)),
+            ("thumb", sizes(rng=rng, n=8, cpu=2800, gpu=(1, 1)), poisson(rng=rng, rate=.479))])
+        run(name="periodic", streams=[
+            ("feed", lambda: job(n=4, cpu=10_000, gpu=4), (5.0 + 20 * i for i in range(30))),
+            ("match", lambda: job(n=3, cpu=3700, gpu=1), (8.0 + 20 * i + rng.random() for i in range(30)))])
+
+
+if __name__ == "__main__":
+    main()
