--- a/yarrowloom/job/state.py
+++ b/yarrowloom/job/state.py
@@ -3,6 +3,8 @@
 import enum
 from typing import Any
 
+from ..learn import History
+
 Effect = tuple[Any, ...]
 
 
@@ -53,19 +55,29 @@
 class Jobs:
     """Invariants: a task's run number only rises; a task is RUN exactly while its run may be alive on the minion
     named; a unit's `left` counts its tasks that are not DONE; `on` indexes all RUN tasks by minion; a gang's
-    members share run, saved progress (held at index 0) and the count of failed runs."""
+    members share run, saved progress (held at index 0) and the count of failed runs; `past` is what was learned of
+    the same events, if it is kept."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, learn: bool = True) -> None:
         self.jobs: dict[str, dict[str, Any]] = {}
+        self.learn = learn
+        self.past = History()
         self.on: dict[str, set[tuple[str, str, int]]] = {}
         self.pending: dict[str, int] = {}
 
     def dump(self) -> Any:
         """All of it."""
-        return self.jobs
+        return {"jobs": self.jobs, "past": self.past.dump() if self.learn else {}}
 
     def load(self, doc: Any) -> None:
-        """Replace all of it; indexes are derived. `doc` is its own from now on."""
+        """Replace all of it; indexes are derived. `doc` is its own from now on. Checkpoints older than the history are
+        the jobs alone."""
+        past: Any = {}
+        if "jobs" in doc and "past" in doc:
+            doc, past = doc["jobs"], doc["past"]
+        self.past = History()
+        if self.learn and past:
+            self.past.load(past)
         self.jobs = doc
         self.on, self.pending = {}, {}
         for jid, job in self.jobs.items():
@@ -114,12 +126,13 @@
             for name in ("u", "spec", "steps", "open"):
                 job.pop(name, None)
 
-    def _halt(self, *, jid: str, st: State) -> list[Effect]:
+    def _halt(self, *, jid: str, st: State, at: int) -> list[Effect]:
         """Show an end that is not complete; what still runs is to be stopped."""
         job = self.jobs[jid]
         if job["st"] == State.PENDING and st is State.FAILED:
             self._show(job=job, st=State.ACTIVE)
         self._show(job=job, st=st)
+        self._learned(jid=jid, job=job, at=at)
         out: list[Effect] = [("over", jid)]
         for key, unit in job["u"].items():
             out += [("stop", unit["m"][i], task_name(jid=jid, unit=key, idx=i), unit["r"][i])
@@ -142,6 +155,11 @@
                 out.append(("over", jid))
         return out
 
+    def _learned(self, *, jid: str, job: dict[str, Any], at: int) -> None:
+        """A job may have ended: the history takes note before its steps are dropped."""
+        if self.learn and at and job["st"] in ENDED and "steps" in job:
+            self.past.note_over(at=at, jid=jid, q=job["q"], steps=job["steps"], done=job["st"] == State.COMPLETE)
+
     # -- events
 
     def _job(self, ev: dict[str, Any]) -> list[Effect]:
@@ -151,6 +169,9 @@
         job = {**ev["j"], "st": State.PENDING.value, "k": 0, "open": [], "u": {}}
         self.jobs[jid] = job
         self.pending[job["q"]] = self.pending.get(job["q"], 0) + 1
+        if self.learn:
+            self.past.note_job(at=job["at"], jid=jid, q=job["q"], svc=job["svc"], steps=job["steps"],
+                               first=job["first"], period=job["period"], times=job["times"])
         if job["times"]:
             return [("timed", jid)]
         return self._units(jid=jid, k=0)
@@ -170,6 +191,7 @@
         for i, run, mid in ev["x"]:
             assert unit["s"][i] == WAIT and run > unit["r"][i]
             unit["s"][i], unit["r"][i], unit["m"][i] = RUN, run, mid
+            unit.setdefault("t", {})[str(i)] = ev.get("at", 0)
             self.on.setdefault(mid, set()).add((jid, key, i))
         return []
 
@@ -181,6 +203,11 @@
             return []
         step = job["steps"][int(key.split(".")[1])]
         self._off(jid=jid, key=key, unit=unit, i=i)
+        began = unit.get("t", {}).pop(str(i), 0)
+        if self.learn and began and "at" in ev:
+            self.past.note_end(q=job["q"], step=step, task=task_name(jid=jid, unit=key, idx=i), run=ev["run"],
+                               how=ev["how"], ms=float(max(ev["at"] - began, 0)), mid=unit["m"][i],
+                               whole=not unit["v"][0 if step["gang"] else i])
         out: list[Effect] = []
         if ev["how"] == "done" and not step["last"]:
             for j in range(len(unit["s"])) if step["gang"] else (i,):
@@ -191,6 +218,7 @@
                     unit["left"] -= 1
             if unit["left"] == 0 and job["st"] not in ENDED:
                 out += self._finished(jid=jid, key=key)
+                self._learned(jid=jid, job=job, at=ev.get("at", 0))
         else:
             unit["s"][i] = WAIT
             at = 0 if step["gang"] else i
@@ -201,7 +229,7 @@
                 unit["f"][at] += 1
             if job["st"] not in ENDED:
                 if ev["how"] == "failed" and not step["last"] and unit["f"][at] >= max(1, ev["mt"]):
-                    out += self._halt(jid=jid, st=State.FAILED)
+                    out += self._halt(jid=jid, st=State.FAILED, at=ev.get("at", 0))
                 elif not step["gang"] or RUN not in unit["s"]:
                     out.append(("ready", jid, key))
                 elif step["gang"] and ev["how"] in ("lost", "void"):
@@ -227,7 +255,7 @@
         job = self.jobs.get(ev["id"])
         if job is None or job["st"] in ENDED:
             return []
-        return self._halt(jid=ev["id"], st=State.CANCELLED)
+        return self._halt(jid=ev["id"], st=State.CANCELLED, at=ev.get("at", 0))
 
     def _forget(self, ev: dict[str, Any]) -> list[Effect]:
         for jid in ev["ids"]:
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..base.defaults import Defaults
 from ..base.log import Log
 from ..base.startup import Startup
 from ..fleet.owners import total
@@ -24,8 +25,9 @@
     """Inputs and effects. Invariant: effects leave in the order of their events."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
-                 rand: float = 0.5) -> None:
-        super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand)
+                 rand: float = 0.5, defaults: Defaults | None = None) -> None:
+        super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand,
+                         defaults=defaults)
         self.hand = InHand()
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..agent import Agent
+from ..base.defaults import SHIPPED, Defaults
 from ..base.errs import YarrowError
 from ..base.log import Log
 from ..base.startup import Startup
@@ -26,12 +27,13 @@
     served here; the agent acts only while `trusted`."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
-                 rand: float = 0.5) -> None:
+                 rand: float = 0.5, defaults: Defaults | None = None) -> None:
         super().__init__(startup=startup, uid=uid, boot=boot, kind="core", log=log)
         self.now = now
         self._rand = rand
         self.reg = Registry()
-        self.jobs = {g: Jobs() for g in self.groups()}
+        self.defaults = defaults or SHIPPED
+        self.jobs = {g: Jobs(learn=self.defaults["learn"]["on"]) for g in self.groups()}
         self.reps: dict[int, Replica] = {}
         for g in range(JOB_GROUPS + 1):
             state = self.reg if g == 0 else self.jobs[g]
@@ -119,7 +121,7 @@
             self.chief = Chief(node=self, late=was if was != self.uid else "")
             self._publish()
         else:
-            self.placers[g] = Placer(g=g, hub=self, rep=self.reps[g], jobs=self.jobs[g],
+            self.placers[g] = Placer(defaults=self.defaults, g=g, hub=self, rep=self.reps[g], jobs=self.jobs[g],
                                      far=self.startup.bound(name="spread-factor", default=2),
                                      status_s=self.startup.bound(name="status_s", default=120))
 
@@ -150,6 +152,14 @@
         """Nothing may start there."""
         return site in self.evac
 
+    def ranks(self) -> dict[str, int]:
+        """The queues of the newest configuration, with their ranks."""
+        return {name: int(row.get("rank", 9)) for name, row in self.table.routes.items()} if self.table else {}
+
+    def evacuations(self) -> frozenset[str]:
+        """Sites to which nothing is to be sent."""
+        return frozenset(self.evac)
+
     def gone(self, *, mid: str, fence: int) -> None:
         """A minion is no more."""
         self.agent.disown(mid=mid)
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -14,6 +14,7 @@
 import orjson
 import trio
 
+from ..base.defaults import load as load_defaults
 from ..base.errs import StartupError, YarrowError
 from ..base.log import Log
 from ..base.startup import Startup, load
@@ -276,7 +277,8 @@
     first = not known and startup.bootstrap
     uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
     node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
-                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30))
+                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30),
+                    defaults=load_defaults())
     if known:
         node.restore(recs=recs)
     head = node.checkpoint()
--- a/yarrowloom/place/binding.py
+++ b/yarrowloom/place/binding.py
@@ -203,7 +203,8 @@
         self.hub.trace(event="start", id=jid, unit=key, queue=job["q"], n=len(x), of=len(unit["s"]), est=group.est,
                        wait=round(self.hub.now - group.since, 2), near=group.near, cycles=group.tries)
         self.nominator.drop(unit=(jid, key), now=self.hub.now)
-        self.effects(self.rep.commit(ev={"t": "start", "id": jid, "u": key, "x": x}, then=("orders", self.g, orders)))
+        self.effects(self.rep.commit(ev={"t": "start", "id": jid, "u": key, "x": x, "at": int(self.hub.wall * 1000)},
+                                     then=("orders", self.g, orders)))
         for i in [row[0] for row in x]:
             self._began(jid=jid, key=key, i=i)
         self.weigh(group=group)
--- a/yarrowloom/place/cycle.py
+++ b/yarrowloom/place/cycle.py
@@ -31,6 +31,8 @@
     off: frozenset[str] = frozenset()    # minions nominated for other groups
     sore: frozenset[str] = frozenset()   # minions on which a member failed: only where no other has room
     now: float = 0.0
+    rank: int = 0
+    upper_s: float = 0.0                 # how long a member runs at most, as learned; warm room serves what ends in it
 
 
 @dataclass(slots=True, kw_only=True)
@@ -67,7 +69,10 @@
 
 
 def _room(snap: Snapshot, ask: Ask, spot: Spot) -> bool:
-    return snap.free(spot=spot).holds(ask.size)
+    free = snap.free(spot=spot)
+    if spot.keep.cpu + spot.keep.gpu and ask.rank > spot.keep_rank and ask.now + ask.upper_s > spot.keep_till:
+        free = free.plus(spot.keep, -1)
+    return free.holds(ask.size)
 
 
 def _label(snap: Snapshot, ask: Ask, spot: Spot) -> bool:
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -40,6 +40,12 @@
     def trace(self, *, event: str, **fields: object) -> None:
         """Log in detail."""
 
+    def ranks(self) -> dict[str, int]:
+        """The queues of the newest configuration, with their ranks."""
+
+    def evacuations(self) -> frozenset[str]:
+        """Sites to which nothing is to be sent."""
+
 
 class Desk:
     """Invariants: a start is durable before its order leaves; a unit with a task to start has a group in `backlog`;
@@ -272,7 +278,7 @@
             if parts is not None and job is not None and "u" in job:
                 self._judge(mid=b["m"], job=job, parts=parts, run=run, how=how)
                 ev = {"t": "end", "id": parts[0], "u": parts[1], "i": parts[2], "run": run, "how": how, "v": saved,
-                      "mt": self.tries(job=job)}
+                      "mt": self.tries(job=job), "at": int(self.hub.wall * 1000)}
                 self._gone(task=task, run=run)
                 self.effects(self.rep.commit(ev=ev))
             if held is not None:
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -1,16 +1,21 @@
 """The placing node of one job group: takes groups from the queue, runs their cycles, binds or puts them back."""
 
 import heapq
+import math
 from typing import Any
 
-from ..job.state import ENDED, RUN, WAIT
+from ..base.defaults import Defaults
+from ..job.state import ENDED, RUN, WAIT, State
+from ..learn import kind_key
 from ..wire.frame import Kind
 from . import cycle, desk
 from .binding import Binding
 from .cycle import Ask, Decision
 from .desk import LATE, STOP_AGAIN_S
 from .group import Group, Phase, Walk
+from .leases import Held
 from .preempt import AFTER_S, NOMINATE_AFTER_S
+from .warm import Warmer
 
 PASS_S = 0.008        # passes are at least this far apart
 LOOKS = 400           # groups looked at in one slice of a pass
@@ -19,6 +24,7 @@
 DUE = 32              # ends of backoff taken up in one slice
 BATCH = 256           # members of a group without a gang placed in one cycle
 SWEEP_S = 1.0
+TELL_S = 60.0
 BLOCK_S = 0.1         # work that has waited this long keeps what comes after it off its room
 BLOCK_MOST_S = 8.0    # if it finds no room even so long, it stops holding others back
 SILENT_S = 1.5        # rows of room from an agent silent this long no longer count
@@ -28,14 +34,15 @@
     """Invariant: the work of one slice is bounded by LOOKS, CYCLES and VISITS, whatever waits; a pass goes on where it
     stopped."""
 
-    def __init__(self, **kw: Any) -> None:
+    def __init__(self, *, defaults: Defaults, **kw: Any) -> None:
         self.walks: dict[str, Walk] = {}
         self.holding: dict[str, dict[tuple[str, int], dict[tuple[str, str], float]]] = {}
         self.passed = -9.0
         self.cycles = 0
         self.failed = 0
         super().__init__(**kw)
-        self.swept = self.hub.now
+        self.swept = self.told = self.hub.now
+        self.warmer = Warmer(table=self.room, past=self.jobs.past, row=defaults["warm"])
 
     # -- calls of edges
 
@@ -55,7 +62,8 @@
             if job["st"] in ENDED:
                 self.rep.barrier(then=("reply", uid, rid, 200, {}))
             else:
-                self.effects(self.rep.commit(ev={"t": "cancel", "id": jid}, then=("reply", uid, rid, 200, {})))
+                self.effects(self.rep.commit(ev={"t": "cancel", "id": jid, "at": int(self.hub.wall * 1000)},
+                                             then=("reply", uid, rid, 200, {})))
 
     def _put(self, *, uid: str, rid: int, b: dict[str, Any], jid: str, job: dict[str, Any] | None) -> None:
         if job is not None:
@@ -176,7 +184,13 @@
         ask = Ask(svc=group.svc, size=group.size, members=members if group.gang else members[:BATCH],
                   need=len(members) if group.gang else 1, req=group.req, near=group.near, strict=strict,
                   tight=group.gang and group.tight, apart=group.apart, there=there, shun=shun, off=off, sore=sore,
-                  now=self.hub.now)
+                  now=self.hub.now, rank=group.rank)
+        if self.warmer.kept and not group.gang:
+            job = self.jobs.jobs[group.jid]
+            step = job["steps"][int(group.key.split(".")[1])]
+            ask.upper_s = self.jobs.past.times(q=job["q"], step=step).p95 / 1000 if not step["last"] else math.inf
+        elif self.warmer.kept:
+            ask.upper_s = math.inf
         decision = cycle.run(room=self.room, ask=ask)
         if not decision.feasible and ask.tight and self.hub.now - group.since > min(group.est, 6000) / 1000 * (
                 self.far - 1):
@@ -225,6 +239,12 @@
     def tick(self) -> None:
         """Called several times a second while serving."""
         now = self.hub.now
+        if self.warmer.on:
+            self.warmer.tick(now=now, wall=self.hub.wall, ranks=self.hub.ranks(), shut=self.hub.evacuations())
+        if self.warmer.on and now - self.told > TELL_S:
+            self.told = now
+            row = self.warmer.report()
+            self.hub.note(event="warm", **{k: row[k] for k in ("hits", "misses", "gone", "cold", "core-s-held")})
         self.give_up()
         self.release(self.pool.expire(now=now))
         wall = self.hub.wall * 1000
@@ -266,6 +286,15 @@
         if again:
             self.stops(again)
 
+    def start(self, *, group: Group, batch: list[tuple[int, Held]]) -> None:
+        """Record starts; a job's first ones use up its warm room."""
+        if self.warmer.on and group.key.startswith("0."):
+            job = self.jobs.jobs[group.jid]
+            if job["st"] == State.PENDING:
+                self.warmer.started(queue=job["q"], kind=kind_key(q=job["q"], steps=job["steps"]), now=self.hub.now,
+                                    wait_ms=self.hub.wall * 1000 - job["at"])
+        super().start(group=group, batch=batch)
+
     # -- for the operator
 
     def explain(self, *, jid: str) -> list[dict[str, Any]]:
@@ -288,4 +317,5 @@
         return {"groups": phases, "cycles": self.cycles, "failed": self.failed, "asks": len(self.asks),
                 "pushed-out": self.preemptor.total, "live-jobs": self.live,
                 "nominated": sum(len(n.mids) for n in self.nominator.by.values()),
+                "warm": self.warmer.report(),
                 "expected-wait-ms": {svc: round(self.expected(svc=svc, rank=9)) for svc in self.room.shelves}}
--- a/yarrowloom/place/room.py
+++ b/yarrowloom/place/room.py
@@ -62,6 +62,9 @@
     streak: int = 0                          # first failures of tasks in a row, each of another job
     last: str = ""                           # the job of the last one
     since: float = -9.0                      # when it was attached
+    keep: Size = NONE                        # kept warm: no room for ranks after `keep_rank` that end after `keep_till`
+    keep_rank: int = 0
+    keep_till: float = 0.0
     shy: float = 0.0                         # nothing new until then
 
     @property
