As many backups as disks may be lost at once; witnesses widen at once while few; hearts go to seeds while no members are known

After the loss of group 0's primary's disk its address answered hearts without knowing anything, so nobody asked the seeds.

--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -57,9 +57,11 @@
     """Invariant: events at one time run in the order in which they were planned, so a seed fixes the run."""
 
     def __init__(self, *, seed: int, sites: int = 3, cores: int = 3, edges: int = 1, sync_s: float = 0.005,
-                 speed: float = 0.0) -> None:
-        """`speed`: of the processor that each core process has for itself; 0: steps take no time."""
+                 speed: float = 0.0, losses: int = 1) -> None:
+        """`speed`: of the processor that each core process has for itself; 0: steps take no time. `losses`: disks
+        that may be lost at once."""
         self.speed = speed
+        self.losses = losses
         self.meter = Meter()
         self.rng = random.Random(seed)
         self.now = 100.0
@@ -115,7 +117,7 @@
         binds = {"control": f"{ip}:8000"} if core else {"front": f"{ip}:8001", "ready": f"{ip}:8002"}
         return Startup(name=ip, role="core" if core else "edge", ip=ip, site=f"z{ip.split('.')[1]}",
                        sites={s: "r" for s in self.sites}, binds=binds, ports=PORTS,
-                       seeds=tuple(f"{s}:8000" for s in self.core_ips[:3]), bootstrap=first,
+                       seeds=tuple(f"{s}:8000" for s in self.core_ips[:3]), bootstrap=first, losses=self.losses,
                        data_dir="/d" if core else None, disk_mb=64, memory_mb=256, beat_ms=1400, bounds=BOUNDS)
 
     def boot(self, *, ip: str, first: bool = False) -> None:
--- a/tests/test_busy.py
+++ b/tests/test_busy.py
@@ -9,7 +9,8 @@
 from tests.simnet import Sim
 from yarrowloom.node.base import JOB_GROUPS
 from yarrowloom.record import ballot
-from yarrowloom.record.parts import DOUBT_S, Reducer, decode, encode
+from yarrowloom.record.parts import Reducer, decode, encode
+from yarrowloom.record.timing import DOUBT_S
 from yarrowloom.wire.frame import Kind
 
 
@@ -53,7 +54,7 @@
     sim, _, _, _ = cluster(seed=93, cores=6)
     sim.run(seconds=8.0)
     e = [sim.core(sim.core_ips[0]).reps[g].epoch for g in range(JOB_GROUPS + 1)]
-    busy = {u for x in e if x is not None for u in (x["p"], x["b"])}
+    busy = {u for x in e if x is not None for u in (x["p"], *x["b"])}
     kept = {u for x in e if x is not None for u in x["w"]}
     idle = next(ip for ip in sim.core_ips if sim.uids[ip] in kept - busy)
     before = epochs(sim)
--- a/yarrowloom/base/startup.py
+++ b/yarrowloom/base/startup.py
@@ -9,6 +9,7 @@
 from .errs import Finding, StartupError
 
 ENV = "YARROWLOOM_NODE_FILE"
+MOST_LOSSES = 4       # more backups than that are not kept, whatever the budget
 DEFAULT_PATH = "/etc/yarrowloom/local.json"
 
 _BOUNDS_MS = {"drain-ms": 2000, "config-apply-ms": 2000, "evacuate-ms": 5000, "max-hold-ms": 10000,
@@ -33,6 +34,7 @@
     memory_mb: int
     beat_ms: int
     link_mbps: float = 1000.0     # above 0; what the machine's own link carries each way
+    losses: int = 1               # disks that may be lost at once: each group has as many backups
     bounds: dict[str, float] = field(default_factory=dict)
 
     def bound(self, *, name: str, default: float) -> float:
@@ -78,6 +80,11 @@
     bounds = want("bounds", dict, {})
     limits = want("limits", dict, {})
     boot = doc.get("bootstrap", False)
+    budget = want("fault-budget", dict, {})
+    losses = budget.get("machines", 1) if isinstance(budget, dict) else 1
+    if not isinstance(losses, int) or isinstance(losses, bool) or losses < 0:
+        bad.append(Finding(place="fault-budget.machines", text="not a whole number of 0 or more"))
+        losses = 1
     if isinstance(binds, dict):
         bad += [Finding(place=f"bind-addrs.{k}", text="not HOST:PORT") for k, v in binds.items() if not _addr_ok(v)]
     if isinstance(seeds, list):
@@ -99,7 +106,7 @@
     return Startup(name=name, role=role, ip=ip, site=site, sites=sites, binds=binds, ports=(ports[0], ports[1]),
                    seeds=tuple(seeds), bootstrap=boot, data_dir=data, disk_mb=int(limits.get("disk-mb", 0) or 0),
                    memory_mb=int(limits.get("memory-mb", 256) or 256), beat_ms=int(beat),
-                   link_mbps=float(link), bounds=figs)
+                   link_mbps=float(link), losses=min(max(losses, 1), MOST_LOSSES), bounds=figs)
 
 
 def load(*, path: str | None = None) -> Startup:
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -234,16 +234,17 @@
         return uid == self.uid or self.now - self.heard.get(uid, -9.0) < ALIVE_S
 
     def targets(self) -> list[str]:
-        """Who gets this node's hearts: its watchers on the ring, group 0's primary, seeds while nobody answers."""
+        """Who gets this node's hearts: its watchers on the ring, group 0's primary; seeds and all that epochs name
+        while nobody answers or no members are known (the address of a primary may answer that lost its disk)."""
         out = ring(uid=self.uid, among=list(self.members), n=WATCHERS if self.kind == "core" else 2)
         prim = self.primary(g=0)
         if self.kind == "core" and prim is not None and prim[0] != self.uid:
             out.append(prim[0])
-        if self.now - self.contact > 1.0 or not out:
+        if self.now - self.contact > 1.0 or not self.members:
             known = {addr_of(uid=u) for u in out} | {addr_of(uid=self.uid)}
             out += [s for s in self.seeds() if addr_of(uid=s) not in known]
             out += [u for u in self.members if u != self.uid]
-            out += [u for e in self.eps.values() for u in (*e["w"], e["p"], e["b"]) if u and u != self.uid]
+            out += [u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u and u != self.uid]
         return list(dict.fromkeys(out))
 
     def heart(self) -> dict[str, Any]:
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -49,7 +49,7 @@
     def _copied(self, g: int, tag: str) -> None:
         camp = self.reps[g].camp
         if camp is not None:
-            camp.copied(tag=tag, far=False)
+            camp.copied(tag=tag, uid="")
 
     def _sendeff(self, uid: str, kind: int, body: dict[str, Any]) -> None:
         self.send(uid=uid, kind=Kind(kind), body=body)
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -62,7 +62,8 @@
     def _genesis(self, *, g: int) -> Epoch:
         seeds = [s.replace("#?", "#0") for s in self.seeds()]
         n = len(seeds)
-        return {"n": 0, "p": seeds[g % n], "b": seeds[(g + 1) % n] if n > 1 else "", "w": seeds, "t": ""}
+        return {"n": 0, "p": seeds[g % n], "w": seeds, "t": "",
+                "b": [seeds[(g + i) % n] for i in range(1, min(self.startup.losses, n - 1) + 1)]}
 
     def jitter(self) -> float:
         """0 to 1, from a small generator of its own."""
@@ -73,20 +74,21 @@
         """To disk."""
         self.out.writes.append((dump(body=rec), done))
 
-    def partners(self) -> list[str]:
+    def partners(self, *, first: list[str]) -> list[str]:
         """Members that may be a backup: alive ones first, other sites before the own, the least loaded first."""
         load: dict[str, int] = {}
         for e in self.eps.values():
             load[e["p"]] = load.get(e["p"], 0) + 1
-            load[e["b"]] = load.get(e["b"], 0) + 1
-        rows = [(not self._up(uid=u), site == self.startup.site, load.get(u, 0), u)
+            for b in e["b"]:
+                load[b] = load.get(b, 0) + 1
+        rows = [(not self.up(uid=u), site == self.startup.site, u not in first, load.get(u, 0), u)
                 for u, site in self.peers().items() if u != self.uid]
         return [u for *_, u in sorted(rows)]
 
     def peers(self) -> dict[str, str]:
         """Core nodes and their sites as far as known. After a restart of all there are no members yet, only what
         epochs name and whose hearts are heard; a uid that gave way to another at its address does not count."""
-        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], e["b"]) if u}
+        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u}
         heard = {u for u, i in self.info.items() if i["kind"] == "core" and self.alive(uid=u)} | {self.uid}
         new = {addr_of(uid=u): u for u in heard}
         out = {}
@@ -96,13 +98,18 @@
                 out[u] = str(row.get("site", ""))
         return out
 
-    def _up(self, *, uid: str) -> bool:
+    def losses(self) -> int:
+        """How many disks may be lost at once."""
+        return self.startup.losses
+
+    def up(self, *, uid: str) -> bool:
+        """Heard of lately."""
         return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
 
     def witnesses(self, *, have: list[str]) -> list[str]:
         """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer."""
-        up = [u for u in have if u in self.members and self._up(uid=u)]
-        up += [u for u in sorted(self.members) if u not in have and self._up(uid=u)]
+        up = [u for u in have if u in self.members and self.up(uid=u)]
+        up += [u for u in sorted(self.members) if u not in have and self.up(uid=u)]
         size = min(len(up) - 1 + len(up) % 2, WITNESSES)
         return sorted(up[:size]) if size >= max(len(have), 3) else have
 
@@ -115,7 +122,7 @@
         e = self.reps[g].epoch
         assert e is not None
         was = self.before.get(g, "")
-        self.note(event="primary", group=g, epoch=e["n"], backup=e["b"])
+        self.note(event="primary", group=g, epoch=e["n"], backups=",".join(e["b"]))
         self._spread(g=g)
         if g == 0:
             self.chief = Chief(node=self, late=was if was != self.uid else "")
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -5,7 +5,8 @@
 
 from ..wire.frame import Kind
 from .epoch import Ballot, Epoch, majority
-from .parts import PROMISE_S, encode
+from .parts import encode
+from .timing import PROMISE_S
 
 if TYPE_CHECKING:
     from .replica import Replica
@@ -28,6 +29,7 @@
     Phase.ACCEPT: frozenset({Phase.INSTALL, Phase.PREPARE}),
     Phase.INSTALL: frozenset({Phase.PICK}),
 }
+GATHER_S = 0.5        # how long members that may be coming up are waited for
 COPY_S = 0.6          # doubles with each member tried, up to
 COPY_MOST_S = 2.4
 VOTE_S = 0.5          # grows with each round, up to
@@ -40,23 +42,23 @@
     a value that any witness may already have voted for is finished rather than replaced. Nothing is committed during
     a campaign, so the state is encoded once, and one tag stands for it with all members that are tried."""
 
-    def __init__(self, *, rep: "Replica", why: str, avoid: str, first: str) -> None:
+    def __init__(self, *, rep: "Replica", why: str, avoid: set[str], first: list[str]) -> None:
         self.rep = rep
         self.why = why
         self.avoid = avoid
         self.first = first
         self.tried: set[str] = set()
         self.phase = Phase.PICK
-        self.since = rep.hub.now
+        self.since = self.begun = rep.hub.now
         self.round = 0
         self.tag = ""
         self.inst = -1
         self.text = ""
         self.copies = 0
         self.votes = 0
-        self.backup = ""
+        self.asked: list[str] = []      # members that were sent the checkpoint in this round
+        self.have: list[str] = []       # members that have synced it
         self.near = False
-        self.far = False
         self.ok: set[str] = set()
         self.best: tuple[Ballot, Epoch] | None = None
         self.ballot: Ballot = [0, rep.hub.uid]
@@ -76,13 +78,15 @@
         if self.phase is Phase.PICK:
             self._pick()
         elif self.phase is Phase.COPY and age > self.patience:
+            self.tried.update(u for u in self.asked if u not in self.have)
             self._go(Phase.PICK)
         elif self.phase in (Phase.PREPARE, Phase.ACCEPT) and age > self.patience:
             self._prepare()
         elif self.phase is Phase.INSTALL:
             if age > INSTALL_S:
                 e = self.rep.wit.seen
-                self.avoid = e["b"] if e else ""
+                self.avoid = {u for u in e["b"] if u not in self.ok} if e else set()
+                self.have = []
                 self._go(Phase.PICK)
             elif hub.now - self.sent > 0.25:
                 self._install()
@@ -93,23 +97,24 @@
         assert e is not None
         if hub.now < rep.rest:
             return
-        want = [uid for uid in hub.partners() if uid not in self.tried and uid != self.avoid]
-        if self.first and self.first in hub.partners() and self.first not in self.tried:
-            want.insert(0, self.first)
+        fresh = self.inst != e["n"] + 1
+        if fresh:
+            self.have = []
+        rows = [u for u in hub.partners(first=self.first) if u not in self.tried and u not in self.avoid]
+        n, up = hub.losses(), [u for u in rows if hub.up(uid=u)]
+        if len(up) < min(n, len(rows)) and hub.now - self.begun < GATHER_S:
+            return      # others may be coming up too
+        want = ([u for u in self.have if u in rows] + [u for u in up if u not in self.have])[:n] or rows[:1]
         solo = not want and not self.tried and hub.everyone() in ([hub.uid], []) and len(e["w"]) <= 1
         if not want and not solo:
-            self.tried = set()
-            self.avoid = ""
+            self.tried, self.avoid = set(), set()
             rep.rest = hub.now + 0.2 * (1 + hub.jitter())
             return
-        self.backup = "" if solo else want[0]
-        self.tried.add(self.backup)
-        self.far = solo
+        self.asked = want
         self.patience = min(COPY_S * 2 ** self.copies, COPY_MOST_S) * (1 + hub.jitter() / 2)
         self.copies += 1
         self._go(Phase.COPY)
         self.text = self.text or encode(state=rep.state)
-        fresh = self.inst != e["n"] + 1
         if fresh:
             self.inst, self.near = e["n"] + 1, False
             self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
@@ -117,20 +122,26 @@
         rep.keep(rec=rec)
         if fresh:
             hub.write(rec=rec, done=("copied", rep.g, self.tag))
-        if not solo:
-            hub.send(uid=self.backup, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
-        elif self.near:
-            self.copied(tag=self.tag, far=True)
-
-    def copied(self, *, tag: str, far: bool) -> None:
-        """A checkpoint is synced, here or at the backup."""
-        if self.phase is not Phase.COPY or tag != self.tag:
+        for uid in want:
+            if uid not in self.have:
+                hub.send(uid=uid, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
+        self._copied()
+
+    def copied(self, *, tag: str, uid: str) -> None:
+        """A checkpoint is synced, here (`uid` empty) or at a member."""
+        if tag != self.tag:
             return
-        self.near, self.far = self.near or not far, self.far or far
-        if self.near and self.far:
+        if not uid:
+            self.near = True
+        elif uid not in self.have:
+            self.have.append(uid)
+        self._copied()
+
+    def _copied(self) -> None:
+        if self.phase is Phase.COPY and self.near and all(u in self.have for u in self.asked):
             e = self.rep.wit.seen
             assert e is not None
-            self.value = {"n": e["n"] + 1, "p": self.rep.hub.uid, "b": self.backup, "t": self.tag,
+            self.value = {"n": e["n"] + 1, "p": self.rep.hub.uid, "b": list(self.asked), "t": self.tag,
                           "w": self.rep.hub.witnesses(have=e["w"])}
             self._prepare()
 
@@ -150,8 +161,7 @@
     def on(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
         """One answer."""
         if kind is Kind.CKPTOK:
-            if uid == self.backup:
-                self.copied(tag=m["tag"], far=True)
+            self.copied(tag=m["tag"], uid=uid)
             return
         if kind is Kind.INSTALLED:
             self._installed(uid=uid, n=m["n"])
@@ -184,7 +194,7 @@
                 old = e
                 self.rep.learn(val)
                 if self.rep.camp is not self:
-                    for peer in sorted({*old["w"], *val["w"], val["p"], val["b"]} - {""}):
+                    for peer in sorted({*old["w"], *val["w"], val["p"], *val["b"]} - {""}):
                         self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": val})
 
     def decided(self, *, epoch: Epoch) -> None:
@@ -198,7 +208,7 @@
     def _install(self) -> None:
         assert self.value is not None
         self.sent = self.rep.hub.now
-        for peer in sorted({*self.value["w"], self.value["b"], *self.rep.hub.everyone()} - {"", *self.ok}):
+        for peer in sorted({*self.value["w"], *self.value["b"], *self.rep.hub.everyone()} - {"", *self.ok}):
             self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": self.value})
 
     def _installed(self, *, uid: str, n: int) -> None:
@@ -206,6 +216,7 @@
         if self.phase is not Phase.INSTALL or val is None or n != val["n"]:
             return
         self.ok.add(uid)
-        if majority(votes=self.ok, among=val["w"]) and (not val["b"] or val["b"] in self.ok):
+        if majority(votes=self.ok, among=val["w"]) and self.ok.issuperset(val["b"]):
+            self.rep.words = dict.fromkeys(val["b"], self.sent)
             self.rep.until = self.sent + PROMISE_S
             self.rep.activate()
--- a/yarrowloom/record/epoch.py
+++ b/yarrowloom/record/epoch.py
@@ -4,12 +4,12 @@
 
 
 class Epoch(TypedDict):
-    """Who serves a group. `n` is its number, `p` the primary, `b` the backup, `w` the witnesses, `t` the tag of
-    the checkpoint that primary and backup share. Invariant: for each number at most one epoch is ever decided."""
+    """Who serves a group. `n` is its number, `p` the primary, `b` the backups, `w` the witnesses, `t` the tag of
+    the checkpoint that primary and backups share. Invariant: for each number at most one epoch is ever decided."""
 
     n: int
     p: str
-    b: str
+    b: list[str]
     w: list[str]
     t: str
 
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -8,16 +8,7 @@
 from ..wire.frame import Kind, dump
 from .epoch import Epoch
 
-PROMISE_S = 1.2       # how long one word of the backup lets the primary act
-SILENCE_S = PROMISE_S * 1.05 + 0.15
-SUSPECT_S = 0.9       # a disk that has not answered this long is given up
-DOUBT_S = 1.1         # so is a backup: little before the promise ends, as it may only be busy and replacing it
                       # makes all minions attach anew
-PING_S = 0.2
-RESEND_S = 0.3
-SPARES = 6
-REST_S = 3.0          # a primary that gave up its duty lets others try this long
-WANT_S = 2.0          # other witnesses must be wished for this long: a campaign costs more than a short absence
 
 
 class Reducer(Protocol):
@@ -59,8 +50,14 @@
     def effect(self, *, eff: tuple[Any, ...]) -> None:
         """Carry out an effect that is now durable."""
 
-    def partners(self) -> list[str]:
-        """Members that may be a backup, best first."""
+    def partners(self, *, first: list[str]) -> list[str]:
+        """Members that may be a backup, best first; of equals, those in `first`."""
+
+    def up(self, *, uid: str) -> bool:
+        """Heard of lately."""
+
+    def losses(self) -> int:
+        """How many disks may be lost at once: the number of backups."""
 
     def witnesses(self, *, have: list[str]) -> list[str]:
         """The set that should keep epochs, given the one that does."""
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -5,28 +5,14 @@
 from ..wire.frame import Kind
 from .ballot import Campaign
 from .epoch import Epoch, Witness
-from .parts import (
-    DOUBT_S,
-    MOVES,
-    PING_S,
-    PROMISE_S,
-    RESEND_S,
-    REST_S,
-    SILENCE_S,
-    SPARES,
-    SUSPECT_S,
-    WANT_S,
-    Hub,
-    Reducer,
-    Role,
-    decode,
-)
+from .parts import MOVES, Hub, Reducer, Role, decode
+from .timing import DOUBT_S, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S, WANT_S
 
 
 class Replica:
     """Invariants: `state` holds all events up to `seq` of epoch `base`; effects leave only when their events are on
-    both disks; a primary serves only until `until`, which its backup's last word bounds; a backup that has begun
-    to take over never again answers the epoch it leaves."""
+    the disks of the primary and of all backups; a primary serves only until `until`, which the oldest of its backups'
+    last words (`words`) bounds; a backup that has begun to take over never again answers the epoch it leaves."""
 
     def __init__(self, *, g: int, hub: Hub, state: Reducer, epoch: Epoch | None) -> None:
         self.g = g
@@ -37,6 +23,7 @@
         self.base = -1
         self.seq = 0
         self.until = 0.0
+        self.words: dict[str, float] = {}
         self.heard = 0.0
         self.rest = 0.0
         self.spares: dict[str, dict[str, Any]] = {}   # by tag: checkpoints for epochs not yet decided
@@ -47,7 +34,8 @@
         self.reset = 0.0
         self.awake = 0.0      # when this process last stood still: silence counts from then
         self.want: tuple[frozenset[str], float] = (frozenset(), 0.0)     # other witnesses, wished for since
-        if epoch is not None and epoch["n"] == 0 and hub.uid in (epoch["p"], epoch["b"]):
+        self.spare: tuple[frozenset[str], float] = (frozenset(), 0.0)    # members that could be one more backup
+        if epoch is not None and epoch["n"] == 0 and hub.uid in (epoch["p"], *epoch["b"]):
             self.base = 0
             self._place()
 
@@ -100,7 +88,7 @@
         if mine and e["p"] == self.hub.uid:
             self._become(Role.LAPSED)
             self.rest = max(self.rest, self.hub.now + 0.05)
-        elif mine and e["b"] == self.hub.uid:
+        elif mine and self.hub.uid in e["b"]:
             self._become(Role.BACKUP)
             self.heard = self.hub.now
         elif self.role is not Role.IDLE:
@@ -150,7 +138,7 @@
         """All is replayed: take the part that the disk tells."""
         self.role = Role.IDLE
         e = self.wit.seen
-        if e is not None and self.base == e["n"] and self.hub.uid in (e["p"], e["b"]):
+        if e is not None and self.base == e["n"] and self.hub.uid in (e["p"], *e["b"]):
             self._place()
 
     def checkpoint(self) -> list[dict[str, Any]]:
@@ -169,7 +157,7 @@
 
     def _unpack(self, *, epoch: Epoch) -> bool:
         rec = self.spares.get(epoch["t"])
-        if rec is None or rec["inst"] != epoch["n"] or self.hub.uid not in (epoch["p"], epoch["b"]):
+        if rec is None or rec["inst"] != epoch["n"] or self.hub.uid not in (epoch["p"], *epoch["b"]):
             return False
         self.state.load(decode(text=rec["st"]))
         self.base, self.seq = epoch["n"], rec["seq"]
@@ -189,11 +177,34 @@
         if self.role is Role.PRIMARY:
             self._serve()
         elif self.role is Role.BACKUP:
-            if now - self.heard > SILENCE_S and now >= self.rest:
+            if now - self.heard > SILENCE_S + self._turn() and now >= self.rest:
                 self.take(why="silence")
         elif self.role is Role.LAPSED and now >= self.rest:
             self.take(why="restart")
 
+    def _turn(self) -> float:
+        """Seconds that this backup waits for those named before it to take over."""
+        e = self.wit.seen
+        return TURN_S * e["b"].index(self.hub.uid) if e is not None and self.hub.uid in e["b"] else 0.0
+
+    def _word(self, *, uid: str, sent: float) -> None:
+        """A backup answered what was sent at `sent`: it will not take over for a while from then."""
+        e = self.wit.seen
+        assert e is not None
+        self.words[uid] = max(self.words.get(uid, -9.0), sent)
+        self.until = max(self.until, min(self.words.get(b, -9.0) for b in e["b"]) + PROMISE_S)
+
+    def _yield(self) -> None:
+        """Have a backup take over at once."""
+        e = self.wit.seen
+        assert e is not None
+        self.until = 0.0
+        order = [u for u in self.hub.partners(first=e["b"]) if u in e["b"]]
+        for uid in (order or e["b"])[:1]:
+            self.hub.send(uid=uid, kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
+        self._become(Role.LAPSED)
+        self.rest = self.hub.now + REST_S
+
     def thawed(self) -> None:
         """The process stood still: silence of others, and of the own disk, proves nothing yet."""
         self.awake = self.hub.now
@@ -207,48 +218,49 @@
             self.until = now + PROMISE_S
         elif now - self.pinged >= PING_S:
             self.pinged = now
-            self.hub.send(uid=e["b"], kind=Kind.PING, body={"g": self.g, "n": e["n"], "t": now})
+            for uid in e["b"]:
+                self.hub.send(uid=uid, kind=Kind.PING, body={"g": self.g, "n": e["n"], "t": now})
         if self.fly is not None:
             age = now - max(self.fly["t0"], self.awake)
             if age > SUSPECT_S and not self.fly["near"]:
-                self.until = 0.0
-                self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
-                self._become(Role.LAPSED)
-                self.rest = now + REST_S
+                self._yield()
                 return
             if age > DOUBT_S:
-                self.take(why="backup-slow", avoid=e["b"])
+                self.take(why="backup-slow", avoid=[u for u in e["b"] if u not in self.fly["far"]])
                 return
-            if not self.fly["far"] and now - self.fly["t"] > RESEND_S:
+            if len(self.fly["far"]) < len(e["b"]) and now - self.fly["t"] > RESEND_S:
                 self._fire()
         elif self.queue and now < self.until:
             self.flush()
-        if e["b"] and now > max(self.until - PROMISE_S, self.awake) + DOUBT_S:
-            self.take(why="backup-silent", avoid=e["b"])
+        silent = [u for u in e["b"] if now > max(self.words.get(u, -9.0), self.awake) + DOUBT_S]
+        if silent:
+            self.take(why="backup-silent", avoid=silent)
         elif now >= self.reset:
             self.reset = now + 1.0
             want = frozenset(self.hub.witnesses(have=e["w"]))
             if want != self.want[0]:
                 self.want = (want, now)
-            if want != frozenset(e["w"]) and now - self.want[1] >= WANT_S:
-                self.take(why="witnesses", stay=True)
+            few = len(e["w"]) < 2 * self.hub.losses() + 1 and len(want) > len(e["w"])     # no majority outlives that
+            if want != frozenset(e["w"]) and (few or now - self.want[1] >= WANT_S):
+                self.take(why="witnesses")
+            elif len(e["b"]) < self.hub.losses():
+                spare = frozenset(u for u in self.hub.partners(first=e["b"]) if u not in e["b"] and self.hub.up(uid=u))
+                if not spare & self.spare[0]:
+                    self.spare = (spare, now)
+                elif now - self.spare[1] >= WANT_S:
+                    self.take(why="backups")
 
     def hand_over(self) -> None:
         """Planned end: the backup is to take over at once."""
         e = self.wit.seen
         if self.role is Role.PRIMARY and e is not None and e["b"]:
-            self.until = 0.0
-            self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
-            self._become(Role.LAPSED)
-            self.rest = self.hub.now + REST_S
+            self._yield()
 
-    def take(self, *, why: str, avoid: str = "", stay: bool = False) -> None:
+    def take(self, *, why: str, avoid: list[str] | None = None) -> None:
         """Campaign to be the primary of the next epoch."""
-        e = self.wit.seen
-        assert e is not None
-        first = e["b"] if stay else ""
+        assert self.wit.seen is not None
         self._become(Role.TAKING)
-        self.camp = Campaign(rep=self, why=why, avoid=avoid, first=first)
+        self.camp = Campaign(rep=self, why=why, avoid=set(avoid or ()), first=self.wit.seen["b"])
         self.camp.tick()
 
     # -- commits
@@ -264,7 +276,7 @@
         e = self.wit.seen
         assert e is not None
         self.fly = {"seq": self.seq, "evs": evs, "effs": effs, "t0": self.hub.now, "t": 0.0, "near": False,
-                    "far": not e["b"]}
+                    "far": set()}
         self.hub.write(rec={"k": "lg", "g": self.g, "n": e["n"], "seq": self.seq, "evs": evs},
                        done=("near", self.g, e["n"], self.seq))
         if e["b"]:
@@ -274,8 +286,10 @@
         e, fly = self.wit.seen, self.fly
         assert e is not None and fly is not None
         fly["t"] = self.hub.now
-        self.hub.send(uid=e["b"], kind=Kind.LOG, body={"g": self.g, "n": e["n"], "seq": fly["seq"],
-                                                       "evs": fly["evs"], "t": self.hub.now})
+        for uid in e["b"]:
+            if uid not in fly["far"]:
+                self.hub.send(uid=uid, kind=Kind.LOG, body={"g": self.g, "n": e["n"], "seq": fly["seq"],
+                                                            "evs": fly["evs"], "t": self.hub.now})
 
     def near(self, *, n: int, seq: int) -> None:
         """The own disk has a batch."""
@@ -285,7 +299,9 @@
 
     def _landed(self) -> None:
         fly = self.fly
-        if fly is None or not (fly["near"] and fly["far"]) or self.role is not Role.PRIMARY:
+        e = self.wit.seen
+        if (fly is None or e is None or not fly["near"] or len(fly["far"]) < len(e["b"])
+                or self.role is not Role.PRIMARY):
             return
         self.fly = None
         for eff in fly["effs"]:
@@ -293,7 +309,7 @@
         self.flush()
 
     def activate(self) -> None:
-        """The campaign is won and installed: both disks hold the whole state."""
+        """The campaign is won and installed: all disks hold the whole state."""
         e = self.wit.seen
         assert e is not None
         effs = (self.fly["effs"] if self.fly else []) + [eff for _, eff in self.queue if eff is not None]
@@ -327,13 +343,13 @@
                 self.hub.send(uid=uid, kind=Kind.PONG, body=m)
         elif kind is Kind.YIELD:
             if self.role is Role.BACKUP and self.base == m["n"]:
-                self.take(why="yielded", avoid=uid)
+                self.take(why="yielded", avoid=[uid])
         elif kind in (Kind.PONG, Kind.LOGOK):
             e = self.wit.seen
-            if self.role is Role.PRIMARY and e is not None and m["n"] == e["n"] and uid == e["b"]:
-                self.until = max(self.until, m["t"] + PROMISE_S)
+            if self.role is Role.PRIMARY and e is not None and m["n"] == e["n"] and uid in e["b"]:
+                self._word(uid=uid, sent=m["t"])
                 if kind is Kind.LOGOK and self.fly is not None and m["seq"] == self.fly["seq"]:
-                    self.fly["far"] = True
+                    self.fly["far"].add(uid)
                     self._landed()
         elif self.camp is not None:
             self.camp.on(uid=uid, kind=kind, m=m)
