--- a/docs/experiments/growth_collapse.py
+++ b/docs/experiments/growth_collapse.py
@@ -174,6 +174,9 @@
         def note(*, event: str, ip: str = ip, **fields: object) -> None:
             EVENTS.append((sim.now, ip, event + " " + " ".join(f"{k}={v}" for k, v in fields.items())))
         node.note = note  # type: ignore[method-assign]
+    if STATE.get("listens"):
+        return
+    STATE["listens"] = True
     take = Replica.take
 
     def taken(self: Replica, *, why: str, avoid: str = "", stay: bool = False) -> None:
