--- a/docs/experiments/growth.py
+++ b/docs/experiments/growth.py
@@ -38,11 +38,11 @@
     def __init__(self) -> None:
         self.on = False
         self.calls: collections.Counter[str] = collections.Counter()
-        self.spent: collections.Counter[str] = collections.Counter()
+        self.spent: dict[str, float] = collections.defaultdict(float)
         self.worst: dict[str, float] = {}
         self.sent: collections.Counter[str] = collections.Counter()
         self.frames: collections.Counter[str] = collections.Counter()
-        self.node: collections.Counter[str] = collections.Counter()
+        self.node: dict[str, float] = collections.defaultdict(float)
         self.ops: collections.Counter[str] = collections.Counter()
         self.prof = cProfile.Profile()
         self.profile = False
--- a/docs/experiments/growth_collapse.py
+++ b/docs/experiments/growth_collapse.py
@@ -157,7 +157,8 @@
             rows = []
             for row in b["x"]:
                 link, key = self.links.get(row[0]), (id(self), row[0], row[1])
-                if link is None or link.fence != row[1] or link.agent != uid or self.hub.now - when.get(key, -9.0) > 2.0:
+                if (link is None or link.fence != row[1] or link.agent != uid
+                        or self.hub.now - when.get(key, -9.0) > 2.0):
                     when[key] = self.hub.now
                     rows.append(row)
             claim(self, uid=uid, b={**b, "x": rows})
@@ -230,13 +231,16 @@
         print(f"{sim.now - begun:5.1f} s  jobs {row[2]:4} accepted {row[1]:4} ends noted {row[0]:5} of {full * 4:.0f}  "
               f"running {sum(len(m.running) for m in fleet):4}  waiting steps {ready:4}  longest line {lag:5}  "
               f"busy for {max(busy, 0.0):.2f}  primaries {sum(s.startswith('primary') for s in seen)} "
-              f"campaigns {sum(s.startswith('campaign') for s in seen)} lost {sum(s.startswith('minion-lost') for s in seen)} "
-              f"moved {sum(s.startswith('minions-moved') for s in seen)} stood {sum(s.startswith('stood') for s in seen)}",
+              f"campaigns {sum(s.startswith('campaign') for s in seen)} "
+              f"lost {sum(s.startswith('minion-lost') for s in seen)} "
+              f"moved {sum(s.startswith('minions-moved') for s in seen)} "
+              f"stood {sum(s.startswith('stood') for s in seen)}",
               flush=True)
     print("inputs of core nodes from the burst's end on:")
     for key, spent in sorted(meter.spent.items(), key=lambda kv: -kv[1])[:9]:
         k = meter.calls[key]
-        print(f"   {key:16} {k:7} calls  {spent:8.2f} cpu-s  each {1e3 * spent / k:8.3f} ms  worst {1e3 * meter.worst[key]:8.1f} ms")
+        print(f"   {key:16} {k:7} calls  {spent:8.2f} cpu-s  each {1e3 * spent / k:8.3f} ms  "
+              f"worst {1e3 * meter.worst[key]:8.1f} ms")
     print("rules broken:", len(oracle.broken), oracle.broken[:5])
     if arg.log:
         Path(arg.log).write_text("".join(f"{t - begun:8.3f} {ip} {e}\n" for t, ip, e in EVENTS))
--- a/docs/experiments/growth_state.py
+++ b/docs/experiments/growth_state.py
@@ -81,7 +81,8 @@
             t_ring, _ = ms(lambda: Ring(folder=folder, size=8 << 20).load())  # noqa: B023
             ring.close()
         link = len(raw) * 8 / 100e6 * 1e3
-        print(f"live={live} ended={arg.ended} tasks={arg.tasks}: {len(body) / 1e6:.2f} MB, larger than a ring file: {full}; ms: "
+        print(f"live={live} ended={arg.ended} tasks={arg.tasks}: {len(body) / 1e6:.2f} MB, "
+              f"larger than a ring file: {full}; ms: "
               f"dump {t_dump:.1f} pack {t_pack:.1f} cut {t_cut:.1f} read {t_read:.1f} load {t_load:.1f} "
               f"full gc {t_gc:.1f} ring read {t_ring:.1f}; 100 Mbit/s link {link:.0f}")
 
