--- a/docs/experiments/growth_recover.py
+++ b/docs/experiments/growth_recover.py
@@ -74,7 +74,8 @@
           + ", ".join(f"{k} {v:.2f}" for k, v in sorted(marks.items(), key=lambda kv: kv[1]))
           + f"; played {sim.now - back:.1f} s; primaries {sum(e[2].startswith('primary') for e in EVENTS)}, "
           f"campaigns {sum(e[2].startswith('campaign') for e in EVENTS)}, "
-          f"lost {sum(e[2].startswith('minion-lost') for e in EVENTS)}, stood still {sum(e[2].startswith('stood') for e in EVENTS)}; rules broken {len(oracle.broken)}", flush=True)
+          f"lost {sum(e[2].startswith('minion-lost') for e in EVENTS)}, "
+          f"stood still {sum(e[2].startswith('stood') for e in EVENTS)}; rules broken {len(oracle.broken)}", flush=True)
     assert begun < back
 
 
