--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -11,7 +11,7 @@
 from yarrowloom.fleet import conf
 from yarrowloom.fleet.registry import Registry
 from yarrowloom.job import parse
-from yarrowloom.wire.frame import Frame, Splitter, pack
+from yarrowloom.wire.frame import Frame, Lane, Sealer, Splitter, pack
 
 
 def noise(*, rng: random.Random, doc: Any, depth: int = 0) -> Any:
@@ -56,6 +56,28 @@
         pass
 
 
+@pytest.mark.parametrize("seed", range(60))
+def test_the_short_way_reads_and_writes_frames_as_the_long_way_does(seed: int) -> None:
+    rng = random.Random(seed)
+    cut, num = Splitter(), 0
+    for _ in range(6):
+        lane, src, boot = rng.choice(list(Lane)), rng.choice(["a", "", "b:1"]), rng.choice([0, 7, 1 << 50])
+        sealer = Sealer(lane=lane, src=src, uid=src + "#0", boot=boot)
+        for _ in range(rng.randint(1, 4)):
+            num += rng.choice([1, 1, 200, 1 << 40])
+            body = rng.randbytes(rng.choice([1, 126, 127, 128, 20000]))
+            want = Frame(lane=int(lane), src=src, uid=src + "#0", boot=boot, seq=num, body=body)
+            raw = sealer.seal(seq=num, body=body)
+            assert raw == pack(frame=want) and cut.feed(raw) == [want]
+    torn = bytearray(raw)
+    torn[rng.randrange(4, len(torn))] ^= 1 << rng.randint(0, 7)
+    try:
+        fresh, known = Splitter().feed(bytes(torn)), cut.feed(bytes(torn))
+    except ValueError:
+        return
+    assert known == fresh
+
+
 @pytest.mark.parametrize("seed", range(300))
 def test_jobs_are_whole_or_refused_with_places(seed: int) -> None:
     rng = random.Random(seed)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,5 +1,6 @@
 """One core, one edge, a stand-in minion and operator over real loopback sockets; nothing here sleeps."""
 
+import os
 import pathlib
 import socket
 import subprocess
@@ -18,11 +19,13 @@
 from yarrowloom.load import Load, report
 from yarrowloom.node.shell import open_core, open_edge
 
+ADDR = f"127.{os.getpid() % 200 + 2}.{os.getpid() // 200 % 250}.2"     # of this process alone: ports are let go again
+
 
 def ports(n: int) -> list[int]:
     socks = [socket.socket() for _ in range(n)]
     for s in socks:
-        s.bind(("127.0.0.1", 0))
+        s.bind((ADDR, 0))
     out: list[int] = [s.getsockname()[1] for s in socks]
     for s in socks:
         s.close()
@@ -30,7 +33,7 @@
 
 
 def settings(*, binds: dict[str, str], inner: int, seed: str, data: str | None) -> dict[str, Any]:
-    return {"node-name": "n", "role": "r", "ip": "127.0.0.1", "zone": "z", "zones": {"z": "r"}, "bind-addrs": binds,
+    return {"node-name": "n", "role": "r", "ip": ADDR, "zone": "z", "zones": {"z": "r"}, "bind-addrs": binds,
             "internal-ports": [inner, inner + 15], "seed-nodes": [seed], "bootstrap": True, "data-dir": data,
             "limits": {"disk-mb": 16}, "beat-interval-ms": 1000, "bounds": {}, "something-new": 1}
 
@@ -61,9 +64,9 @@
 
 def test_whole_path_over_sockets(tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> None:
     ctl, front, ready, inner = ports(4)
-    seed = f"127.0.0.1:{ctl}"
+    seed = f"{ADDR}:{ctl}"
     core = check(doc=settings(binds={"control": seed}, inner=inner, seed=seed, data=str(tmp_path)))
-    edge = check(doc=settings(binds={"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"}, inner=inner,
+    edge = check(doc=settings(binds={"front": f"{ADDR}:{front}", "ready": f"{ADDR}:{ready}"}, inner=inner,
                               seed=seed, data=None))
     monkeypatch.setenv(ENV, str(tmp_path / "none"))
 
@@ -84,13 +87,13 @@
                 bad, doc = await call(pool, "PUT", f"http://{seed}/config", {"config-version": 3}, If_Match="2")
                 assert bad == 400 and len(doc["findings"]) == 2
                 nursery.start_soon(minion, pool, seed)
-                while (await call(pool, "GET", f"http://127.0.0.1:{ready}/readiness"))[0] != 200:
+                while (await call(pool, "GET", f"http://{ADDR}:{ready}/readiness"))[0] != 200:
                     pass
-                load = Load(addrs=(f"127.0.0.1:{front}",), host=HOST, prefix="/fast/", jobs=5, rate=1000.0)
+                load = Load(addrs=(f"{ADDR}:{front}",), host=HOST, prefix="/fast/", jobs=5, rate=1000.0)
                 await load.run()
                 out = report(load=load)
                 assert out["accepted"] == 5 and out["lost"] == 0 and out["failed"] == 0
-                url = f"http://127.0.0.1:{front}/fast/"
+                url = f"http://{ADDR}:{front}/fast/"
                 assert await call(pool, "GET", url, Host=HOST) == (200, {"pending": 0})
                 assert (await call(pool, "GET", url + "0123456789abcdef", Host=HOST))[0] == 410
                 assert (await call(pool, "POST", url + "0123456789abcdef", {"stages": 1}, Host=HOST))[0] == 400
@@ -105,7 +108,7 @@
 
 def test_unreachable_target_ends_with_a_clear_error() -> None:
     (port,) = ports(1)
-    load = Load(addrs=(f"127.0.0.1:{port}",), host=HOST, prefix="/fast/", jobs=1, rate=100.0)
+    load = Load(addrs=(f"{ADDR}:{port}",), host=HOST, prefix="/fast/", jobs=1, rate=100.0)
     with pytest.raises(UsageError) as got:
         trio.run(load.run)
     assert got.value.exit_code == 64
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -1,7 +1,7 @@
 """The trio shell round a node: sockets, disk and clocks; the node itself is a pure state machine.
 
-Inputs are queued by their tasks and taken by one task, which yields after each short slice: so hundreds of beats
-that arrive together hold up neither ticks nor hearts.
+Inputs are queued and taken in the order of their classes, a short slice at a time, between which all tasks run: so
+hundreds of beats that arrive together hold up neither ticks nor hearts.
 """
 
 import math
@@ -49,6 +49,8 @@
             self.turns = Turns(tick=self._tick, gap=TICK_EDGE_S)
         self.repeats = Repeats()
         self.wake = trio.Event()
+        self.running = False
+        self.credit = 0.0
         self.swept = 0.0
         self.waits: dict[int, tuple[trio.Event, list[Response], float]] = {}
         self.call = 0
@@ -77,9 +79,29 @@
                 wait[0].set()
 
     def post(self, *, fn: Input, rank: Rank, until: float = math.inf) -> None:
-        """Queue an input for the node."""
+        """Queue an input for the node; taken at once while there is credit for it."""
         self.turns.put(fn=fn, rank=rank, until=until)
-        self.wake.set()
+        self._drain()
+
+    def _drain(self) -> None:
+        """Take inputs in their order, whoever brought them. Invariant: between two rounds in which all tasks run, no
+        more than a slice is spent here and one input longer than that."""
+        if self.running:
+            return
+        self.running = True
+        turns = self.turns
+        now = time.monotonic()
+        while self.credit > 0:
+            fn = turns.take(now=now)
+            if fn is None:
+                break
+            self.step(fn)
+            then, now = now, time.monotonic()
+            self.credit -= now - then
+        turns.ended(now=now)
+        self.running = False
+        if len(turns):
+            self.wake.set()
 
     def _frames(self, uid: str, lane: Lane, rows: Rows, lost: bool) -> None:
         node = self.node
@@ -115,23 +137,18 @@
             self.node.tick()
 
     async def work(self) -> None:
-        """Take inputs in their order, a slice at a time, so that the other tasks get theirs."""
+        """Give credit for one slice after another; the other tasks run between them."""
         turns = self.turns
         while True:
-            begun = now = time.monotonic()
-            while now - begun < SLICE_S:
-                fn = turns.take(now=now)
-                if fn is None:
-                    break
-                self.step(fn)
-                now = time.monotonic()
-            if now - begun > LONG_S:     # one round of tasks finds what has arrived, the next one has taken it
+            self.credit = SLICE_S
+            self._drain()
+            if self.credit < SLICE_S - LONG_S:     # one round of tasks finds what has arrived, the next has taken it
                 await trio.lowlevel.checkpoint()
             if len(turns):
                 await trio.lowlevel.checkpoint()
                 continue
             self.wake = trio.Event()
-            with trio.move_on_after(max(0.0, turns.due - now)):
+            with trio.move_on_after(max(0.0, turns.due - time.monotonic())):
                 await self.wake.wait()
 
     async def handle(self, req: Request) -> Response:
--- a/yarrowloom/node/turns.py
+++ b/yarrowloom/node/turns.py
@@ -170,7 +170,7 @@
         >>> [turns.take(now=1.0), turns.take(now=1.0), turns.take(now=1.5), turns.take(now=1.5)]
         [<class 'set'>, <class 'list'>, <class 'dict'>, None]
         """
-        self._account(now=now)
+        self.ended(now=now)
         if self._urgent:
             return self._urgent.popleft()
         if now >= self._tick.due:
@@ -195,7 +195,8 @@
         self._last = (rank, due, now)
         return fn
 
-    def _account(self, *, now: float) -> None:
+    def ended(self, *, now: float) -> None:
+        """What was taken last has ended."""
         if self._last is None:
             return
         rank, clock, began = self._last
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -91,6 +91,43 @@
     return _LEN.pack(len(raw)) + raw
 
 
+def _varint(num: int) -> bytes:
+    out = bytearray()
+    while num > 0x7F:
+        out.append(num & 0x7F | 0x80)
+        num >>= 7
+    out.append(num)
+    return bytes(out)
+
+
+def _read_varint(raw: bytes, pos: int) -> tuple[int, int]:
+    num = shift = 0
+    while True:
+        byte = raw[pos]
+        pos += 1
+        num |= (byte & 0x7F) << shift
+        if byte < 0x80:
+            return num, pos
+        shift += 7
+
+
+class Sealer:
+    """Writes the frames of one lane to one peer. All but the last two fields stay, so they are encoded once.
+
+    >>> one = Frame(lane=2, src="a", uid="a#0", boot=7, seq=300, body=b"[]")
+    >>> Sealer(lane=Lane.WORK, src="a", uid="a#0", boot=7).seal(seq=300, body=b"[]") == pack(frame=one)
+    True
+    """
+
+    def __init__(self, *, lane: Lane, src: str, uid: str, boot: int) -> None:
+        self._head = bytes(Frame(lane=int(lane), src=src, uid=uid, boot=boot))
+
+    def seal(self, *, seq: int, body: bytes) -> bytes:
+        """Length-prefixed bytes; `seq` is above 0, `body` not empty."""
+        raw = b"%b\x28%b\x32%b%b" % (self._head, _varint(seq), _varint(len(body)), body)
+        return _LEN.pack(len(raw)) + raw
+
+
 def dump(*, body: Any) -> bytes:
     """Encode a message."""
     return orjson.dumps(body, option=orjson.OPT_NON_STR_KEYS)
@@ -127,6 +164,22 @@
 
     def __init__(self) -> None:
         self._buf = bytearray()
+        self._head = b""       # what the last frame began with, up to `seq`
+        self._last = Frame()
+
+    def _read(self, raw: bytes) -> Frame:
+        """One frame; the short way if only `seq` and `body` differ from the last one."""
+        pos, last = len(self._head), self._last
+        if pos and raw.startswith(self._head) and raw[pos:pos + 1] == b"\x28":
+            seq, pos = _read_varint(raw, pos + 1)
+            if raw[pos:pos + 1] == b"\x32":
+                size, pos = _read_varint(raw, pos + 1)
+                if pos + size == len(raw) and 0 < seq < 1 << 64:
+                    return Frame(lane=last.lane, src=last.src, uid=last.uid, boot=last.boot, seq=seq, body=raw[pos:])
+        frm: Frame = Frame().parse(raw)
+        head = bytes(Frame(lane=frm.lane, src=frm.src, uid=frm.uid, boot=frm.boot))
+        self._head, self._last = (head, frm) if raw.startswith(head) else (b"", frm)
+        return frm
 
     def feed(self, data: bytes) -> list[Frame]:
         """Take bytes, return whole frames.
@@ -146,7 +199,7 @@
             if len(self._buf) - pos - 4 < size:
                 break
             try:
-                out.append(Frame().parse(bytes(self._buf[pos + 4:pos + 4 + size])))
+                out.append(self._read(bytes(self._buf[pos + 4:pos + 4 + size])))
             except Exception as err:
                 raise ValueError(f"frame not readable: {err}") from err
             pos += 4 + size
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -12,7 +12,7 @@
 import trio
 
 from ..base.log import Log
-from .frame import LANES, Frame, Kind, Lane, Splitter, bundle, pack, unbundle
+from .frame import LANES, Frame, Kind, Lane, Sealer, Splitter, bundle, unbundle
 
 _USER_TIMEOUT = 18    # TCP_USER_TIMEOUT, absent from the socket module on some builds
 QUEUE_MOST = 8000     # messages waiting for one peer in one lane; what comes beyond is dropped
@@ -125,29 +125,34 @@
             self._nursery = nursery
             lst = await trio.open_tcp_listeners(int(port), host=host, backlog=256)
             nursery.start_soon(trio.serve_listeners, self._take, lst)
+            nursery.start_soon(self._mark)
+
+    async def _mark(self) -> None:
+        """Wake lanes of work that fell silent."""
+        while True:
+            await trio.sleep(MARK_S)
+            for (_, lane), (line, wake) in self._out.items():
+                if lane is Lane.WORK and line.marks > 0:
+                    wake.set()
 
     async def _next(self, *, addr: str, lane: Lane, line: Line) -> bool:
         """Wait for messages; false: none, but a mark is due."""
-        wake = self._out[addr, lane][1]
         if not line.rows:
-            if lane is Lane.WORK and line.marks > 0:
-                with trio.move_on_after(MARK_S):
-                    await wake.wait()
-            else:
-                await wake.wait()
+            await self._out[addr, lane][1].wait()
         self._out[addr, lane] = (line, trio.Event())
         return bool(line.rows)
 
     async def _pump(self, addr: str, lane: Lane, line: Line) -> None:
         host, port = addr.rsplit(":", 1)
         stream: trio.SocketStream | None = None
+        sealer = Sealer(lane=lane, src=self.addr, uid=self.uid, boot=self.boot)
         while True:
             real = await self._next(addr=addr, lane=lane, line=line)
             seq, body = line.take()
-            raw = pack(frame=Frame(lane=int(lane), src=self.addr, uid=self.uid, boot=self.boot, seq=seq, body=body))
+            raw = sealer.seal(seq=seq, body=body)
             try:
-                with trio.fail_after(1.0):
-                    if stream is None:
+                if stream is None:
+                    with trio.fail_after(1.0):
                         stream = await self._dial(host=host, port=int(port))
                 # A dead peer is found by the socket's own time limit; a slow link may take long over a frame.
                 with trio.fail_after(10.0):
