Malformed messages and faults of handlers: each told from the other

A message that is not what its kind says reaches its handler, which logs it, instead of ending the process on its way there; a fault in a handler that runs while a connection is read is not logged as the peer's.

--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -2,16 +2,17 @@
 
 import os
 import random
-from typing import Any
+from typing import Any, cast
 
 import orjson
 import pytest
 import trio
+import trio.testing
 
 from tests.simfleet import cluster
 from yarrowloom.base.log import Log
 from yarrowloom.node.calls import RESEND_MOST_S, Calls
-from yarrowloom.node.turns import TURNS_PER_CALL, Rank, Repeats, Turns
+from yarrowloom.node.turns import TURNS_PER_CALL, Rank, Repeats, Turns, rank_of
 from yarrowloom.wire.frame import Frame, Kind, Lane, bundle, pack, unbundle
 from yarrowloom.wire.peer import FRAME_BYTES, OWED, QUEUE_MOST, TRAIL, Line, Peers, Seen
 
@@ -132,6 +133,24 @@
     assert len(lost) == 2     # the first frame of work, and the unreadable one; a lane of repeats reports none
 
 
+def test_a_fault_in_taking_a_message_is_not_put_down_to_the_peer() -> None:
+    """Such a fault ends the process, as any other does, rather than the connection."""
+    def sink(*_: object) -> None:
+        raise ValueError("fault")
+
+    async def main() -> None:
+        node = Peers(addr="10.0.0.1:7000", uid="10.0.0.1:7000#0", boot=1, sink=sink, log=Log(name="t", level="error"))
+        ours, theirs = trio.testing.memory_stream_pair()
+        await ours.send_all(pack(frame=Frame(lane=1, src="b", uid="b#0", boot=1, seq=1, body=b"[[20,{}]]")))
+        with pytest.raises(ValueError, match="fault"):
+            await node._take(cast(trio.SocketStream, theirs))
+        ours, theirs = trio.testing.memory_stream_pair()
+        await ours.send_all(b"\xff" * 9)
+        await node._take(cast(trio.SocketStream, theirs))     # what the peer did wrong ends the connection
+
+    trio.run(main)
+
+
 def test_one_frame_carries_what_waits() -> None:
     line = Line()
     for i in range(100):
@@ -311,3 +330,14 @@
     assert rep.screen(uid="a", kind=Kind.ROOM, m={"v": 2}) is None
     assert rep.taken(uid="a", kind=Kind.ROOM, m={"v": 1}) == {"v": 2}
     assert rep.screen(uid="a", kind=Kind.ROOM, m={"v": 3}) == {"v": 3}
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_malformed_messages_reach_whoever_says_so(kind: Kind) -> None:
+    rep = Repeats()
+    odd: list[Any] = [None, 3, "x", [], {}, {"g": "1"}, {"g": 1, "m": "i", "f": 1, "x": [[[1]], 3]}, {"g": 1, "x": [3]},
+                      {"g": 1, "m": [], "f": {}, "x": 4}, {"g": None, "ttl": "x"}]
+    for m in odd:
+        rank_of(kind=kind, m=m)
+        assert rep.screen(uid="a", kind=kind, m=m) == m
+        assert rep.taken(uid="a", kind=kind, m=m) == m
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -91,15 +91,17 @@
         self.running = True
         turns = self.turns
         now = time.monotonic()
-        while self.credit > 0:
-            fn = turns.take(now=now)
-            if fn is None:
-                break
-            self.step(fn)
-            then, now = now, time.monotonic()
-            self.credit -= now - then
-        turns.ended(now=now)
-        self.running = False
+        try:
+            while self.credit > 0:
+                fn = turns.take(now=now)
+                if fn is None:
+                    break
+                self.step(fn)
+                then, now = now, time.monotonic()
+                self.credit -= now - then
+        finally:
+            turns.ended(now=now)
+            self.running = False
         if len(turns):
             self.wake.set()
 
@@ -115,13 +117,16 @@
             if m is None:
                 continue
             rank = rank_of(kind=kind, m=m)
-            until = time.monotonic() + float(m.get("ttl", WAIT_S)) if rank is Rank.LATE else math.inf
+            until = math.inf
+            if rank is Rank.LATE:
+                ttl = m.get("ttl")
+                until = time.monotonic() + (ttl if isinstance(ttl, int | float) else WAIT_S)
             self.post(fn=partial(self._on, uid, kind, m), rank=rank, until=until)
 
     def _on(self, uid: str, kind: Kind, m: Any) -> None:
         try:
             self.node.on(uid=uid, kind=kind, m=self.repeats.taken(uid=uid, kind=kind, m=m))
-        except (KeyError, TypeError, ValueError) as err:
+        except (KeyError, IndexError, AttributeError, TypeError, ValueError) as err:
             self.log.warn("frame-malformed", kind=kind.name, peer=uid, why=repr(err))
 
     def _tick(self) -> None:
--- a/yarrowloom/node/turns.py
+++ b/yarrowloom/node/turns.py
@@ -42,8 +42,9 @@
         return Rank.URGENT
     if kind in _PLACE:
         return Rank.PLACE
-    if kind is Kind.CALL and isinstance(m, dict) and m.get("g", 0) > 0:
-        return Rank.LATE
+    if kind is Kind.CALL and isinstance(m, dict):
+        g = m.get("g")
+        return Rank.LATE if isinstance(g, int) and g > 0 else Rank.AGENT
     return Rank.AGENT
 
 
@@ -76,11 +77,11 @@
             return None if known else m
         try:
             keys = self._keys(uid=uid, kind=kind, m=m)
+            fresh = [k not in self._rows for k in keys]
         except (KeyError, TypeError, IndexError):
             return m      # malformed: whoever handles it says so
         if not keys:
             return m
-        fresh = [k not in self._rows for k in keys]
         self._rows.update(keys)
         if all(fresh):
             return m
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -180,15 +180,18 @@
         cut = Splitter()
         try:
             while True:
-                data = await stream.receive_some(262144)
-                if not data:
+                try:
+                    data = await stream.receive_some(262144)
+                    if not data:
+                        return
+                    frames = cut.feed(data)
+                except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
                     return
-                for frm in cut.feed(data):
+                except ValueError as err:
+                    self.log.warn("peer-malformed", why=str(err))
+                    return
+                for frm in frames:     # a fault in what takes them is not the peer's
                     self._deliver(frm)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            return
-        except ValueError as err:
-            self.log.warn("peer-malformed", why=str(err))
         finally:
             await trio.aclose_forcefully(stream)
 
