--- a/yarrowloom/node/turns.py
+++ b/yarrowloom/node/turns.py
@@ -44,8 +44,9 @@
         return Rank.URGENT
     if kind in _PLACE or (kind is Kind.ROOM and isinstance(m, dict) and "x" in m):
         return Rank.PLACE     # changes of room keep their order with grants
-    if kind is Kind.CALL and isinstance(m, dict) and m.get("g", 0) > 0:
-        return Rank.LATE
+    if kind is Kind.CALL and isinstance(m, dict):
+        g = m.get("g")
+        return Rank.LATE if isinstance(g, int) and g > 0 else Rank.AGENT
     return Rank.AGENT
 
 
@@ -78,11 +79,11 @@
             return None if known else m
         try:
             keys = self._keys(uid=uid, kind=kind, m=m)
+            fresh = [k not in self._rows for k in keys]
         except (KeyError, TypeError, IndexError):
             return m      # malformed: whoever handles it says so
         if not keys:
             return m
-        fresh = [k not in self._rows for k in keys]
         self._rows.update(keys)
         if all(fresh):
             return m
@@ -172,7 +173,7 @@
         >>> [turns.take(now=1.0), turns.take(now=1.0), turns.take(now=1.5), turns.take(now=1.5)]
         [<class 'set'>, <class 'list'>, <class 'dict'>, None]
         """
-        self._account(now=now)
+        self.ended(now=now)
         if self._urgent:
             return self._urgent.popleft()
         if now >= self._tick.due:
@@ -197,7 +198,8 @@
         self._last = (rank, due, now)
         return fn
 
-    def _account(self, *, now: float) -> None:
+    def ended(self, *, now: float) -> None:
+        """What was taken last has ended."""
         if self._last is None:
             return
         rank, clock, began = self._last
