--- a/tests/test_chief.py
+++ b/tests/test_chief.py
@@ -9,6 +9,7 @@
 from tests.simfleet import Oracle, SimCaller
 from tests.simherd import attached, back, herd, loads, serves
 from tests.simnet import Sim
+from yarrowloom.agent.minion import Phase, Run
 from yarrowloom.fleet.owners import Owners, Picker, Place, place, total
 from yarrowloom.fleet.registry import Registry
 from yarrowloom.node.hub import CoreHub
@@ -145,6 +146,21 @@
     assert oracle.broken == [] and sim.now > t0
 
 
+def test_an_agent_keeps_minions_that_leave_are_silent_or_have_an_order_on_its_way_out() -> None:
+    sim, _, _ = settled(n=24, seed=43)
+    node = next(sim.core(ip) for ip in sim.core_ips if len(sim.core(ip).agent.minions) >= 5)
+    node.now = sim.now
+    mids = sorted(node.agent.minions)[:5]
+    leaving, silent, ordered, lost, well = (node.agent.minions[m] for m in mids)
+    leaving.draining = True
+    silent.heard = sim.now - 9.0
+    ordered.runs["t"] = Run(task="t", run=1, g=1, lid=1)
+    lost.phase = Phase.LOST
+    well.runs["t"] = Run(task="t", run=1, g=1, lid=1, sent=True)
+    node.let_go(mids=[*mids, "i-none"])
+    assert [m in node.agent.minions for m in mids] == [True, True, True, True, False]
+
+
 def test_moves_of_many_are_cut_into_batches(monkeypatch: pytest.MonkeyPatch) -> None:
     sim, oracle, _ = settled(n=120, seed=41)
     monkeypatch.setattr(chief, "BATCH", 10)
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -140,10 +140,11 @@
         return self.now < self.lease or (self.chief is not None and self.reps[0].serving())
 
     def let_go(self, *, mids: list[str]) -> None:
-        """The chief wants these given to others: those that have no order on its way out are let go of."""
+        """The chief wants these given to others. Let go of are those in good order, with none on its way out: the
+        next agent would have to find out anew that a minion is silent or about to leave."""
         for mid in mids:
             m = self.agent.minions.get(mid)
-            if m is not None and all(r.sent or r.live for r in m.runs.values()):
+            if m is not None and self.agent.open(m=m) and all(r.sent or r.live for r in m.runs.values()):
                 self.agent.disown(mid=mid)
 
     def evacuated(self, *, site: str) -> bool:
