--- a/yarrowloom/base/defaults.py
+++ b/yarrowloom/base/defaults.py
@@ -27,7 +27,8 @@
 
 
 class LearnRow(TypedDict):
-    """`[learn]`: whether the history of calls and run times is kept with the jobs' record."""
+    """`[learn]`: whether the history of calls and run times is kept with the jobs' record. Warming needs it; it takes
+    about a third of a busy placing node's time (simulated cluster, docs/warm.md)."""
 
     on: bool
 
@@ -46,7 +47,7 @@
              "least": (0, 1)},
 }
 SHIPPED: Defaults = {
-    "learn": {"on": True},
+    "learn": {"on": False},
     "warm": {"on": False, "core_s": 1200.0, "tasks": 16, "expiry_ms": 4000.0, "lead_ms": 400.0, "least": 0.6},
 }
 
