--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -151,6 +151,15 @@
                 self.beat()
         self.sim.at(delay=delay, fn=go)
 
+    def account(self, *, seq: int, sent: float) -> dict[str, Any]:
+        """What a beat tells."""
+        return {"backend": "svc", "address": f"{self.mid}:1", "zone": self.site, "config-version": "v1", "slots": 8,
+                "state": self.state, "cold-left-ms": 0, "call-seq": seq, "clock-ms": int(sent * 1000),
+                "capacity": {"cpus": self.cap[0], "mem-mb": self.cap[1], "gpus": self.cap[2]},
+                "labels": list(self.labels),
+                "running": [[t, r["run"], r.get("saved", ""), r["pct"](sent)] for t, r in self.running.items()],
+                "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500]}
+
     def beat(self) -> None:
         if not self.up or self.inflight:
             return
@@ -159,12 +168,7 @@
         self.inflight = seq = self.seq
         sent = self.sim.now
         dst = self.target or self.sim.core_ips[self.at % len(self.sim.core_ips)]
-        doc = {"backend": "svc", "address": f"{self.mid}:1", "zone": self.site, "config-version": "v1", "slots": 8,
-               "state": self.state, "cold-left-ms": 0, "call-seq": seq, "clock-ms": int(sent * 1000),
-               "capacity": {"cpus": self.cap[0], "mem-mb": self.cap[1], "gpus": self.cap[2]},
-               "labels": list(self.labels),
-               "running": [[t, r["run"], "", r["pct"](sent)] for t, r in self.running.items()],
-               "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500]}
+        doc = self.account(seq=seq, sent=sent)
 
         def back(res: Response) -> None:
             if self.inflight == seq and self.up and self.sim.now - sent <= 1.0:
--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -46,6 +46,7 @@
         self.rng = random.Random(seed)
         self.now = 100.0
         self.wall0 = 1_700_000_000.0
+        self.skew: dict[str, float] = {}    # by machine: how far its wall clock is off
         self.sync_s = sync_s
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
@@ -168,7 +169,7 @@
             proc.inbox.append(lambda: self.step(ip, proc, fn))
             return
         node = proc.node
-        node.now, node.wall = self.now, self.wall0 + self.now
+        node.now, node.wall = self.now, self.wall0 + self.now + self.skew.get(ip, 0.0)
         fn()
         out = node.out
         sends, out.sends = out.sends, []
--- /dev/null
+++ b/tests/simrules.py
@@ -0,0 +1,267 @@
+"""The rules on jobs, judged by what minions and callers see; wider than the oracle of `simfleet`."""
+
+from typing import Any
+
+from tests.simfleet import Oracle, SimMinion
+from tests.simnet import Sim
+
+CANCEL_S = 4.0
+VISIBLE_S = 3.0
+DRAIN_S = 2.5
+EVACUATE_S = 5.0
+EARLY_S = 0.1
+JUMPS_S = 5.0         # what `EARLY_S` grows by on days on which clocks jump
+STOP_S = 0.4
+STARVE_S = 3.0
+NEAR_S = 8.0          # trouble is near for this long: the contact time and a gang's wait
+LOOK_S = 0.2
+
+
+def owner(*, task: str, step: dict[str, Any]) -> str:
+    """What shares progress and tries: a task, or a gang's unit.
+
+    >>> owner(task="ab.0.1.7", step={"gang": True}), owner(task="ab.0.1.7", step={})
+    ('ab.0.1', 'ab.0.1.7')
+    """
+    return task.rsplit(".", 1)[0] if step.get("gang") else task
+
+
+class Judge(Oracle):
+    """Invariants: `alive` holds what runs on minions that are up; `done` what ended so on a minion, noted or not;
+    `noted` and `fails` only what a `last-seen` reached while the minion's hold stood; `texts` every checkpoint that a
+    minion ever made, with whose it is."""
+
+    def __init__(self, *, sim: Sim, tries: int = 3) -> None:
+        super().__init__(sim=sim)
+        self.tries = tries
+        self.fleet: list[SimMinion] = []
+        self.queue: dict[str, str] = {}
+        self.services: dict[str, set[str]] = {}         # by queue, of all configurations that were sent
+        self.evac: dict[str, float] = {}
+        self.texts: dict[str, str] = {}
+        self.owed: dict[str, list[tuple[str, int]]] = {}      # `done` ends listed but not noted: (minion, number)
+        self.again: dict[tuple[str, int], str] = {}     # such ends after which the task was started once more
+        self.fails: dict[str, set[int]] = {}
+        self.fell: dict[str, set[int]] = {}             # runs that ended `failed`, noted or not
+        self.brought: dict[tuple[str, int], str] = {}
+        self.asked: set[str] = set()                    # jobs whose cancelling was sent
+        self.shows: dict[str, str] = {}
+        self.starved: dict[str, float] = {}             # since when a job has nothing running though it could
+        self.overran: set[str] = set()                  # cancelled jobs that ran on
+        self.ends: dict[str, int] = {}                  # how many runs ended in each way
+        self.near = -1.0
+        self.early = EARLY_S
+        self._watch()
+
+    def trouble(self, *, seconds: float = 0.0) -> None:
+        """Trouble goes on for so long; what it excuses is excused until it is no longer near."""
+        self.near = max(self.near, self.sim.now + seconds + NEAR_S)
+
+    def breach(self, *, rule: str, what: str) -> None:
+        self.broken.append(f"{rule} {what}")
+
+    def rules(self) -> set[str]:
+        """Names of the rules broken."""
+        return {b.split(" ", 1)[0] for b in self.broken}
+
+    # -- what minions see
+
+    def started(self, *, m: SimMinion, task: str, run: int, spec: str, saved: str) -> None:
+        jid, k, _, _ = task.split(".")
+        job, now = self.jobs.get(jid), self.sim.now
+        where = f"{task} run {run} on {m.mid} at {now:.2f}"
+        if job is None or spec != job["task-spec"]:
+            self.breach(rule="UNASKED", what=where)
+            return
+        step = self.step_of(task)
+        who = owner(task=task, step=step)
+        if saved and self.texts.get(saved) != who:
+            self.breach(rule="UNASKED", what=f"{where} with the checkpoint {saved} of {self.texts.get(saved)}")
+        if jid in self.refused and jid not in self.accepted:
+            self.breach(rule="REFUSED", what=where)
+        if jid in self.cancelled and now > self.cancelled[jid] + CANCEL_S:
+            self.breach(rule="UNASKED", what=f"{where} after its cancelling")
+        self._once(task=task, who=who, step=step, where=where)
+        self._order(job=job, jid=jid, k=int(k), step=step, where=where)
+        self._place(m=m, task=task, step=step, where=where)
+        if step.get("gang") and self.brought.setdefault((who, run), saved) != saved:
+            self.breach(rule="GANG", what=f"{where} brings {saved}, others {self.brought[who, run]}")
+        self.alive.setdefault(task, []).append((m.mid, run))
+
+    def _once(self, *, task: str, who: str, step: dict[str, Any], where: str) -> None:
+        if step.get("duplicate"):
+            return
+        if self.alive.get(task):
+            self.breach(rule="TWICE", what=f"{where}, also {self.alive[task]}")
+        if step.get("long-running"):
+            return
+        if who in self.noted:
+            self.breach(rule="TWICE", what=f"{where} after its end was noted")
+        for key in self.owed.get(who, []):
+            self.again[key] = where
+        if len(self.fails.get(who, ())) >= self.tries:
+            self.breach(rule="BUDGET", what=where)
+
+    def _order(self, *, job: dict[str, Any], jid: str, k: int, step: dict[str, Any], where: str) -> None:
+        for d in step.get("depends-on", []):
+            if not self.unit_done(job=job, unit=f"{jid}.{k}.{d}"):
+                self.breach(rule="ORDER", what=f"{where} before step {d}")
+        if job.get("repeat-count"):
+            due = (job["first-run-ms"] + k * job["period-ms"]) / 1000
+            if self.sim.wall0 + self.sim.now < due - self.early:
+                self.breach(rule="ORDER", what=f"{where} due in {due - self.sim.wall0 - self.sim.now:.2f} s")
+
+    def _place(self, *, m: SimMinion, task: str, step: dict[str, Any], where: str) -> None:
+        now, unit = self.sim.now, task.rsplit(".", 1)[0]
+        svc = getattr(m, "svc", "svc")
+        if svc not in self.services.get(self.queue.get(task.split(".")[0], ""), {svc}):
+            self.breach(rule="ROUTE", what=f"{where} of {svc}")
+        if step.get("requires") and step["requires"] not in m.labels:
+            self.breach(rule="ROUTE", what=f"{where} without {step['requires']}")
+        apart = step.get("anti-affinity", 0)
+        if apart and sum(t.rsplit(".", 1)[0] == unit for t in m.running) >= apart:
+            self.breach(rule="ROUTE", what=f"{where} beyond {apart}")
+        used = self.used(m=m, more=[task])
+        if not getattr(m, "guards", False) and any(u > c for u, c in zip(used, m.cap, strict=True)):
+            self.breach(rule="LIMIT", what=f"{where}: {used} over {m.cap}")
+        acked = getattr(m, "acked", 0.0)
+        if acked and now > acked + DRAIN_S:
+            self.breach(rule="DRAIN", what=where)
+        if m.site in self.evac and now > self.evac[m.site] + EVACUATE_S:
+            self.breach(rule="EVAC", what=f"{where} in {m.site}")
+
+    def ended(self, *, m: SimMinion, task: str, run: int, how: str) -> None:
+        self.alive.get(task, []).remove((m.mid, run))
+        self.ends[how] = self.ends.get(how, 0) + 1
+        who = owner(task=task, step=self.step_of(task))
+        if how == "done":
+            self.done.add(task)
+        elif how == "failed":
+            self.fell.setdefault(who, set()).add(run)
+        elif how == "alone" and task.split(".")[0] not in self.asked and self.sim.now > self.near:
+            self.breach(rule="GANG", what=f"{task} run {run} on {m.mid} ended alone at {self.sim.now:.2f}")
+
+    def listed(self, *, m: SimMinion, num: int, task: str, how: str) -> None:
+        """An end is on a minion's list."""
+        if how == "done":
+            self.owed.setdefault(owner(task=task, step=self.step_of(task)), []).append((m.mid, num))
+
+    def seen(self, *, m: SimMinion, num: int, task: str, run: int, how: str, lapsed: bool) -> None:
+        """An end's number was reached by `last-seen`."""
+        who = owner(task=task, step=self.step_of(task))
+        if how == "done":
+            self.owed[who].remove((m.mid, num))
+        if lapsed:
+            return
+        if how == "done":
+            self.noted.add(who)
+            if (m.mid, num) in self.again:
+                self.breach(rule="TWICE", what=f"{self.again[m.mid, num]} after an end noted since")
+        elif how == "failed":
+            self.fails.setdefault(who, set()).add(run)
+
+    # -- what callers see
+
+    def shown(self, *, jid: str, status: int, state: str) -> None:
+        """An answer on a job's state."""
+        now = self.sim.now
+        if status == 410 and jid in self.accepted and now > self.accepted[jid] + VISIBLE_S:
+            self.breach(rule="LOST", what=f"{jid} is not known at {now:.2f}")
+        if status != 200:
+            return
+        was = self.shows.get(jid, state)
+        if was in ("complete", "failed", "cancelled") and state != was:
+            self.breach(rule="LOST", what=f"{jid} was {was}, now {state} at {now:.2f}")
+        self.shows[jid] = state
+        if state == "complete":
+            left = self.left(jid=jid)
+            if left:
+                self.breach(rule="MIXED", what=f"{jid} complete at {now:.2f} without {left[:3]}")
+        if state == "cancelled" and jid not in self.asked:
+            self.breach(rule="LOST", what=f"{jid} cancelled by nobody")
+        if state == "failed" and not self.hopeless(jid=jid):
+            self.breach(rule="LOST", what=f"{jid} failed at {now:.2f} without cause")
+
+    # -- what is so
+
+    def units(self, *, jid: str) -> list[tuple[str, dict[str, Any]]]:
+        """Names and steps of all units of all times."""
+        job = self.jobs[jid]
+        return [(f"{jid}.{k}.{s}", step) for k in range(max(1, job.get("repeat-count", 0)))
+                for s, step in enumerate(job["stages"])]
+
+    def unit_done(self, *, job: dict[str, Any], unit: str) -> bool:
+        """All tasks of a step have ended `done`; one of a gang stands for all."""
+        step = job["stages"][int(unit.rsplit(".", 1)[1])]
+        ends = [f"{unit}.{i}" in self.done for i in range(step["task-count"])]
+        return any(ends) if step.get("gang") else all(ends)
+
+    def left(self, *, jid: str) -> list[str]:
+        """Units that are not done."""
+        return [u for u, _ in self.units(jid=jid) if not self.unit_done(job=self.jobs[jid], unit=u)]
+
+    def hopeless(self, *, jid: str) -> bool:
+        """A task or gang has failed as often as it may."""
+        return any(who.split(".")[0] == jid and len(runs) >= self.tries for who, runs in self.fell.items())
+
+    def used(self, *, m: SimMinion, more: list[str]) -> list[int]:
+        """Room in use, with more tasks."""
+        out = [0, 0, 0]
+        for task in [*m.running, *more]:
+            step = self.step_of(task)
+            out = [out[0] + step.get("cpus", 0), out[1] + step.get("mem-mb", 0), out[2] + step.get("gpus", 0)]
+        return out
+
+    # -- time
+
+    def _watch(self) -> None:
+        self.sim.at(delay=LOOK_S, fn=self._watch)
+        now = self.sim.now
+        for jid, at in self.cancelled.items():
+            if now > max(at + CANCEL_S + STOP_S, self.near) and jid not in self.overran:
+                for task, runs in self.alive.items():
+                    if runs and task.startswith(jid):
+                        self.overran.add(jid)
+                        self.breach(rule="UNASKED", what=f"{task} runs on at {now:.2f}, cancelled at {at:.2f}")
+        for jid in self.accepted:
+            if jid in self.asked or self.hopeless(jid=jid) or not self._starves(jid=jid):
+                self.starved.pop(jid, None)
+            else:
+                self.starved.setdefault(jid, now)
+
+    def _starves(self, *, jid: str) -> bool:
+        """Nothing runs, a turn has come, there is room twice over and half of the service's room is free."""
+        if any(runs and task.startswith(jid) for task, runs in self.alive.items()):
+            return False
+        job = self.jobs[jid]
+        for unit, step in self.units(jid=jid):
+            k = unit.split(".")[1]
+            due = not job.get("repeat-count") or self.sim.wall0 + self.sim.now > (
+                job["first-run-ms"] + int(k) * job["period-ms"]) / 1000
+            turn = due and not self.unit_done(job=job, unit=unit) and all(
+                self.unit_done(job=job, unit=f"{jid}.{k}.{d}") for d in step.get("depends-on", []))
+            if turn and self._room(jid=jid, step=step):
+                return True
+        return False
+
+    def _room(self, *, jid: str, step: dict[str, Any]) -> bool:
+        need = (step.get("cpus", 0), step.get("mem-mb", 0), step.get("gpus", 0))
+        fits, used, have = 0, [0, 0, 0], [0, 0, 0]
+        for m in self.fleet:
+            if not m.up or getattr(m, "svc", "svc") not in self.services.get(self.queue.get(jid, ""), {"svc"}):
+                continue
+            busy = self.used(m=m, more=[])
+            used = [a + b for a, b in zip(used, busy, strict=True)]
+            have = [a + b for a, b in zip(have, m.cap, strict=True)]
+            shut = m.state != "ready" or m.site in self.evac
+            if not shut and (not step.get("requires") or step["requires"] in m.labels):
+                fits += min([(c - b) // n for c, b, n in zip(m.cap, busy, need, strict=True) if n] or [64])
+        return (fits >= 2 * (step["task-count"] if step.get("gang") else 1)
+                and all(2 * u < h for u, h in zip(used, have, strict=True) if h))
+
+    def close(self) -> None:
+        """The traffic has ended `finish_s` ago: what starves now is lost."""
+        now = self.sim.now
+        for jid, at in self.starved.items():
+            if now - at >= STARVE_S:
+                self.breach(rule="LOST", what=f"{jid} has nothing running since {at:.2f}, at {now:.2f}")
--- /dev/null
+++ b/tests/simwork.py
@@ -0,0 +1,349 @@
+"""Minions that do work: gangs, checkpoints, guards, sickness, draining; and callers that ask as they go."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from tests.simfleet import HOST, SLOW, SimCaller, SimMinion, config
+from tests.simnet import Sim
+from tests.simrules import Judge, owner
+from yarrowloom.wire.http import Response
+
+GANG_WAIT_S = 4.0
+CHECKPOINT_S = 2.0
+RESTORE_S = 0.25
+LEAVE_S = 3.0
+FAR = 2.0
+TICK_S = 0.05
+GREY_S = 0.04
+
+
+@dataclass(kw_only=True)
+class World:
+    """What the tasks are: how long, which fail by their own fault. `made` holds every checkpoint's progress; `present`
+    the members of each gang's run."""
+
+    work: float = 0.5
+    fail: float = 0.0
+    doomed: set[str] = field(default_factory=set)        # jobs whose tasks fail by their own fault
+    made: dict[str, float] = field(default_factory=dict)
+    present: dict[tuple[str, int], dict[str, "Worker"]] = field(default_factory=dict)
+
+
+class Worker(SimMinion):
+    """Invariants: a gang's members make progress only while all of one run are present; nothing runs beyond the hold;
+    room counts until the end is listed."""
+
+    def __init__(self, *, sim: Sim, judge: Judge, world: World, mid: str, site: str, cap: tuple[int, int, int],
+                 labels: tuple[str, ...], svc: str = "svc", guards: bool = False, addr: str = "") -> None:
+        self.judge, self.world, self.svc, self.guards = judge, world, svc, guards
+        self.addr = addr or f"{mid}:1"
+        self.sick = ""             # "grey" fails all it starts, "hung" makes no progress
+        self.speed = 1.0
+        self.mute = -1.0           # no beats until then
+        self.drained = 0.0
+        self.acked = 0.0           # when its draining was acknowledged
+        self.restored = 0
+        super().__init__(sim=sim, oracle=judge, mid=mid, site=site, cap=cap, work=world.work, labels=labels)
+        judge.fleet.append(self)
+
+    # -- beats
+
+    def account(self, *, seq: int, sent: float) -> dict[str, Any]:
+        doc = super().account(seq=seq, sent=sent)
+        doc |= {"backend": self.svc, "address": self.addr}
+        if self.drained:
+            doc["leave-at-ms"] = int(1000 * max(0.0, (self.acked or sent) + LEAVE_S - sent))
+        return doc
+
+    def beat(self) -> None:
+        if self.up and self.sim.now < self.mute and not self.inflight:
+            self.plan(delay=self.mute - self.sim.now + 0.01)
+            return
+        super().beat()
+
+    def answer(self, *, doc: dict[str, Any], sent: float) -> None:
+        if self.drained and sent >= self.drained and not self.acked:
+            self.acked = self.sim.now
+            self.sim.at(delay=LEAVE_S, fn=self.leave)
+        if doc.get("beat-target"):
+            self.target = doc["beat-target"].split(":")[0]
+        self.plan(delay=min(doc.get("retry-after-ms", 1400), 1400) / 1000)
+        fence = doc.get("fence-no", 0)
+        if fence < self.fence:
+            return
+        self.fence = fence
+        if "hold-ms" in doc:
+            self.hold = max(self.hold, sent + min(doc["hold-ms"], 6000) / 1000 * SLOW)
+        for n in sorted(self.ends):
+            if n <= doc.get("last-seen", 0):
+                task, run, how, _, at = self.ends.pop(n)
+                self.judge.seen(m=self, num=n, task=task, run=run, how=how, lapsed=self.lapsed >= at)
+        for task, run in doc.get("stopped", []):
+            self.top[task] = max(self.top.get(task, 0), run)
+            row = self.running.get(task)
+            if row is not None and row["run"] == run and not row["stop"]:
+                row["stop"] = self.sim.now + 0.2
+        for task, run, spec, saved in doc.get("started", []):
+            if run > self.top.get(task, 0):
+                self.top[task] = run
+                self.begin(task=task, run=run, spec=spec, saved=saved)
+
+    # -- work
+
+    def begin(self, *, task: str, run: int, spec: str, saved: str) -> None:
+        """Carry an order out, or turn it away for want of room."""
+        judge = self.judge
+        over = any(u > c for u, c in zip(judge.used(m=self, more=[task]), self.cap, strict=True))
+        if self.guards and over:
+            self.list_end(task=task, run=run, how="refused", saved="")
+            return
+        judge.started(m=self, task=task, run=run, spec=spec, saved=saved)
+        step = judge.step_of(task)
+        who = owner(task=task, step=step)
+        far = FAR if step.get("affinity") and step["affinity"] not in self.labels else 1.0
+        bad = task.split(".")[0] in self.world.doomed or self.sim.rng.random() < self.world.fail
+        self.restored += bool(saved)
+        dur = self.world.work * step.get("weight", 1) * (0.5 + self.sim.rng.random()) * far
+        row: dict[str, Any] = {}
+        row |= {"pct": lambda _: min(99, int(100 * row["part"])), "run": run, "who": who, "step": step, "saved": saved,
+                "stop": 0.0, "at": self.sim.now, "part": self.world.made.get(saved, 0.0), "since": 0.0, "bad": bad,
+                "dur": dur, "work": self.sim.now + (RESTORE_S if saved else 0.0)}
+        self.running[task] = row
+        if step.get("gang"):
+            self.world.present.setdefault((who, run), {})[task] = self
+
+    def list_end(self, *, task: str, run: int, how: str, saved: str) -> None:
+        """Put an end on the list."""
+        self.num += 1
+        self.ends[self.num] = (task, run, how, saved, self.sim.now)
+        self.judge.listed(m=self, num=self.num, task=task, how=how)
+        if not self.inflight:
+            self.plan(delay=0.05)
+
+    def end(self, *, task: str, how: str) -> None:
+        row = self.running.pop(task)
+        self.judge.ended(m=self, task=task, run=row["run"], how=how)
+        self.list_end(task=task, run=row["run"], how=how, saved=row["saved"])
+        self._apart(task=task, row=row, how=how)
+
+    def _apart(self, *, task: str, row: dict[str, Any], how: str) -> None:
+        """An end of one member: the others end `done` with it, or `broken`."""
+        mates = self.world.present.get((row["who"], row["run"]), {})
+        mates.pop(task, None)
+        for other, m in list(mates.items()):
+            if m.up and other in m.running:
+                m.end(task=other, how="done" if how == "done" else "broken")
+
+    def crash(self) -> None:
+        """Die with all that runs."""
+        self.up = False
+        rows, self.running = self.running, {}
+        for task, row in rows.items():
+            self.judge.ended(m=self, task=task, run=row["run"], how="lost")
+            self._apart(task=task, row=row, how="lost")
+
+    def save(self, *, row: dict[str, Any]) -> None:
+        """Make a checkpoint."""
+        if row["step"].get("checkpoints"):
+            row["saved"] = f"ck-{len(self.world.made)}"
+            self.world.made[row["saved"]] = row["part"]
+            self.judge.texts[row["saved"]] = row["who"]
+
+    def _watch(self) -> None:
+        if not self.up:
+            return
+        now = self.sim.now
+        if now > self.hold:
+            self.lapsed = now
+            for task in [t for t in self.running]:
+                if task in self.running:
+                    self.end(task=task, how="lapsed")
+        for task, row in list(self.running.items()):
+            if task in self.running and self.running[task] is row:
+                self._work(task=task, row=row, now=now)
+        self.sim.at(delay=TICK_S, fn=self._watch)
+
+    def _work(self, *, task: str, row: dict[str, Any], now: float) -> None:
+        if row["stop"] and now >= row["stop"]:
+            self.save(row=row)
+            self.end(task=task, how="stopped")
+        elif self.sick == "grey" and now - row["at"] >= GREY_S:
+            self.end(task=task, how="failed")
+        elif row["step"].get("gang") and len(
+                self.world.present[row["who"], row["run"]]) < row["step"]["task-count"]:
+            if now - row["at"] > GANG_WAIT_S:
+                self.end(task=task, how="alone")
+        elif self.sick != "hung" and now >= row["work"]:
+            if row["step"].get("long-running"):
+                row["part"] = 0.5
+                return
+            row["part"] += TICK_S * self.speed / row["dur"]
+            row["since"] += TICK_S
+            if row["since"] >= CHECKPOINT_S:
+                row["since"] = 0.0
+                self.save(row=row)
+            if row["part"] >= 1.0:
+                self.end(task=task, how="failed" if row["bad"] else "done")
+
+    # -- leaving
+
+    def drain(self) -> None:
+        """Say that it leaves; it goes some time after that is acknowledged."""
+        self.state, self.drained = "draining", self.sim.now
+        if not self.inflight:
+            self.beat()
+
+    def leave(self) -> None:
+        """Say goodbye and end."""
+        if self.up:
+            ip = self.target or self.sim.core_ips[0]
+            self.sim.http(ip=ip, src=self.mid, method="DELETE", path=f"/minions/{self.mid}", back=lambda _: None)
+            self.crash()
+
+
+class Client(SimCaller):
+    """Asks and cancels without waiting. Every answer goes to the judge."""
+
+    def __init__(self, *, sim: Sim, judge: Judge) -> None:
+        super().__init__(sim=sim, oracle=judge)
+        self.judge = judge
+
+    def _send(self, *, jid: str, queue: str, doc: Any, left: int) -> None:
+        self.judge.queue[jid] = queue
+        super()._send(jid=jid, queue=queue, doc=doc, left=left)
+
+    def _call(self, *, method: str, jid: str, back: Any) -> None:
+        self.sim.http(ip=self.sim.rng.choice(self.sim.edge_ips), src="caller", method=method,
+                      path=f"/{self.judge.queue[jid]}/{jid}", headers={"host": HOST, "x-deadline-ms": "3000"},
+                      back=back)
+
+    def poll(self, *, jid: str) -> None:
+        """Ask for a job's state."""
+        def back(res: Response) -> None:
+            state = orjson.loads(res.body)["state"] if res.status == 200 else ""
+            self.judge.shown(jid=jid, status=res.status, state=state)
+        self._call(method="GET", jid=jid, back=back)
+
+    def drop(self, *, jid: str, left: int = 5) -> None:
+        """Cancel a job, again after silence."""
+        got: list[int] = []
+        self.judge.asked.add(jid)
+
+        def back(res: Response) -> None:
+            if not got and 200 <= res.status < 300:
+                self.judge.cancelled.setdefault(jid, self.sim.now)
+            got.append(res.status)
+
+        def late() -> None:
+            if (not got or got[0] >= 500) and left:
+                self.drop(jid=jid, left=left - 1)
+        self._call(method="DELETE", jid=jid, back=back)
+        self.sim.at(delay=3.0, fn=late)
+
+
+def plan(*, version: int, guards: bool, tries: int) -> dict[str, Any]:
+    """Two queues on `svc`, one on `aux`."""
+    doc = config(version=version, guards=guards, tries=tries)
+    doc["route-table"].append({**doc["route-table"][1], "name": "side", "path-prefix": "/side/", "backend": "aux"})
+    doc["service-table"].append({**doc["service-table"][0], "name": "aux"})
+    return doc
+
+
+class Day:
+    """A configured cluster with workers, of which the last `aux` belong to another service."""
+
+    def __init__(self, *, seed: int, minions: int = 8, aux: int = 0, work: float = 0.5, guards: bool = False,
+                 tries: int = 3, cap: tuple[int, int, int] = (4000, 8000, 0), racks: int = 3, **kw: Any) -> None:
+        self.sim = sim = Sim(seed=seed, **kw)
+        self.judge = judge = Judge(sim=sim, tries=tries)
+        self.world = World(work=work)
+        judge.services = {"fast": {"svc"}, "slow": {"svc"}, "side": {"aux"}}
+        self.fleet: list[Worker] = []
+        self.guards = guards
+        for i in range(minions):
+            self.hire(mid=f"i-{i}", site=f"z{i % len(sim.sites)}", cap=cap, labels=("a", f"r{i % racks}"),
+                      svc="aux" if i >= minions - aux else "svc")
+        self.client = Client(sim=sim, judge=judge)
+        self.jids: list[str] = []
+        self.asks = True
+        sim.run(seconds=1.0)
+        doc = plan(version=3, guards=guards, tries=tries)
+        assert any(sim.ask(ip=ip, method="PUT", path="/config", doc=doc, headers={"if-match": "0"})[0] == 200
+                   for ip in sim.core_ips)
+        sim.run(seconds=2.0)
+        sim.at(delay=0.2, fn=self._poll)
+
+    def hire(self, *, mid: str, site: str, cap: tuple[int, int, int], labels: tuple[str, ...], svc: str = "svc",
+             addr: str = "") -> Worker:
+        """One more minion."""
+        m = Worker(sim=self.sim, judge=self.judge, world=self.world, mid=mid, site=site, cap=cap, labels=labels,
+                   svc=svc, guards=self.guards, addr=addr)
+        self.fleet.append(m)
+        return m
+
+    def flap(self, *, m: Worker, up: float, down: float, times: int, same: bool) -> None:
+        """A minion goes down and comes back by turns, under a new id each time, at the same address or another."""
+        def fall() -> None:
+            self.judge.trouble()
+            m.crash()
+            self.sim.at(delay=down, fn=rise)
+
+        def rise() -> None:
+            new = self.hire(mid=f"{m.mid}x", site=m.site, cap=m.cap, labels=m.labels, svc=m.svc,
+                            addr=m.addr if same else "")
+            if times > 1:
+                self.flap(m=new, up=up, down=down, times=times - 1, same=same)
+        self.sim.at(delay=up, fn=fall)
+
+    def _poll(self) -> None:
+        live = [j for j in self.jids if self.judge.shows.get(j) in (None, "pending", "active")]
+        if self.asks:
+            if live:
+                self.client.poll(jid=self.sim.rng.choice(live))
+            if self.jids:
+                self.client.poll(jid=self.sim.rng.choice(self.jids))
+            self.sim.at(delay=0.2, fn=self._poll)
+
+    def job(self, *stages: dict[str, Any], queue: str = "fast") -> str:
+        """Hand a job in."""
+        jid = self.client.submit(stages=list(stages), queue=queue)
+        self.jids.append(jid)
+        return jid
+
+    def timed(self, *stages: dict[str, Any], first: float, period: float, count: int, queue: str = "fast") -> str:
+        """Hand a repeated job in whose first time is due in so many seconds."""
+        wall = self.sim.wall0 + self.sim.now
+        jid = self.client.submit(stages=list(stages), queue=queue, **{
+            "first-run-ms": int((wall + first) * 1000), "period-ms": int(period * 1000), "repeat-count": count})
+        self.jids.append(jid)
+        return jid
+
+    def finish(self, *, limit: float = 60.0) -> None:
+        """All accepted jobs end as they should, and no rule is broken."""
+        judge, sim = self.judge, self.sim
+        end = sim.now + limit
+        ends = ("complete", "failed", "cancelled")
+
+        sim.until(cond=lambda: all(j in judge.accepted or j in judge.refused for j in self.jids), limit=8.0)
+
+        def left() -> list[str]:
+            return [j for j in self.jids if j in judge.accepted and judge.shows.get(j) not in ends]
+        while left() and sim.now < end and not judge.broken:
+            for jid in left():
+                self.client.poll(jid=jid)
+            sim.run(seconds=0.5)
+        for jid in self.jids:
+            if jid in judge.accepted:
+                self.client.poll(jid=jid)
+        sim.run(seconds=1.0)
+        judge.close()
+        assert judge.broken == []
+        assert left() == [], [(j, judge.shows.get(j)) for j in left()]
+
+
+def task(*, n: int = 3, cpus: int = 1000, **more: Any) -> dict[str, Any]:
+    """A step; flags in Python's case."""
+    return {"task-count": n, "cpus": cpus, "mem-mb": 100, "estimate-ms": 500,
+            **{k.replace("_", "-"): v for k, v in more.items()}}
