--- a/tests/simrules.py
+++ b/tests/simrules.py
@@ -47,6 +47,7 @@
         self.asked: set[str] = set()                    # jobs whose cancelling was sent
         self.shows: dict[str, str] = {}
         self.starved: dict[str, float] = {}             # since when a job has nothing running though it could
+        self.begun: dict[str, str] = {}                 # the first start of each job
         self.overran: set[str] = set()                  # cancelled jobs that ran on
         self.ends: dict[str, int] = {}                  # how many runs ended in each way
         self.near = -1.0
@@ -77,8 +78,7 @@
         who = owner(task=task, step=step)
         if saved and self.texts.get(saved) != who:
             self.breach(rule="UNASKED", what=f"{where} with the checkpoint {saved} of {self.texts.get(saved)}")
-        if jid in self.refused and jid not in self.accepted:
-            self.breach(rule="REFUSED", what=where)
+        self.begun.setdefault(jid, where)
         if jid in self.cancelled and now > self.cancelled[jid] + CANCEL_S:
             self.breach(rule="UNASKED", what=f"{where} after its cancelling")
         self._once(task=task, who=who, step=step, where=where)
@@ -223,6 +223,9 @@
                     if runs and task.startswith(jid):
                         self.overran.add(jid)
                         self.breach(rule="UNASKED", what=f"{task} runs on at {now:.2f}, cancelled at {at:.2f}")
+        for jid in self.refused:
+            if jid in self.begun and jid not in self.accepted:
+                self.breach(rule="REFUSED", what=self.begun.pop(jid))
         for jid in self.accepted:
             if jid in self.asked or self.hopeless(jid=jid) or not self._starves(jid=jid):
                 self.starved.pop(jid, None)
@@ -255,7 +258,8 @@
             have = [a + b for a, b in zip(have, m.cap, strict=True)]
             shut = m.state != "ready" or m.site in self.evac
             if not shut and (not step.get("requires") or step["requires"] in m.labels):
-                fits += min([(c - b) // n for c, b, n in zip(m.cap, busy, need, strict=True) if n] or [64])
+                got = min([(c - b) // n for c, b, n in zip(m.cap, busy, need, strict=True) if n] or [64])
+                fits += min(got, step.get("anti-affinity") or got)
         return (fits >= 2 * (step["task-count"] if step.get("gang") else 1)
                 and all(2 * u < h for u, h in zip(used, have, strict=True) if h))
 
--- /dev/null
+++ b/tests/test_mutants.py
@@ -0,0 +1,197 @@
+"""Proofs for guards of records, jobs and edges: each test takes one out, and the judge names its rule."""
+
+from typing import Any
+
+import pytest
+
+from tests.simproof import proof, settle
+from tests.simwork import Day, task
+from yarrowloom.job.state import Jobs
+from yarrowloom.node.edge import EdgeNode
+from yarrowloom.record.replica import Replica
+
+# -- ORDER
+
+
+def test_order_a_step_waits_for_those_it_depends_on() -> None:
+    def story() -> Day:
+        day = Day(seed=4006)
+        for _ in range(4):
+            day.job(task(n=4), task(n=2, depends_on=[0]))
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Jobs._units
+
+        def units(self: Jobs, *, jid: str, k: int) -> list[Any]:
+            effs = real(self, jid=jid, k=k)
+            return effs + [("ready", jid, f"{k}.{s}") for s, step in enumerate(self.jobs[jid]["steps"]) if step["deps"]]
+        p.setattr(Jobs, "_units", units)
+    proof(rule="ORDER", story=story, out=out)
+
+
+# -- BUDGET
+
+
+def test_budget_failed_runs_are_counted() -> None:
+    def story() -> Day:
+        day = Day(seed=4007, tries=2)
+        jids = [day.job(task(n=3)), day.job(task(n=3, gang=True))]
+        day.world.doomed |= set(jids)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Jobs._end
+        p.setattr(Jobs, "_end", lambda self, ev: real(self, {**ev, "mt": 99}))
+    proof(rule="BUDGET", story=story, out=out)
+
+
+# -- UNASKED
+
+
+def test_unasked_progress_is_kept_apart_by_task() -> None:
+    def story() -> Day:
+        day = Day(seed=4009, minions=6, work=12.0)
+        for _ in range(3):
+            day.job(task(n=4, checkpoints=True))
+        day.sim.run(seconds=3.5)
+        day.judge.trouble(seconds=3.0)
+        for m in day.fleet[:3]:
+            m.drain()
+        settle(day=day, seconds=25.0)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Jobs._end
+
+        def end(self: Jobs, ev: dict[str, Any]) -> list[Any]:
+            effs = real(self, ev)
+            unit = self.jobs.get(ev["id"], {}).get("u", {}).get(ev["u"])
+            if unit is not None and ev["v"]:
+                unit["v"] = [ev["v"]] * len(unit["v"])
+            return effs
+        p.setattr(Jobs, "_end", end)
+    proof(rule="UNASKED", story=story, out=out)
+
+
+# -- REFUSED
+
+
+def test_refused_a_call_that_was_passed_on_is_not_refused() -> None:
+    def story() -> Day:
+        day = Day(seed=4010)
+        day.judge.trouble(seconds=9.0)
+        for ip in day.sim.core_ips:
+            day.sim.cut(a=ip, b=day.sim.edge_ips[0], one_way=True)
+        for _ in range(4):
+            day.job(task())
+        day.sim.at(delay=4.0, fn=day.sim.heal)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = EdgeNode.called
+
+        def called(self: EdgeNode, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
+            real(self, done=done, status=status, doc=doc, sent=False)
+        p.setattr(EdgeNode, "called", called)
+    proof(rule="REFUSED", story=story, out=out)
+
+
+# -- MIXED
+
+
+def test_mixed_only_done_ends_complete_a_job() -> None:
+    def story() -> Day:
+        day = Day(seed=4011, work=10.0)
+        day.job(task(n=4))
+        day.sim.run(seconds=0.5)
+        day.judge.trouble(seconds=4.0)
+        for m in day.fleet[:4]:
+            m.drain()
+        settle(day=day, seconds=25.0)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Jobs._end
+        p.setattr(Jobs, "_end", lambda self, ev: real(self, {**ev, "how": "done"}))
+    proof(rule="MIXED", story=story, out=out)
+
+
+def test_mixed_a_step_is_finished_only_when_no_task_is_left() -> None:
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Jobs._finished
+
+        def finished(self: Jobs, *, jid: str, key: str) -> list[Any]:
+            job = self.jobs[jid]
+            for unit in job["u"].values():
+                unit["left"] = 0
+            return real(self, jid=jid, key=key)
+        p.setattr(Jobs, "_finished", finished)
+
+    def story() -> Day:
+        day = Day(seed=4012)
+        for _ in range(4):
+            day.job(task(n=2), task(n=4, weight=4))
+        settle(day=day)
+        return day
+    proof(rule="MIXED", story=story, out=out)
+
+
+# -- LOST
+
+
+def test_lost_a_job_is_acknowledged_only_when_it_is_on_both_disks() -> None:
+    def story() -> Day:
+        day = Day(seed=4013, work=2.0)
+        day.judge.trouble(seconds=9.0)
+        for _ in range(20):
+            day.job(task(n=1))
+            day.sim.run(seconds=0.004)
+        for ip in day.sim.core_ips:
+            day.sim.kill(ip=ip, power=True)
+            day.sim.boot(ip=ip)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Replica.commit
+
+        def commit(self: Replica, *, ev: dict[str, Any], then: tuple[Any, ...] | None = None) -> Any:
+            if then is not None and then[0] == "reply":
+                self.hub.effect(eff=then)
+                then = None
+            return real(self, ev=ev, then=then)
+        p.setattr(Replica, "commit", commit)
+    proof(rule="LOST", story=story, out=out)
+
+
+def losses() -> Day:
+    """A crash, a drain and a hold that ends, under gangs and single tasks that have one try each."""
+    day = Day(seed=4014, work=6.0, minions=6, tries=1)
+    day.judge.trouble(seconds=30.0)
+    for i in range(4):
+        day.job(task(n=4, cpus=2500, gang=True), queue="slow")
+        day.job(task(n=5), queue="slow")
+        day.sim.run(seconds=0.6)
+        if i == 1:
+            day.fleet[0].crash()
+        if i == 2:
+            day.fleet[1].drain()
+        if i == 3:
+            day.fleet[2].mute = day.fleet[2].hold + 0.1     # it hears nothing until its hold is over
+    settle(day=day)
+    return day
+
+
+def test_lost_only_failures_fail_a_job() -> None:
+    real = Jobs._end
+    assert losses().judge.broken == []
+    for how in ("lost", "lapsed", "void", "stopped", "broken"):
+        def end(self: Jobs, ev: dict[str, Any], how: str = how) -> list[Any]:
+            return real(self, {**ev, "how": "failed"} if ev["how"] == how else ev)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Jobs, "_end", end)
+            assert "LOST" in losses().judge.rules(), how
--- /dev/null
+++ b/tests/test_mutants_agent.py
@@ -0,0 +1,188 @@
+"""Proofs for guards of the agent: each test takes one out of the code, and the judge names its rule."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.simproof import proof, settle, stream
+from tests.simwork import Day, task
+from yarrowloom.agent import agent as agent_mod
+from yarrowloom.agent import answer as answer_mod
+from yarrowloom.agent.agent import Agent
+from yarrowloom.agent.minion import Minion
+from yarrowloom.node.core import CoreNode
+
+# -- LIMIT
+
+
+def test_limit_leases_count_against_room() -> None:
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(Minion, "free", lambda self: self.cap)
+    proof(rule="LIMIT", story=lambda: stream(day=Day(seed=4001, minions=4, work=1.0)), out=out)
+
+
+def test_limit_a_stopped_run_counts_until_its_end_is_listed() -> None:
+    def story() -> Day:
+        day = Day(seed=4002, minions=2, work=5.0)
+        for _ in range(12):
+            day.job(task(n=4, cpus=2000))
+            day.sim.run(seconds=0.3)
+            for jid in day.jids[::2]:
+                if jid not in day.judge.asked:
+                    day.client.drop(jid=jid)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Agent.stop
+
+        def stop(self: Agent, *, b: dict[str, Any]) -> None:
+            real(self, b=b)
+            for mid, one, run in b["x"]:
+                m = self.minions.get(mid)
+                r = m.runs.get(one) if m is not None else None
+                if m is not None and r is not None and r.run == run:
+                    m.leases.pop(r.lid, None)
+        p.setattr(Agent, "stop", stop)
+    proof(rule="LIMIT", story=story, out=out)
+
+
+# -- TWICE
+
+
+def test_twice_a_minion_is_lost_only_after_its_longest_hold() -> None:
+    def story() -> Day:
+        day = Day(seed=4003, minions=4, work=6.0)
+        day.job(task(n=8))
+        day.sim.run(seconds=1.0)
+        day.judge.trouble(seconds=3.0)
+        for m in day.fleet[:2]:
+            m.mute = day.sim.now + 3.0
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(agent_mod, "CLOCK", 0.3)
+    proof(rule="TWICE", story=story, out=out)
+
+
+def test_twice_an_end_is_noted_only_once_its_group_has_it() -> None:
+    def story() -> Day:
+        day = Day(seed=4004, minions=6)
+        day.sim.loss = 0.05
+        day.judge.trouble(seconds=60.0)
+        return stream(day=day)
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        def note(self: Minion) -> None:
+            self.seen = max([self.seen, *self.ends])
+            self.ends.clear()
+        p.setattr(Minion, "note", note)
+    proof(rule="TWICE", story=story, out=out)
+
+
+def test_twice_an_agent_acts_only_while_it_has_the_chiefs_word() -> None:
+    def story() -> Day:
+        day = Day(seed=4005, minions=9, work=20.0, cores=5)
+        day.job(task(n=36))
+        day.sim.run(seconds=2.0)
+        day.judge.trouble(seconds=40.0)
+        cut = next(ip for ip in day.sim.core_ips if day.sim.core(ip).agent.minions
+                   and not any(ip in day.sim.serving(g=g) for g in (0, 1)))
+        for ip in day.sim.core_ips:
+            if ip != cut:
+                day.sim.cut(a=cut, b=ip)
+        day.sim.at(delay=12.0, fn=day.sim.heal)
+        settle(day=day, seconds=40.0)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(CoreNode, "trusted", lambda self: True)
+    proof(rule="TWICE", story=story, out=out)
+
+
+# -- UNASKED
+
+
+def cancelled(*, seed: int) -> Day:
+    day = Day(seed=seed, work=30.0)
+    for i in range(4):
+        day.job(task(n=3, long_running=i == 0))
+    day.sim.run(seconds=2.0)
+    for jid in day.jids:
+        day.client.drop(jid=jid)
+    settle(day=day)
+    return day
+
+
+def test_unasked_what_is_cancelled_is_stopped() -> None:
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(Agent, "stop", lambda self, b: None)
+    proof(rule="UNASKED", story=lambda: cancelled(seed=4008), out=out)
+
+
+# -- DRAIN, EVAC
+
+
+def test_drain_nothing_starts_on_a_minion_that_leaves() -> None:
+    def story() -> Day:
+        day = Day(seed=4015, minions=3, work=1.0)
+        day.judge.trouble(seconds=9.0)
+        day.fleet[0].drain()
+        return stream(day=day)
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Minion.take
+
+        def take(self: Minion, *, doc: dict[str, Any], now: float) -> None:
+            real(self, doc=doc, now=now)
+            self.draining = False
+        p.setattr(Minion, "take", take)
+    proof(rule="DRAIN", story=story, out=out)
+
+
+def test_evac_nothing_starts_in_an_evacuated_zone() -> None:
+    def story() -> Day:
+        day = Day(seed=4016, work=1.0)
+        day.evacuate(site="z0", on=True)
+        return stream(day=day, seconds=8.0)
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(CoreNode, "evacuated", lambda self, site: False)
+    proof(rule="EVAC", story=story, out=out)
+
+
+# -- GANG
+
+
+def test_gang_an_order_that_did_not_arrive_goes_out_once_more() -> None:
+    """An answer that comes too late is dropped by the minion with the start that it carries."""
+    def story() -> Day:
+        day = Day(seed=4017)
+        drop_answers(day=day)
+        for _ in range(6):
+            day.job(task(n=4, cpus=3000, gang=True))
+            day.sim.run(seconds=0.5)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = answer_mod.settle
+        p.setattr(agent_mod, "settle", lambda agent, m, beat: real(agent=agent, m=m, beat=False))
+    proof(rule="GANG", story=story, out=out)
+
+
+def drop_answers(*, day: Day) -> None:
+    """Every fifth answer that brings a start comes to nothing."""
+    count = [0]
+    for m in day.fleet:
+        real = m.answer
+
+        def answer(*, doc: dict[str, Any], sent: float, real: Callable[..., None] = real, m: Any = m) -> None:
+            count[0] += bool(doc.get("started"))
+            if doc.get("started") and count[0] % 5 == 0:
+                m.miss()
+            else:
+                real(doc=doc, sent=sent)
+        m.answer = answer  # type: ignore[method-assign]
