--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -97,3 +97,17 @@
             day.evacuate(site="z1", on=False)
         day.sim.run(seconds=0.3)
     day.finish()
+
+
+def test_a_gang_goes_on_from_one_checkpoint_of_any_member() -> None:
+    day = Day(seed=1010, minions=9, work=12.0)
+    for _ in range(2):
+        day.job(task(n=4, cpus=3000, gang=True, checkpoints=True))
+    day.sim.run(seconds=5.0)
+    day.judge.trouble(seconds=3.0)
+    busy = [m for m in day.fleet if m.running]
+    busy[0].drain()
+    busy[-1].crash()
+    day.finish()
+    assert sum(bool(saved) for saved in day.judge.brought.values()) >= 1
+    assert day.judge.ends["broken"] >= 3
