--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -15,6 +15,7 @@
 from yarrowloom.wire.http import Request, Response
 
 PORTS = (7000, 7015)
+BUSY = 20_000         # no cluster of the tests' size has so many events in 10 ms
 BOUNDS = {"max-hold-ms": 6000.0, "stop-grace-ms": 400.0, "spread-factor": 2.0, "status_s": 120.0, "grace-s": 6.0}
 
 
@@ -79,8 +80,11 @@
 
     def run(self, *, seconds: float) -> None:
         end = self.now + seconds
+        mark, count = self.now, 0
         while self.heap and self.heap[0][0] <= end:
             self.now, _, fn = heapq.heappop(self.heap)
+            mark, count = (mark, count + 1) if self.now < mark + 0.01 else (self.now, 0)
+            assert count < BUSY, f"{count} events in 10 ms at {self.now:.4f}: something goes round without end"
             fn()
         self.now = end
 
