--- a/tests/simrules.py
+++ b/tests/simrules.py
@@ -15,6 +15,7 @@
 STARVE_S = 3.0
 NEAR_S = 8.0          # trouble is near for this long: the contact time and a gang's wait
 LOOK_S = 0.2
+ENDS = ("complete", "failed", "cancelled")
 
 
 def owner(*, task: str, step: dict[str, Any]) -> str:
@@ -46,6 +47,7 @@
         self.brought: dict[tuple[str, int], str] = {}
         self.asked: set[str] = set()                    # jobs whose cancelling was sent
         self.shows: dict[str, str] = {}
+        self.over: dict[str, float] = {}                # when a job was first shown as ended
         self.starved: dict[str, float] = {}             # since when a job has nothing running though it could
         self.begun: dict[str, str] = {}                 # the first start of each job
         self.overran: set[str] = set()                  # cancelled jobs that ran on
@@ -162,17 +164,20 @@
 
     # -- what callers see
 
-    def shown(self, *, jid: str, status: int, state: str) -> None:
-        """An answer on a job's state."""
+    def shown(self, *, jid: str, status: int, state: str, sent: float) -> None:
+        """An answer on a job's state, asked for at `sent`. Answers to calls that overlap may come in any order."""
         now = self.sim.now
         if status == 410 and jid in self.accepted and now > self.accepted[jid] + VISIBLE_S:
             self.breach(rule="LOST", what=f"{jid} is not known at {now:.2f}")
         if status != 200:
             return
-        was = self.shows.get(jid, state)
-        if was in ("complete", "failed", "cancelled") and state != was:
-            self.breach(rule="LOST", what=f"{jid} was {was}, now {state} at {now:.2f}")
-        self.shows[jid] = state
+        was, at = self.shows.get(jid, state), self.over.get(jid, now)
+        if was in ENDS and state != was and sent >= at:
+            self.breach(rule="LOST", what=f"{jid} was {was} at {at:.2f}, now {state} at {now:.2f}")
+        if self.shows.get(jid) not in ENDS:
+            self.shows[jid] = state
+        if state in ENDS:
+            self.over.setdefault(jid, now)
         if state == "complete":
             left = self.left(jid=jid)
             if left:
--- a/tests/simwork.py
+++ b/tests/simwork.py
@@ -7,7 +7,7 @@
 
 from tests.simfleet import HOST, SLOW, SimCaller, SimMinion, config
 from tests.simnet import Sim
-from tests.simrules import Judge, owner
+from tests.simrules import ENDS, Judge, owner
 from yarrowloom.wire.http import Response
 
 GANG_WAIT_S = 4.0
@@ -221,9 +221,11 @@
 
     def poll(self, *, jid: str) -> None:
         """Ask for a job's state."""
+        sent = self.sim.now
+
         def back(res: Response) -> None:
             state = orjson.loads(res.body)["state"] if res.status == 200 else ""
-            self.judge.shown(jid=jid, status=res.status, state=state)
+            self.judge.shown(jid=jid, status=res.status, state=state, sent=sent)
         self._call(method="GET", jid=jid, back=back)
 
     def drop(self, *, jid: str, left: int = 5) -> None:
@@ -334,12 +336,11 @@
         """All accepted jobs end as they should, and no rule is broken."""
         judge, sim = self.judge, self.sim
         end = sim.now + limit
-        ends = ("complete", "failed", "cancelled")
 
         sim.until(cond=lambda: all(j in judge.accepted or j in judge.refused for j in self.jids), limit=8.0)
 
         def left() -> list[str]:
-            return [j for j in self.jids if j in judge.accepted and judge.shows.get(j) not in ends]
+            return [j for j in self.jids if j in judge.accepted and judge.shows.get(j) not in ENDS]
         while left() and sim.now < end and not judge.broken:
             for jid in left():
                 self.client.poll(jid=jid)
