--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -38,7 +38,8 @@
     jobs = Jobs()
     jobs.apply({"t": "job", "id": "a", "j": job(stages=[{"task-count": 2, "gang": True}])})
     jobs.apply({"t": "start", "id": "a", "u": "0.0", "x": [[0, 1, "m"], [1, 1, "n"]]})
-    assert jobs.apply(end(run=1, how="failed", i=0)) == []
+    # The others are stopped at once: one whose order is still on its way would start and wait alone.
+    assert jobs.apply(end(run=1, how="failed", i=0)) == [("stop", "n", "a.0.0.1", 1)]
     assert jobs.apply(end(run=1, how="failed", i=1)) == [("ready", "a", "0.0")]
     assert jobs.jobs["a"]["u"]["0.0"]["f"][0] == 1
 
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.simproof import proof, settle
-from tests.simwork import Day, task
+from tests.simwork import Day, Worker, task
 from yarrowloom.job.state import Jobs
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.record.replica import Replica
@@ -168,8 +168,14 @@
     proof(rule="LOST", story=story, out=out)
 
 
-def losses() -> Day:
-    """A crash, a drain and a hold that ends, under gangs and single tasks that have one try each."""
+def busiest(*, day: Day) -> Worker:
+    """The minion that runs the most, of those in good order."""
+    return max((m for m in day.fleet if m.up and m.state == "ready"), key=lambda m: (len(m.running), m.mid))
+
+
+def losses(*, astray: bool) -> Day:
+    """A crash, a drain, a hold that ends and, if `astray`, orders that never arrive, under gangs and single
+    tasks that have one try each."""
     day = Day(seed=4014, work=6.0, minions=10, tries=1)
     day.judge.trouble(seconds=30.0)
     for i in range(4):
@@ -177,21 +183,27 @@
         day.job(task(n=5), queue="slow")
         day.sim.run(seconds=0.6)
         if i == 1:
-            day.fleet[0].crash()
+            busiest(day=day).crash()
         if i == 2:
-            day.fleet[1].drain()
+            busiest(day=day).drain()
+            day.sim.loss = 0.25 if astray else 0.0
+            for _ in range(12 if astray else 0):
+                day.job(task(n=5), queue="slow")
+                day.sim.run(seconds=0.05)
+            day.sim.loss = 0.0
         if i == 3:
-            day.fleet[2].mute = day.fleet[2].hold + 0.1     # it hears nothing until its hold is over
+            hit = busiest(day=day)
+            hit.mute = hit.hold + 0.1     # it hears nothing until its hold is over
     settle(day=day)
     return day
 
 
 def test_lost_only_failures_fail_a_job() -> None:
     real = Jobs._end
-    assert losses().judge.broken == []
+    assert losses(astray=False).judge.broken == [] and losses(astray=True).judge.broken == []
     for how in ("lost", "lapsed", "void", "stopped", "broken"):
         def end(self: Jobs, ev: dict[str, Any], how: str = how) -> list[Any]:
             return real(self, {**ev, "how": "failed"} if ev["how"] == how else ev)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(Jobs, "_end", end)
-            assert "LOST" in losses().judge.rules(), how
+            assert "LOST" in losses(astray=how == "void").judge.rules(), how
--- a/tests/test_mutants_agent.py
+++ b/tests/test_mutants_agent.py
@@ -9,6 +9,7 @@
 from tests.simwork import Day, task
 from yarrowloom.agent import agent as agent_mod
 from yarrowloom.agent import answer as answer_mod
+from yarrowloom.agent import care as care_mod
 from yarrowloom.agent.agent import Agent
 from yarrowloom.agent.minion import Minion
 from yarrowloom.node.core import CoreNode
@@ -43,7 +44,8 @@
                 m = self.minions.get(mid)
                 r = m.runs.get(one) if m is not None else None
                 if m is not None and r is not None and r.run == run:
-                    m.leases.pop(r.lid, None)
+                    m.reclaim(lid=r.lid)
+                    self.share.stale.add(mid)       # the placing node is told of the room too
         p.setattr(Agent, "stop", stop)
     proof(rule="LIMIT", story=story, out=out)
 
@@ -63,7 +65,7 @@
         return day
 
     def out(p: pytest.MonkeyPatch) -> None:
-        p.setattr(agent_mod, "CLOCK", 0.3)
+        p.setattr(care_mod, "CLOCK", 0.3)
     proof(rule="TWICE", story=story, out=out)
 
 
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -300,7 +300,7 @@
             touched.add(mid)
         if nak:
             self.hub.send(uid=uid, kind=Kind.NAK, body={"g": b["g"], "n": b["n"], "x": nak})
-        for mid in touched:
+        for mid in sorted(touched):
             m = self.minions[mid]
             if m.call is not None:
                 answer(agent=self, m=m)
--- a/yarrowloom/job/state.py
+++ b/yarrowloom/job/state.py
@@ -232,7 +232,7 @@
                     out += self._halt(jid=jid, st=State.FAILED, at=ev.get("at", 0))
                 elif not step["gang"] or RUN not in unit["s"]:
                     out.append(("ready", jid, key))
-                elif step["gang"] and ev["how"] in ("lost", "void"):
+                elif step["gang"]:      # also those whose order is still on its way: they would wait alone
                     out += [("stop", unit["m"][j], task_name(jid=jid, unit=key, idx=j), unit["r"][j])
                             for j, s in enumerate(unit["s"]) if s == RUN]
         self._slim(job=job)
--- a/yarrowloom/place/cycle.py
+++ b/yarrowloom/place/cycle.py
@@ -29,7 +29,8 @@
     there: dict[str, int] = field(default_factory=dict)   # members that run, by minion
     shun: tuple[str, ...] = ()           # labels left to work of an earlier rank
     off: frozenset[str] = frozenset()    # minions nominated for other groups
-    sore: frozenset[str] = frozenset()   # minions on which a member failed: only where no other has room
+    sore: frozenset[str] = frozenset()   # minions on which a member failed: only where no other has room,
+    bar: bool = False                    # or not at all yet
     now: float = 0.0
     rank: int = 0
     upper_s: float = 0.0                 # how long a member runs at most, as learned; warm room serves what ends in it
@@ -140,7 +141,8 @@
                 put_off.append(spot)
             else:
                 yield spot
-    yield from put_off
+    if not ask.bar:
+        yield from put_off
 
 
 def _fill(*, snap: Snapshot, ask: Ask, spots: Iterator[Spot]) -> Decision:
@@ -172,7 +174,7 @@
             continue
         snap = Snapshot(room=room)
         order = sorted(spots, key=lambda s: (s.mid in ask.sore, s.free.gpu, s.free.cpu, s.mid))
-        got = _fill(snap=snap, ask=ask, spots=iter(order))
+        got = _fill(snap=snap, ask=ask, spots=(s for s in order if not (ask.bar and s.mid in ask.sore)))
         most = max(most, got.fit)
         left = sum(max(snap.free(spot=s).gpu, 0) for s in spots), sum(max(snap.free(spot=s).cpu, 0) for s in spots)
         if got.feasible and (best is None or (*left, name) < best[0]):
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -134,9 +134,10 @@
     def enter(self, *, jid: str, key: str) -> None:
         """A group has a member to start: both are known now."""
         group = self.backlog.groups.get((jid, key))
-        now = self.hub.now
+        now, job = self.hub.now, self.jobs.jobs[jid]
+        if job["st"] in ENDED or "u" not in job:
+            return
         if group is None:
-            job = self.jobs.jobs[jid]
             step = job["steps"][int(key.split(".")[1])]
             prio, late_at = self.prio(jid=jid, key=key, seen=now)
             group = Group(jid=jid, key=key, svc=self.service(job=job), size=Size(step["cpu"], step["mem"], step["gpu"]),
@@ -296,7 +297,9 @@
             return
         if how == "done":
             self.room.worked(mid=mid)
-        elif how == "failed" and not any(unit["f"]) and self.room.failed(mid=mid, jid=parts[0], now=self.hub.now):
+        elif how == "failed" and (group := self.backlog.groups.get((parts[0], parts[1]))) is not None:
+            group.sore.add(mid)
+        if how == "failed" and not any(unit["f"]) and self.room.failed(mid=mid, jid=parts[0], now=self.hub.now):
             self.hub.note(event="minion-shy", minion=mid, streak=self.room.spots[mid].streak)
 
     def lost(self, *, uid: str, b: dict[str, Any]) -> None:
--- a/yarrowloom/place/group.py
+++ b/yarrowloom/place/group.py
@@ -56,6 +56,7 @@
     why: str = ""                  # of its last failed cycle
     seen: float = 0.0
     load: int = 0                  # members counted in the queue's load
+    sore: set[str] = field(default_factory=set)      # minions on which a member failed
     never: bool = False            # no minions known could hold it, were they empty: it is nobody's wait
 
     @property
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -27,6 +27,7 @@
 TELL_S = 60.0
 BLOCK_S = 0.1         # work that has waited this long keeps what comes after it off its room
 BLOCK_MOST_S = 8.0    # if it finds no room even so long, it stops holding others back
+BAR_S = 4.0           # a group keeps off minions on which a member failed at least this long
 SILENT_S = 1.5        # rows of room from an agent silent this long no longer count
 
 
@@ -180,11 +181,11 @@
         shun = tuple(sorted(req for req, top in walk.top.items() if req and top < group.rank))
         off = self.nominator.off(group=group)
         there = self._there(group=group) if group.apart else {}
-        sore = frozenset(unit["m"][i] for i in members if unit["f"][i]) - {""} if any(unit["f"]) else frozenset()
+        sore = frozenset(group.sore)
         ask = Ask(svc=group.svc, size=group.size, members=members if group.gang else members[:BATCH],
                   need=len(members) if group.gang else 1, req=group.req, near=group.near, strict=strict,
                   tight=group.gang and group.tight, apart=group.apart, there=there, shun=shun, off=off, sore=sore,
-                  now=self.hub.now, rank=group.rank)
+                  bar=bool(sore) and self.hub.now - group.since < BAR_S, now=self.hub.now, rank=group.rank)
         if self.warmer.kept and not group.gang:
             job = self.jobs.jobs[group.jid]
             step = job["steps"][int(group.key.split(".")[1])]
--- a/yarrowloom/place/preempt.py
+++ b/yarrowloom/place/preempt.py
@@ -123,9 +123,9 @@
             self.rest[unit] = now + NOMINATE_MOST_S / 2
 
     def sweep(self, *, now: float) -> None:
-        """Drop what lasted too long."""
+        """Drop what lasted too long, or names a minion that is gone or takes nothing."""
         for unit, nom in list(self.by.items()):
-            if now > nom.until:
+            if now > nom.until or any((s := self.room.spots.get(mid)) is None or not s.open for mid in nom.mids):
                 self.drop(unit=unit, now=now)
         if len(self.rest) > 1000:
             self.rest.clear()
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -111,6 +111,9 @@
             rep.rest = hub.now + 0.2 * (1 + hub.jitter())
             return
         self.asked = want
+        if self.copies:
+            hub.note(event="campaign-goes-on", group=rep.g, round=self.copies, asked=",".join(want),
+                     have=",".join(self.have))
         self.patience = min(COPY_S * 2 ** self.copies, COPY_MOST_S) * (1 + hub.jitter() / 2)
         self.copies += 1
         self._go(Phase.COPY)
@@ -151,6 +154,8 @@
         self._go(Phase.PREPARE)
         self.patience = min(VOTE_S * (1 + self.votes / 2), VOTE_MOST_S) * (1 + self.rep.hub.jitter())
         self.votes += 1
+        if self.votes > 2:
+            self.rep.hub.note(event="campaign-votes-again", group=self.rep.g, round=self.votes, witnesses=",".join(e["w"]))
         self.round += 1
         self.best = None
         self.ballot = [self.round, self.rep.hub.uid]
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -68,6 +68,9 @@
     def jitter(self) -> float:
         """0 to 1."""
 
+    def note(self, *, event: str, **fields: object) -> None:
+        """Log."""
+
     def installed(self, *, g: int, epoch: Epoch) -> None:
         """A newer epoch is decided."""
 
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -259,6 +259,7 @@
     def take(self, *, why: str, avoid: list[str] | None = None) -> None:
         """Campaign to be the primary of the next epoch."""
         assert self.wit.seen is not None
+        self.hub.note(event="campaign", group=self.g, why=why, after=self.wit.seen["n"])
         self._become(Role.TAKING)
         self.camp = Campaign(rep=self, why=why, avoid=set(avoid or ()), first=self.wit.seen["b"])
         self.camp.tick()
