--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -1,15 +1,16 @@
 """The command line: one program, the role is the subcommand."""
 
+import inspect
 import sys
 
 from .base.errs import YarrowError
 
+EXITS = """Exit codes: 0 done, 1 something was lost, 2 flags that cannot be read, 64 wrong use, unreachable target, port
+in use or missing dependency, 70 internal, 74 disk unusable, 78 settings or experiment unusable, 130 interrupted."""
 
-class Commands:
-    """yarrowloom: a cluster scheduler for jobs.
 
-    Exit codes: 0 done, 64 wrong use or unreachable target, 70 internal, 74 disk unusable, 78 settings unusable.
-    """
+class Commands:
+    """yarrowloom: a cluster scheduler for jobs."""
 
     def edge(self, level: str = "info") -> None:
         """Serve callers; settings from the file named by YARROWLOOM_NODE_FILE."""
@@ -55,11 +56,47 @@
         trio.run(load.run)
         return " ".join(pair(key=k, val=v) for k, v in report(load=load).items())
 
+    def local(self, cores: int = 3, edges: int = 2, minions: int = 20, jobs: int = 100, seed: int = 1,
+              rate: float = 20.0, port: int = 0, keep: bool = False) -> None:
+        """Start a small cluster on loopback, run a mix of jobs to its end, clean up; exits 0 if nothing was lost."""
+        from .rig.local import lines, local
+        out, good = local(cores=cores, edges=edges, minions=minions, jobs=jobs, seed=seed, rate=rate, port=port,
+                          keep=keep)
+        print("\n".join(lines(out=out)))
+        sys.exit(0 if good else 1)
+
+
+def usage() -> str:
+    """Every subcommand with its flags.
+
+    >>> [row.split()[0] for row in usage().splitlines() if row.startswith("  ") and row[2] != " "][:2]
+    ['edge', 'core']
+    """
+    rows = [str(Commands.__doc__), "", "usage: yarrowloom.py COMMAND [ARGUMENTS] [--FLAG=VALUE ...]", ""]
+    for name, fn in vars(Commands).items():
+        if name.startswith("_"):
+            continue
+        words = [name]
+        for arg in list(inspect.signature(fn).parameters.values())[1:]:
+            must = arg.default is inspect.Parameter.empty
+            if arg.kind is inspect.Parameter.VAR_POSITIONAL:
+                words.append(f"{arg.name.upper()}...")
+            elif arg.kind is inspect.Parameter.KEYWORD_ONLY or not must:
+                flag = f"--{arg.name}=" + (arg.name.upper() if must else str(arg.default) or "''")
+                words.append(flag if must else f"[{flag}]")
+            else:
+                words.append(arg.name.upper())
+        rows += ["  " + " ".join(words), f"      {fn.__doc__}"]
+    return "\n".join([*rows, "", EXITS])
+
 
 def main() -> None:
     """Entry."""
     args = sys.argv[1:]
     try:
+        if not args or args[0] in ("-h", "--help", "help"):
+            print(usage())
+            return
         if args[:1] in (["edge"], ["core"]) and len(args) == 1:
             getattr(Commands(), args[0])()
             return
@@ -70,6 +107,12 @@
         for item in err.findings:
             print(f"  {item}", file=sys.stderr)
         sys.exit(err.exit_code)
+    except ModuleNotFoundError as err:
+        if str(err.name).startswith("yarrowloom"):
+            raise
+        file = "requirements-rig.txt" if args[:1] == ["experiment"] else "requirements.txt"
+        print(f"yarrowloom: missing dependency {err.name}: python3 -m pip install -r {file}", file=sys.stderr)
+        sys.exit(64)
     except BrokenPipeError:
         sys.stderr.close()
         sys.exit(0)
--- /dev/null
+++ b/yarrowloom/rig/judge.py
@@ -0,0 +1,96 @@
+"""Judges starts and ends as minions see them, by the rules on jobs that need no clock."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from .hollow import Hollow, mark, unit_of
+
+NEVER = ("lost", "")
+
+
+@dataclass(kw_only=True)
+class Told:
+    """What callers know of a job. Invariant: `accepted` or `refused` only after an answer."""
+
+    doc: dict[str, Any]
+    tries: int
+    accepted: bool = False
+    refused: bool = False
+
+
+@dataclass(kw_only=True)
+class Judge:
+    """Each entry of `broken` begins with a rule's name. Invariant: `alive` lists the runs on minions that are up."""
+
+    jobs: dict[str, Told] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+    alive: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
+    noted: set[str] = field(default_factory=set)
+    done: set[str] = field(default_factory=set)
+    failed: dict[str, int] = field(default_factory=dict)
+    starts: int = 0
+    ends: dict[str, int] = field(default_factory=dict)
+
+    def sent(self, *, jid: str, doc: dict[str, Any], tries: int) -> None:
+        """A caller is about to hand a job in."""
+        self.jobs.setdefault(jid, Told(doc=doc, tries=tries))
+
+    def started(self, *, m: Hollow, task: str, run: int, spec: str, saved: str) -> None:
+        """A task began."""
+        self.starts += 1
+        jid, k, s, _ = task.split(".")
+        told = self.jobs.get(jid)
+        if told is None or spec != told.doc["task-spec"]:
+            self.broken.append(f"UNASKED {task}")
+            return
+        if told.refused and not told.accepted:
+            self.broken.append(f"REFUSED {task}")
+        stages = told.doc["stages"]
+        row = stages[int(s)]
+        if saved and saved[8:] != mark(name=unit_of(task=task) if row.get("gang") else task):
+            self.broken.append(f"UNASKED {task} with the progress of another")
+        if self.alive.get(task):
+            self.broken.append(f"TWICE {task} run {run} on {m.mid}, also {self.alive[task]}")
+        if task in self.noted and not row.get("long-running"):
+            self.broken.append(f"TWICE {task} run {run} after its end was noted")
+        if self.failed.get(task, 0) >= told.tries:
+            self.broken.append(f"BUDGET {task}")
+        for d in row.get("depends-on", []):
+            ends = [f"{jid}.{k}.{d}.{i}" in self.done for i in range(stages[d]["task-count"])]
+            if not (any(ends) if stages[d].get("gang") else all(ends)):
+                self.broken.append(f"ORDER {task}")
+        if row.get("requires") and row["requires"] not in m.labels:
+            self.broken.append(f"ROUTE {task}")
+        apart = row.get("anti-affinity", 0)
+        if apart and sum(unit_of(task=t) == unit_of(task=task) for t in m.running) >= apart:
+            self.broken.append(f"ROUTE {task} apart")
+        self._limit(m=m, task=task)
+        self.alive.setdefault(task, []).append((m.mid, run))
+
+    def _limit(self, *, m: Hollow, task: str) -> None:
+        used = [0, 0, 0]
+        for other in {*m.running, task}:
+            jid, _, s, _ = other.split(".")
+            if jid in self.jobs:
+                row = self.jobs[jid].doc["stages"][int(s)]
+                used = [u + row.get(k, 0) for u, k in zip(used, ("cpus", "mem-mb", "gpus"), strict=True)]
+        if any(u > c for u, c in zip(used, m.cap, strict=True)):
+            self.broken.append(f"LIMIT {m.mid} {used} over {m.cap}")
+
+    def ended(self, *, m: Hollow, task: str, run: int, how: str) -> None:
+        """A run is over."""
+        rows = self.alive.get(task, [])
+        if (m.mid, run) in rows:
+            rows.remove((m.mid, run))
+            if not rows:
+                del self.alive[task]
+        self.ends[how] = self.ends.get(how, 0) + 1
+        if how == "done":
+            self.done.add(task)
+
+    def note(self, *, task: str, how: str) -> None:
+        """An end was taken note of."""
+        if how == "done":
+            self.noted.add(task)
+        elif how == "failed":
+            self.failed[task] = self.failed.get(task, 0) + 1
