--- /dev/null
+++ b/tests/test_lone.py
@@ -0,0 +1,24 @@
+"""A core node without another: its disk may hang, and there is nobody to yield to."""
+
+from typing import Any
+
+import pytest
+
+from tests.simfleet import cluster
+from tests.simnet import Proc
+from yarrowloom.wire.frame import Kind
+
+
+def test_hanging_disk_of_a_lone_core_sends_nothing_to_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, oracle, caller, _ = cluster(seed=1, cores=1, sites=1)
+    whole = sim._send
+
+    def send(ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
+        assert dst, f"a {kind.name} to nobody"
+        whole(ip, proc, dst, kind, body)
+    monkeypatch.setattr(sim, "_send", send)
+    task: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
+    sim.stalls[sim.core_ips[0]] = sim.now + 3.0
+    jid = caller.submit(stages=[task])
+    sim.run(seconds=20.0)
+    assert caller.state(jid=jid) == (200, "complete") and oracle.broken == []
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -194,7 +194,8 @@
             age = now - self.fly["t0"]
             if age > SUSPECT_S and not self.fly["near"]:
                 self.until = 0.0
-                self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
+                if e["b"]:
+                    self.hub.send(uid=e["b"], kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
                 self._become(Role.LAPSED)
                 self.rest = now + REST_S
                 return
