--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -65,6 +65,20 @@
         print("\n".join(lines(out=out)))
         sys.exit(0 if good else 1)
 
+    def experiment(self, path: str, out: str = "target/experiments") -> None:
+        """Run the experiment that a file (TOML) describes; the report and its raw figures go to a folder of OUT."""
+        from .rig.experiment import experiment
+        from .rig.local import lines
+        figs, good = experiment(path=str(path), out=str(out))
+        print("\n".join(lines(out=figs)))
+        sys.exit(0 if good else 1)
+
+    def slopes(self, *runs: str, reps: int = 5, out: str = "") -> None:
+        """Measure on this machine what a beat, a start, a change, a checkpoint and a job cost; all runs, or some."""
+        from .rig.local import lines
+        from .rig.slopes import slopes
+        print("\n".join(lines(out=slopes(reps=reps, out=str(out), only=tuple(map(str, runs))))))
+
 
 def usage() -> str:
     """Every subcommand with its flags.
--- a/yarrowloom/load/run.py
+++ b/yarrowloom/load/run.py
@@ -36,6 +36,7 @@
     rate: float = 5.0
     seed: int = 1
     wait_s: float = 60.0
+    poll_s: float = POLL_S
     accept_ms: list[float] = field(default_factory=list)
     done_ms: list[float] = field(default_factory=list)
     refused: int = 0
@@ -103,7 +104,7 @@
                 self.failed += state != "complete"
                 self.done_ms.append((trio.current_time() - begun) * 1000)
                 return
-            await trio.sleep(POLL_S)
+            await trio.sleep(self.poll_s)
         self.lost.append(jid)
 
 
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -19,6 +19,7 @@
 from ..wire.peer import Peers
 from .core import CoreNode
 from .edge import EdgeNode
+from .tally import Tally
 
 TICK_CORE_S = 0.05
 TICK_EDGE_S = 0.1
@@ -40,6 +41,7 @@
         self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
         self.dirty = trio.Event()
         self.servers: list[Server] = []
+        self.tally = Tally()
 
     def step(self, fn: Callable[[], None]) -> None:
         """Give the node one input and carry out what it wants."""
@@ -50,6 +52,7 @@
         sends, out.sends = out.sends, []
         for addr, kind, body in sends:
             self.peers.send(addr=addr, kind=kind, body=body)
+            self.tally.sends(kind=kind, size=len(body))
         if out.writes:
             self.disk += out.writes
             out.writes = []
@@ -62,6 +65,7 @@
                 wait[0].set()
 
     def _frame(self, uid: str, _addr: str, kind: Kind, body: bytes) -> None:
+        self.tally.gets(kind=kind)
         try:
             self.step(partial(self.node.on, uid=uid, kind=kind, body=body))
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
@@ -72,6 +76,9 @@
 
     async def handle(self, req: Request) -> Response:
         """One HTTP call: wait for the node's answer."""
+        self.tally.call(method=req.method, path=req.path)
+        if req.path == "/tally" and isinstance(self.node, CoreNode):
+            return self.counts()
         self.call += 1
         key = self.call
         box: list[Response] = []
@@ -85,9 +92,16 @@
             del self.waits[key]
         return box[0] if box else Response(status=504)
 
+    def counts(self) -> Response:
+        """What this process has done."""
+        table = self.node.table
+        return Response.of(200, self.tally.doc(stamp=table.stamp if table is not None else 0))
+
     async def ready(self, req: Request) -> Response:
         """The platform's question."""
         node = self.node
+        if req.path == "/tally":
+            return self.counts()
         node.now = time.monotonic()
         good = req.path.startswith("/readiness") and isinstance(node, EdgeNode) and node.ready()
         return Response(status=200 if good else 503)
@@ -120,6 +134,7 @@
                     self.disk = batch + self.disk
                     await trio.sleep(0.2)
                     continue
+                self.tally.wrote(head=head, bodies=bodies)
                 self.step(partial(node.done, effs=[eff for _, eff in batch]))
 
     @staticmethod
--- a/yarrowloom/rig/callers.py
+++ b/yarrowloom/rig/callers.py
@@ -81,12 +81,12 @@
 
 
 def loads(*, addrs: list[str], jobs: int, rate: float, seed: int, judge: Judge, queues: tuple[Queue, ...] = QUEUES,
-          wait_s: float = 60.0, **more: Any) -> dict[str, HollowLoad]:
-    """One load a queue, by shares; jobs that the shares leave over go to the first."""
+          wait_s: float = 60.0, kind: type[HollowLoad] = HollowLoad, **more: Any) -> dict[str, HollowLoad]:
+    """One load a queue, by shares; jobs that the shares leave over go to the first that has one."""
     whole = sum(q.share for q in queues)
     count = {q.name: int(jobs * q.share / whole) for q in queues}
-    count[queues[0].name] += jobs - sum(count.values())
-    return {q.name: HollowLoad(addrs=tuple(addrs), host=HOST, prefix=q.prefix, jobs=count[q.name],
+    count[next(q.name for q in queues if q.share)] += jobs - sum(count.values())
+    return {q.name: kind(addrs=tuple(addrs), host=HOST, prefix=q.prefix, jobs=count[q.name],
                                rate=rate * count[q.name] / jobs, seed=seed * 1000 + i, judge=judge, tries=q.tries,
                                wait_s=wait_s, **more)
             for i, q in enumerate(queues) if count[q.name]}
--- /dev/null
+++ b/yarrowloom/rig/slopes.py
@@ -0,0 +1,319 @@
+"""What one more minion, start, job, route or byte costs each role on this machine; see docs/CAPACITY.md.
+
+Nodes are the real state machines on a virtual clock and network (bed.py); processor time is this process's.
+"""
+
+import gc
+import pathlib
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any, cast
+
+import orjson
+import trio
+import trio.testing
+
+from ..base.errs import UsageError
+from ..fleet.conf import Table
+from ..job import Jobs, parse
+from ..wire.frame import dump
+from ..wire.http import Request, Response, Server
+from .bed import Bed, Cost, Seat
+from .callers import QUEUES, HollowLoad, config
+from .fleet import Crew
+from .work import write
+
+Row = dict[str, float]
+
+# Which role an input of a core node belongs to; what is not named counts as `other`.
+ROLES = {"agent": ("PUT minions", "ATTACH", "LEASE", "RETURN", "ORDER", "STOP", "ENDSOK", "LOSTOK", "ROOMGET"),
+         "primary-placer": ("CALL", "CLAIM", "GRANT", "ENDS", "LOST", "NAK", "VERDICT", "LOGOK", "PONG", "ROOM"),
+         "backup": ("LOG", "PING"), "hearts": ("HEART", "HEARTOK", "NEWS"), "disk": ("disk",), "tick": ("tick",)}
+
+
+def role_of(kind: str) -> str:
+    """The role that takes a kind of input.
+
+    >>> role_of("ORDER"), role_of("SOMETHING")
+    ('agent', 'other')
+    """
+    return next((role for role, kinds in ROLES.items() if kind in kinds), "other")
+
+
+def total(*, seats: list[Seat], pick: Callable[[str], bool], sent: bool = False) -> Cost:
+    """The costs of some kinds over some nodes."""
+    out = Cost()
+    for seat in seats:
+        for kind, row in (seat.sent if sent else seat.inputs).items():
+            if pick(kind):
+                out.count, out.ns, out.size = out.count + row.count, out.ns + row.ns, out.size + row.size
+    return out
+
+
+def made(*, cores: int, edges: int, minions: int, seed: int, more: int = 0, gpu_every: int = 0, cpus: int = 16000
+         ) -> Bed:
+    """A configured bed whose minions are all known."""
+    bed = Bed(cores=cores, edges=edges, seed=seed)
+    bed.run(seconds=1.0)
+    bed.configure(doc=config(version=1, more=more))
+    bed.enrol(crew=Crew(count=minions, sites=bed.sites, gpu_every=gpu_every, gpus=8, racks=max(1, minions // 60),
+                        cap=(cpus, 32768, 0)), ramp_s=2.0)
+    if not bed.until(cond=lambda: all(m.fence for m in bed.minions), limit=60.0):
+        raise UsageError(text="not all minions were taken in")
+    bed.run(seconds=2.0)
+    return bed
+
+
+def beats(*, minions: int, seed: int, cores: int = 3, seconds: float = 5.0) -> Row:
+    """Minions that run nothing: what each costs a second."""
+    bed = made(cores=cores, edges=1, minions=minions, seed=seed)
+    seats = [bed.seats[ip] for ip in bed.core_ips]
+    for seat in bed.seats.values():
+        seat.reset()
+    before = bed.beats
+    bed.run(seconds=seconds)
+    each = minions * seconds
+    row = total(seats=seats, pick=lambda k: k == "PUT minions")
+    out = {"beats-a-minion-s": (bed.beats - before) / each, "beat-us": row.ns / 1e3 / max(row.count, 1),
+           "beat-bytes": row.size / max(row.count, 1)}
+    for role in (*ROLES, "other"):
+        got = total(seats=seats, pick=lambda k, role=role: role_of(k) == role)  # type: ignore[misc]
+        out[f"{role}-us-a-minion-s"] = got.ns / 1e3 / each
+    out["all-us-a-minion-s"] = total(seats=seats, pick=lambda _k: True).ns / 1e3 / each
+    for kind in ("ROOM", "HEART", "HEARTOK"):
+        sent = total(seats=seats, pick=lambda k, kind=kind: k == kind, sent=True)  # type: ignore[misc]
+        out[f"{kind.lower()}-bytes-a-minion-s"] = sent.size / each
+    out["sent-bytes-a-minion-s"] = total(seats=seats, pick=lambda _k: True, sent=True).size / each
+    return out
+
+
+def starts(*, minions: int, rate: float, seed: int, seconds: float = 10.0, cores: int = 3) -> Row:
+    """A mix of jobs at a rate: what a job and a task's start and end cost each role, over what idling costs."""
+    bed = made(cores=cores, edges=2, minions=minions, seed=seed)
+    core = [bed.seats[ip] for ip in bed.core_ips]
+    edge = [bed.seats[ip] for ip in bed.edge_ips]
+    for seat in bed.seats.values():
+        seat.reset()
+    bed.run(seconds=3.0)
+    idle = {role: total(seats=core, pick=lambda k, role=role: role_of(k) == role).ns / 3.0  # type: ignore[misc]
+            for role in (*ROLES, "other")}
+    quiet = total(seats=core, pick=lambda _k: True, sent=True)
+    for seat in bed.seats.values():
+        seat.reset()
+    rng, waits, answers = random.Random(seed), [], [0, 0]
+    load = HollowLoad(addrs=("bed",), host="h", prefix="/", judge=bed.judge)
+    begun: dict[str, float] = {}
+
+    def back(res: Response) -> None:
+        answers[res.status == 200] += 1
+
+    def send(jid: str, doc: dict[str, Any], prefix: str) -> None:
+        begun[jid] = bed.now
+        bed.submit(jid=jid, doc=doc, prefix=prefix, back=back)
+
+    jobs = int(rate * seconds)
+    for i in range(jobs):
+        jid, doc = load.job(rng=rng)
+        queue = rng.choices(QUEUES, weights=[q.share for q in QUEUES])[0]
+        bed.at(delay=i / rate, fn=lambda jid=jid, doc=doc, queue=queue: send(jid, doc, queue.prefix))  # type: ignore
+    first: dict[str, float] = {}
+    whole = bed.judge.started
+
+    def started(**kw: Any) -> None:
+        first.setdefault(kw["task"][:16], bed.now)
+        whole(**kw)
+    bed.judge.started = started  # type: ignore[method-assign]
+    bed.run(seconds=seconds)
+    waits = sorted(first[j] - at for j, at in begun.items() if j in first)
+    n = max(bed.judge.starts, 1)
+    out: Row = {"starts-a-s": bed.judge.starts / seconds, "accepted": answers[1], "refused": answers[0],
+                "rules-broken": len(bed.judge.broken),
+                "first-start-p50-ms": 1000 * statistics.median(waits) if waits else -1.0,
+                "first-start-p99-ms": 1000 * waits[int(0.99 * (len(waits) - 1))] if waits else -1.0}
+    sums = 0.0
+    for role in (*ROLES, "other"):
+        got = total(seats=core, pick=lambda k, role=role: role_of(k) == role)  # type: ignore[misc]
+        out[f"{role}-us-a-start"] = (got.ns - idle[role] * seconds) / 1e3 / n
+        sums += out[f"{role}-us-a-start"]
+    out["all-us-a-start"] = sums
+    prim = max(core, key=lambda s: total(seats=[s], pick=lambda k: k == "ENDS").count)
+    out["primary-node-cores"] = total(seats=[prim], pick=lambda _k: True).ns / 1e9 / seconds
+    out["edge-us-a-job"] = total(seats=edge, pick=lambda k: k != "tick").ns / 1e3 / max(jobs, 1)
+    sent = total(seats=core, pick=lambda _k: True, sent=True)
+    out["messages-a-start"] = (sent.count - quiet.count * seconds / 3.0) / n
+    out["bytes-a-start"] = (sent.size - quiet.size * seconds / 3.0) / n
+    out["room-bytes-a-s"] = total(seats=core, pick=lambda k: k == "ROOM", sent=True).size / seconds
+    out["log-bytes-a-start"] = total(seats=core, pick=lambda k: k == "LOG", sent=True).size / n
+    out["disk-bytes-a-start"] = total(seats=core, pick=lambda k: k == "disk").size / n
+    return out
+
+
+def changes(*, routes: int, seed: int, cores: int = 5, edges: int = 20, count: int = 3) -> Row:
+    """Small changes of a configuration of many routes: bytes and processor time over all nodes, and how late."""
+    bed = made(cores=cores, edges=edges, minions=0, seed=seed, more=routes)
+    seats = list(bed.seats.values())
+    late: list[float] = []
+    row = config(version=1)["route-table"][0]
+    bed.run(seconds=2.0)
+    for seat in seats:
+        seat.reset()
+    begun = bed.now
+    for i in range(count):
+        bed.configure(base=i + 1, method="PATCH", doc={
+            "config-version": i + 2, "upserts": {"route-table": [{**row, "target-ms": 3000 + i}]}})
+        at = bed.now
+        bed.until(cond=lambda i=i: all(  # type: ignore[misc]
+            s.node.table is not None and s.node.table.stamp == i + 2 for s in seats), limit=30.0)
+        late.append(bed.now - at)
+        bed.run(seconds=0.5)
+    span = bed.now - begun
+    busy, sent = total(seats=seats, pick=lambda _k: True), total(seats=seats, pick=lambda _k: True, sent=True)
+    for seat in seats:
+        seat.reset()
+    bed.run(seconds=span)
+    quiet, hush = total(seats=seats, pick=lambda _k: True), total(seats=seats, pick=lambda _k: True, sent=True)
+    return {"us-a-node-change": (busy.ns - quiet.ns) / 1e3 / count / len(seats),
+            "bytes-a-node-change": (sent.size - hush.size) / count / len(seats), "everywhere-ms": 1000 * max(late),
+            "idle-bytes-a-node-s": hush.size / span / len(seats),
+            "idle-us-a-node-s": quiet.ns / 1e3 / span / len(seats)}
+
+
+def _clock(fn: Callable[[], Any], *, times: int) -> float:
+    """Microseconds of processor time a call."""
+    begun = time.process_time_ns()
+    for _ in range(times):
+        fn()
+    return (time.process_time_ns() - begun) / 1e3 / times
+
+
+def _memory(fn: Callable[[], Any]) -> tuple[Any, int]:
+    """What a call makes, and the bytes it holds."""
+    gc.collect()
+    tracemalloc.start()
+    made = fn()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return made, size
+
+
+def jobs_state(*, count: int, tasks: int, seed: int) -> Row:
+    """The record of a job group through its reducer: bytes and processor time by job and by task."""
+    rng = random.Random(seed)
+    stages = [{"task-count": tasks, "cpus": 500, "mem-mb": 64, "estimate-ms": 900}]
+    short = parse(body=orjson.dumps({"task-spec": write(stages=stages, ms=[900]), "stages": stages}))
+    rows = [(f"{rng.getrandbits(64):016x}", orjson.dumps({**short, "svc": "hollow", "mt": 3, "q": "usual"}))
+            for _ in range(count)]
+    jobs = Jobs()
+
+    def put() -> Jobs:
+        for jid, raw in rows:
+            jobs.apply({"t": "job", "id": jid, "j": orjson.loads(raw)})
+        return jobs
+
+    _, held = _memory(put)
+    out: Row = {"waiting-memory-a-job": held / count, "waiting-bytes-a-job": len(dump(body=jobs.dump())) / count}
+    begun = time.process_time_ns()
+    for jid, _ in rows:
+        for i in range(tasks):
+            jobs.apply({"t": "start", "id": jid, "u": "0.0", "x": [[i, 1, f"i-{rng.randrange(1000):05d}-0"]]})
+    out["start-apply-us"] = (time.process_time_ns() - begun) / 1e3 / count / tasks
+    out["running-bytes-a-job"] = len(dump(body=jobs.dump())) / count
+    out["dump-us-a-task"] = _clock(lambda: dump(body=jobs.dump()), times=3) / count / tasks
+    raw = orjson.loads(dump(body=jobs.dump()))
+    fresh = Jobs()
+    out["load-us-a-task"] = _clock(lambda: fresh.load(raw), times=2) / count / tasks
+    begun = time.process_time_ns()
+    for jid, _ in rows:
+        for i in range(tasks):
+            jobs.apply({"t": "end", "id": jid, "u": "0.0", "i": i, "run": 1, "how": "done", "v": "", "mt": 3})
+    out["end-apply-us"] = (time.process_time_ns() - begun) / 1e3 / count / tasks
+    out["ended-bytes-a-job"] = len(dump(body=jobs.dump())) / count
+    return out
+
+
+def routes_state(*, count: int) -> Row:
+    """A configuration: bytes a route in memory and on disk, and the time to build its table."""
+    doc = config(version=1, more=count)
+    raw = orjson.dumps(doc)
+    _, held = _memory(lambda: Table(doc=orjson.loads(raw)))
+    table = Table(doc=doc)
+    return {"bytes-a-route": len(raw) / count, "memory-a-route": held / count,
+            "build-us-a-route": _clock(lambda: Table(doc=doc), times=5) / count,
+            "select-us": _clock(lambda: table.select(host="rig.example", path="/idle-7/x"), times=2000)}
+
+
+def checkpoint(*, minions: int, seed: int) -> Row:
+    """A core's checkpoint and its agent's state, by minion."""
+    bed = made(cores=3, edges=1, minions=minions, seed=seed)
+    core = bed.core(ip=bed.core_ips[0])
+    us = _clock(lambda: core.checkpoint(), times=5)
+    size = len(dump(body=core.reg.dump()))
+    return {"checkpoint-us-a-minion": us / minions, "registry-bytes-a-minion": size / minions,
+            "checkpoint-bytes": sum(map(len, core.checkpoint()))}
+
+
+def http_call(*, calls: int) -> Row:
+    """One HTTP call through the shell's server, without the node: h11 on trio over memory."""
+    body = b"{" + b'"x":"' + b"a" * 250 + b'"}'
+    raw = (b"PUT /minions/i-1 HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+           % len(body)) + body
+
+    async def handler(req: Request) -> Response:
+        return Response.of(200, {"hold-ms": 4000, "fence-no": 7, "last-seen": 58, "retry-after-ms": 200})
+
+    async def main() -> float:
+        mine, theirs = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(Server(handler=handler).serve, cast(trio.SocketStream, theirs))
+            begun = time.process_time_ns()
+            for _ in range(calls):
+                await mine.send_all(raw)
+                await mine.receive_some(65536)
+            spent = (time.process_time_ns() - begun) / 1e3 / calls
+            nursery.cancel_scope.cancel()
+        return spent
+    return {"http-us-a-call": trio.run(main)}
+
+
+# Invariant: the name of a run stands in docs/CAPACITY.md beside each slope taken from it.
+RUNS: dict[str, Callable[[int], Row]] = {
+    "beats-200": lambda seed: beats(minions=200, seed=seed),
+    "beats-800": lambda seed: beats(minions=800, seed=seed),
+    "beats-3200": lambda seed: beats(minions=3200, seed=seed, seconds=2.0),
+    "starts-10": lambda seed: starts(minions=200, rate=2.0, seed=seed),
+    "starts-100": lambda seed: starts(minions=200, rate=20.0, seed=seed),
+    "starts-400": lambda seed: starts(minions=800, rate=80.0, seed=seed, seconds=5.0),
+    "changes-100": lambda seed: changes(routes=100, seed=seed),
+    "changes-1000": lambda seed: changes(routes=1000, seed=seed),
+    "changes-340": lambda seed: changes(routes=340, seed=seed),
+    "jobs": lambda seed: jobs_state(count=2000, tasks=8, seed=seed),
+    "routes": lambda seed: routes_state(count=1000),
+    "checkpoint": lambda seed: checkpoint(minions=800, seed=seed),
+    "http": lambda seed: http_call(calls=3000),
+}
+
+
+def slopes(*, reps: int, out: str, only: tuple[str, ...] = ()) -> dict[str, str]:
+    """Each figure's median with its lowest and highest of `reps` runs, seeds 1 to `reps`."""
+    unknown = [name for name in only if name not in RUNS]
+    if reps < 1 or unknown:
+        raise UsageError(text=f"reps above 0, and runs among {', '.join(RUNS)}")
+    raw: dict[str, list[Row]] = {}
+    res: dict[str, str] = {}
+    for name, fn in RUNS.items():
+        if only and name not in only:
+            continue
+        raw[name] = [fn(seed) for seed in range(1, reps + 1)]
+        for key in raw[name][0]:
+            vals = [row[key] for row in raw[name]]
+            res[f"{name}.{key}"] = f"{statistics.median(vals):.5g} ({min(vals):.5g} to {max(vals):.5g})"
+    if out:
+        path = pathlib.Path(out)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_bytes(orjson.dumps({"day": time.strftime("%Y-%m-%d", time.gmtime()), "reps": reps, "runs": raw},
+                                      option=orjson.OPT_INDENT_2))
+    return res
