--- a/yarrowloom/rig/slopes.py
+++ b/yarrowloom/rig/slopes.py
@@ -181,6 +181,24 @@
             "idle-us-a-node-s": quiet.ns / 1e3 / span / len(seats)}
 
 
+def crowd(*, cores: int, edges: int, minions: int, seed: int, seconds: float = 2.0, more: int = 340) -> Row:
+    """A cluster as large as asked for, with minions that run nothing: its dearest nodes, sockets left out."""
+    bed = made(cores=cores, edges=edges, minions=minions, seed=seed, more=more)
+    for seat in bed.seats.values():
+        seat.reset()
+    bed.run(seconds=seconds)
+    out: Row = {}
+    for kind, ips in (("core", bed.core_ips), ("edge", bed.edge_ips)):
+        spent = [total(seats=[bed.seats[ip]], pick=lambda _k: True).ns / 1e9 / seconds for ip in ips]
+        sent = [total(seats=[bed.seats[ip]], pick=lambda _k: True, sent=True).size / seconds for ip in ips]
+        out |= {f"{kind}-cores": statistics.mean(spent), f"{kind}-cores-most": max(spent),
+                f"{kind}-bytes-a-s": statistics.mean(sent), f"{kind}-bytes-a-s-most": max(sent)}
+    chief = max((bed.seats[ip] for ip in bed.core_ips), key=lambda s: total(seats=[s], pick=lambda k: k == "HEART").ns)
+    out |= {f"chief-{kind.lower().replace(' ', '-')}-cores": row.ns / 1e9 / seconds
+            for kind, row in chief.inputs.items() if row.ns / 1e9 / seconds >= 0.01}
+    return out
+
+
 def _clock(fn: Callable[[], Any], *, times: int) -> float:
     """Microseconds of processor time a call."""
     begun = time.process_time_ns()
@@ -296,16 +314,26 @@
     "http": lambda seed: http_call(calls=3000),
 }
 
+# Only run by name: minutes of processor time and up to 2 GB.
+LARGE: dict[str, Callable[[int], Row]] = {
+    "crowd-2000": lambda seed: crowd(cores=25, edges=11, minions=2000, seed=seed),
+    "crowd-19000": lambda seed: crowd(cores=25, edges=11, minions=19000, seed=seed, seconds=1.0),
+    "relays-100": lambda seed: changes(routes=340, seed=seed, cores=25, edges=100),
+    "relays-400": lambda seed: changes(routes=340, seed=seed, cores=25, edges=400, count=2),
+    "starts-2000": lambda seed: starts(minions=2000, rate=400.0, seed=seed, seconds=2.0),
+}
+
 
 def slopes(*, reps: int, out: str, only: tuple[str, ...] = ()) -> dict[str, str]:
     """Each figure's median with its lowest and highest of `reps` runs, seeds 1 to `reps`."""
-    unknown = [name for name in only if name not in RUNS]
+    known = {**RUNS, **LARGE}
+    unknown = [name for name in only if name not in known]
     if reps < 1 or unknown:
-        raise UsageError(text=f"reps above 0, and runs among {', '.join(RUNS)}")
+        raise UsageError(text=f"reps above 0, and runs among {', '.join(known)}")
     raw: dict[str, list[Row]] = {}
     res: dict[str, str] = {}
-    for name, fn in RUNS.items():
-        if only and name not in only:
+    for name, fn in known.items():
+        if name not in (only or RUNS):
             continue
         raw[name] = [fn(seed) for seed in range(1, reps + 1)]
         for key in raw[name][0]:
