--- a/yarrowloom/rig/callers.py
+++ b/yarrowloom/rig/callers.py
@@ -4,13 +4,17 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import orjson
 import trio
 
 from ..load import Load
+from ..load.run import DEADLINE_S
 from .judge import Judge
+from .line import Line
 from .work import write
 
 HOST = "rig.example"
+IDLE_LINES = 32
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -61,6 +65,22 @@
     tasks: tuple[int, ...] = (1, 2, 4, 8)
     gangs: float = 0.1
     steps: float = 0.3
+    lines: dict[str, list[Line]] = field(default_factory=dict)
+
+    async def _call(self, *, pool: Any, addr: str, method: str, jid: str, body: bytes = b"") -> tuple[int, Any]:
+        """As the load's own, on a connection that is free or a new one."""
+        idle = self.lines.setdefault(addr, [])
+        line = idle.pop() if idle else Line()
+        status, got = await line.call(method=method, addr=addr, path=f"{self.prefix}{jid}", body=body, host=self.host,
+                                      ttl=DEADLINE_S)
+        if len(idle) < IDLE_LINES:
+            idle.append(line)
+        else:
+            await line.close()
+        try:
+            return status, orjson.loads(got) if got else None
+        except orjson.JSONDecodeError:
+            return 0, None
 
     def job(self, *, rng: random.Random) -> tuple[str, dict[str, Any]]:
         """One job of the mix: tasks alone, in two steps, or a gang."""
--- a/yarrowloom/rig/fleet.py
+++ b/yarrowloom/rig/fleet.py
@@ -10,74 +10,7 @@
 import trio
 
 from .hollow import BEAT_TTL_S, Bounds, Hollow, Watcher, Yard
-
-_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError, ValueError)
-_MOST = 4 << 20
-
-
-class Line:
-    """A minion's connection, kept from beat to beat. It reads only what the system writes (a status, a length, a
-    body): an HTTP library took a millisecond of processor time a call, which bounded a process to 900 calls a second.
-    """
-
-    def __init__(self) -> None:
-        self._addr = ""
-        self._stream: trio.SocketStream | None = None
-
-    async def call(self, *, method: str, addr: str, path: str, body: bytes) -> tuple[int, bytes]:
-        """One call; status 0: no answer within a second."""
-        with trio.move_on_after(BEAT_TTL_S):
-            try:
-                if self._stream is None or addr != self._addr:
-                    await self.close()
-                    self._stream, self._addr = await self._dial(addr=addr), addr
-                await self._stream.send_all(
-                    f"{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-                return await self._read(stream=self._stream)
-            except _BROKEN:
-                pass
-        await self.close()
-        return 0, b""
-
-    @staticmethod
-    async def _dial(*, addr: str) -> trio.SocketStream:
-        host, port = addr.rsplit(":", 1)
-        sock = trio.socket.socket()
-        try:
-            await sock.connect((host, int(port)))
-        except BaseException:
-            sock.close()
-            raise
-        return trio.SocketStream(sock)
-
-    async def _read(self, *, stream: trio.SocketStream) -> tuple[int, bytes]:
-        raw = b""
-        while (end := raw.find(b"\r\n\r\n")) < 0:
-            raw += await self._more(stream=stream)
-        head = raw[:end].lower().split(b"\r\n")
-        rows = dict(row.split(b":", 1) for row in head[1:])
-        size = int(rows[b"content-length"]) if b"content-length" in rows else 0
-        if size > _MOST:
-            raise ValueError("answer too large")
-        while len(raw) < end + 4 + size:
-            raw += await self._more(stream=stream)
-        if rows.get(b"connection", b"").strip() == b"close":
-            await self.close()
-        return int(head[0].split(b" ")[1]), raw[end + 4:]
-
-    @staticmethod
-    async def _more(*, stream: trio.SocketStream) -> bytes:
-        data = await stream.receive_some(65536)
-        if not data:
-            raise OSError("closed")
-        return bytes(data)
-
-    async def close(self) -> None:
-        """Let go."""
-        stream, self._stream = self._stream, None
-        if stream is not None:
-            await trio.aclose_forcefully(stream)
+from .line import Line
 
 
 @dataclass(kw_only=True)
--- a/yarrowloom/rig/judge.py
+++ b/yarrowloom/rig/judge.py
@@ -20,11 +20,13 @@
 
 @dataclass(kw_only=True)
 class Judge:
-    """Each entry of `broken` begins with a rule's name. Invariant: `alive` lists the runs on minions that are up."""
+    """Each entry of `broken` begins with a rule's name. Invariant: `alive` lists the runs on minions that are up,
+    `needs` what each of their tasks takes."""
 
     jobs: dict[str, Told] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     alive: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
+    needs: dict[str, tuple[int, int, int]] = field(default_factory=dict)
     noted: set[str] = field(default_factory=set)
     done: set[str] = field(default_factory=set)
     failed: dict[str, int] = field(default_factory=dict)
@@ -64,16 +66,14 @@
         apart = row.get("anti-affinity", 0)
         if apart and sum(unit_of(task=t) == unit_of(task=task) for t in m.running) >= apart:
             self.broken.append(f"ROUTE {task} apart")
-        self._limit(m=m, task=task)
+        self._limit(m=m, task=task, row=row)
         self.alive.setdefault(task, []).append((m.mid, run))
 
-    def _limit(self, *, m: Hollow, task: str) -> None:
-        used = [0, 0, 0]
-        for other in {*m.running, task}:
-            jid, _, s, _ = other.split(".")
-            if jid in self.jobs:
-                row = self.jobs[jid].doc["stages"][int(s)]
-                used = [u + row.get(k, 0) for u, k in zip(used, ("cpus", "mem-mb", "gpus"), strict=True)]
+    def _limit(self, *, m: Hollow, task: str, row: dict[str, Any]) -> None:
+        """What runs there and the new one must fit; a task that nobody asked for takes nothing."""
+        self.needs[task] = (row.get("cpus", 0), row.get("mem-mb", 0), row.get("gpus", 0))
+        rows = [self.needs.get(other, (0, 0, 0)) for other in {*m.running, task}]
+        used = [sum(col) for col in zip(*rows, strict=True)]
         if any(u > c for u, c in zip(used, m.cap, strict=True)):
             self.broken.append(f"LIMIT {m.mid} {used} over {m.cap}")
 
@@ -84,6 +84,7 @@
             rows.remove((m.mid, run))
             if not rows:
                 del self.alive[task]
+                self.needs.pop(task, None)
         self.ends[how] = self.ends.get(how, 0) + 1
         if how == "done":
             self.done.add(task)
