--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -188,6 +188,16 @@
     assert list(m.ends) == [4]
 
 
+def test_end_is_noted_unless_the_hold_lapsed_in_between() -> None:
+    for late in (False, True):
+        judge = Judge()
+        m = one(judge=judge)
+        tell(m, now=0.0, hold_ms=3000, started=[order(m)])
+        m.advance(now=0.5)
+        tell(m, now=3.5 if late else 2.5, hold_ms=3000, last_seen=1)
+        assert m.ends == {} and (f"{JID}.0.0.0" in judge.noted) is not late
+
+
 def test_run_that_does_not_rise_is_turned_away() -> None:
     m = one()
     tell(m, now=0.0, hold_ms=9000, stopped=[[f"{JID}.0.0.0", 2]])
--- a/yarrowloom/rig/hollow.py
+++ b/yarrowloom/rig/hollow.py
@@ -152,7 +152,7 @@
         self.seen = 0
         self.fence = 0
         self.hold = 0.0
-        self.lapsed = -1.0
+        self.lapsed = 0.0             # when the last hold ended, whether or not something ran
         self.seq = 0
         self.open = 0
         self.up = True
@@ -170,10 +170,11 @@
 
     def advance(self, *, now: float) -> None:
         """Carry out what fell due."""
+        if now >= self.hold > self.lapsed:
+            self.lapsed = self.hold
         if not self.running:
             return
         if now >= self.hold:
-            self.lapsed = now
             for r in list(self.running.values()):
                 self._end(r=r, how=How.LAPSED, now=now)
             return
@@ -277,7 +278,7 @@
         for num in [n for n in self.ends if n <= upto]:
             task, _, how, _, at = self.ends.pop(num)
             self.seen = max(self.seen, num)
-            if self.lapsed < at or how != How.LAPSED.value:
+            if self.lapsed < at:     # else its hold lapsed in between
                 self.yard.watcher.note(task=task, how=how)
 
     def _stop(self, *, task: str, run: int, now: float) -> None:
