--- a/yarrowloom/rig/slopes.py
+++ b/yarrowloom/rig/slopes.py
@@ -27,6 +27,7 @@
 from .work import write
 
 Row = dict[str, float]
+AT = 1_700_000_000_000        # the time of day of events, in milliseconds
 
 # Which role an input of a core node belongs to; what is not named counts as `other`.
 ROLES = {"agent": ("PUT minions", "ATTACH", "LEASE", "RETURN", "ORDER", "STOP", "ENDSOK", "LOSTOK", "ROOMGET"),
@@ -223,7 +224,7 @@
     rng = random.Random(seed)
     stages = [{"task-count": tasks, "cpus": 500, "mem-mb": 64, "estimate-ms": 900}]
     short = parse(body=orjson.dumps({"task-spec": write(stages=stages, ms=[900]), "stages": stages}))
-    rows = [(f"{rng.getrandbits(64):016x}", orjson.dumps({**short, "svc": "hollow", "mt": 3, "q": "usual"}))
+    rows = [(f"{rng.getrandbits(64):016x}", orjson.dumps({**short, "svc": "hollow", "mt": 3, "q": "usual", "at": AT}))
             for _ in range(count)]
     jobs = Jobs()
 
@@ -237,7 +238,8 @@
     begun = time.process_time_ns()
     for jid, _ in rows:
         for i in range(tasks):
-            jobs.apply({"t": "start", "id": jid, "u": "0.0", "x": [[i, 1, f"i-{rng.randrange(1000):05d}-0"]]})
+            jobs.apply({"t": "start", "id": jid, "u": "0.0", "x": [[i, 1, f"i-{rng.randrange(1000):05d}-0"]],
+                        "at": AT})
     out["start-apply-us"] = (time.process_time_ns() - begun) / 1e3 / count / tasks
     out["running-bytes-a-job"] = len(dump(body=jobs.dump())) / count
     out["dump-us-a-task"] = _clock(lambda: dump(body=jobs.dump()), times=3) / count / tasks
@@ -247,7 +249,8 @@
     begun = time.process_time_ns()
     for jid, _ in rows:
         for i in range(tasks):
-            jobs.apply({"t": "end", "id": jid, "u": "0.0", "i": i, "run": 1, "how": "done", "v": "", "mt": 3})
+            jobs.apply({"t": "end", "id": jid, "u": "0.0", "i": i, "run": 1, "how": "done", "v": "", "mt": 3,
+                        "at": AT + 900})
     out["end-apply-us"] = (time.process_time_ns() - begun) / 1e3 / count / tasks
     out["ended-bytes-a-job"] = len(dump(body=jobs.dump())) / count
     return out
