--- a/tests/test_bed.py
+++ b/tests/test_bed.py
@@ -5,7 +5,7 @@
 import pytest
 
 from yarrowloom.base.errs import UsageError
-from yarrowloom.rig.slopes import beats, changes, checkpoint, http_call, jobs_state, routes_state, slopes, starts
+from yarrowloom.rig.slopes import beats, changes, checkpoint, gang, http_call, jobs_state, routes_state, slopes, starts
 
 
 def test_idle_minions_cost_their_agents() -> None:
@@ -31,6 +31,11 @@
     assert all(math.isfinite(v) and v >= 0 for row in rows for v in row.values())
 
 
+def test_gang_runs_whole_and_ends_done() -> None:
+    row = gang(size=5, minions=6, seed=1)
+    assert (row["done"], row["alone"], row["rules-broken"]) == (5, 0, 0) and row["all-run-ms"] > 0
+
+
 def test_unknown_run_is_wrong_use() -> None:
     with pytest.raises(UsageError):
         slopes(reps=1, out="", only=("nonsense",))
--- a/yarrowloom/rig/slopes.py
+++ b/yarrowloom/rig/slopes.py
@@ -200,6 +200,25 @@
     return out
 
 
+def gang(*, size: int, minions: int, seed: int, cores: int = 5) -> Row:
+    """One gang with a minion's accelerators for each member: when all run, and the processor time that took."""
+    bed = made(cores=cores, edges=1, minions=minions, seed=seed, gpu_every=1)
+    stages = [{"task-count": size, "cpus": 8000, "mem-mb": 1024, "gpus": 8, "estimate-ms": 2000, "gang": True}]
+    seats = [bed.seats[ip] for ip in bed.core_ips]
+    for seat in seats:
+        seat.reset()
+    begun = bed.now
+    bed.submit(jid=f"{seed:016x}", doc={"task-spec": write(stages=stages, ms=[2000]), "stages": stages},
+               prefix="/urgent/")
+    good = bed.until(cond=lambda: sum(len(m.running) for m in bed.minions) == size, limit=20.0)
+    took = bed.now - begun
+    bed.run(seconds=5.0)
+    ends = bed.judge.ends
+    return {"all-run-ms": 1000 * took if good else -1.0, "done": ends.get("done", 0), "alone": ends.get("alone", 0),
+            "us-a-member": total(seats=seats, pick=lambda k: k not in ("tick", "PUT minions")).ns / 1e3 / size,
+            "rules-broken": len(bed.judge.broken)}
+
+
 def _clock(fn: Callable[[], Any], *, times: int) -> float:
     """Microseconds of processor time a call."""
     begun = time.process_time_ns()
@@ -323,6 +342,7 @@
     "crowd-19000": lambda seed: crowd(cores=25, edges=11, minions=19000, seed=seed, seconds=1.0),
     "relays-100": lambda seed: changes(routes=340, seed=seed, cores=25, edges=100),
     "relays-400": lambda seed: changes(routes=340, seed=seed, cores=25, edges=400, count=2),
+    "gang-512": lambda seed: gang(size=512, minions=600, seed=seed),
     "starts-2000": lambda seed: starts(minions=2000, rate=400.0, seed=seed, seconds=2.0),
 }
 
