--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -2,6 +2,7 @@
 
 import inspect
 import sys
+from typing import Any
 
 from .base.errs import YarrowError
 
@@ -28,40 +29,25 @@
         startup = load(path=path)
         return f"{path}: fit for use by {startup.name}"
 
-    def state(self, addr: str) -> str:
-        """Show what the core node at a control address (HOST:PORT) knows."""
-        import httpcore
+    def defaults(self) -> str:
+        """Check the project's own settings (deploy/defaults.toml) and show them."""
         import orjson
 
-        from .base.errs import UsageError
-        try:
-            res = httpcore.request("GET", f"http://{addr}/state", extensions={
-                "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
-        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
-            raise UsageError(text=f"{addr}: not reached ({type(err).__name__})") from err
-        if res.status != 200:
-            raise UsageError(text=f"{addr}: answered {res.status}; is it a control address?")
-        return orjson.dumps(orjson.loads(res.content), option=orjson.OPT_INDENT_2).decode()
+        from .base.defaults import load
+        return orjson.dumps(load(), option=orjson.OPT_INDENT_2).decode()
+
+    def state(self, addr: str) -> str:
+        """Show what the core node at a control address (HOST:PORT) knows."""
+        return _show(_fetch(url=f"http://{addr}/state"))
 
     def explain(self, addr: str, job: str) -> str:
         """Say why a job waits: ask the core node at a control address (HOST:PORT) about a job's ID."""
-        import httpcore
-        import orjson
+        return _show(_fetch(url=f"http://{addr}/jobs/{job}"))
 
-        from .base.errs import UsageError
-        url = f"http://{addr}/jobs/{job}"
-        try:
-            for _ in range(3):
-                res = httpcore.request("GET", url, extensions={
-                    "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
-                if res.status != 307:
-                    break
-                url = dict(res.headers)[b"location"].decode()
-        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
-            raise UsageError(text=f"{url}: not reached ({type(err).__name__})") from err
-        if res.status != 200:
-            raise UsageError(text=f"{url}: answered {res.status}: {res.content.decode(errors='replace')[:200]}")
-        return orjson.dumps(orjson.loads(res.content), option=orjson.OPT_INDENT_2).decode()
+    def warm(self, addr: str) -> str:
+        """Show hits, misses and core-seconds of warm room, by group of jobs, at the placing nodes of one core node."""
+        doc = _fetch(url=f"http://{addr}/state")
+        return _show({g: row["warm"] for g, row in doc["placing"].items()})
 
     def load(self, *addrs: str, host: str, prefix: str, jobs: int = 50, rate: float = 5.0, seed: int = 1) -> str:
         """Send a seeded mix of jobs to front addresses and report latencies, losses and repeats."""
@@ -100,6 +86,32 @@
         print("\n".join(lines(out=slopes(reps=reps, out=str(out), only=tuple(map(str, runs))))))
 
 
+def _show(doc: Any) -> str:
+    import orjson
+    return orjson.dumps(doc, option=orjson.OPT_INDENT_2).decode()
+
+
+def _fetch(*, url: str) -> Any:
+    """GET from a core node, following where it sends us; raises UsageError if nothing useful comes."""
+    import httpcore
+    import orjson
+
+    from .base.errs import UsageError
+    try:
+        for _ in range(3):
+            res = httpcore.request("GET", url, extensions={
+                "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
+            if res.status != 307:
+                break
+            url = dict(res.headers)[b"location"].decode()
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
+        raise UsageError(text=f"{url}: not reached ({type(err).__name__})") from err
+    if res.status != 200:
+        raise UsageError(text=f"{url}: answered {res.status}: {res.content.decode(errors='replace')[:200]}; "
+                              "is it a control address?")
+    return orjson.loads(res.content)
+
+
 def usage() -> str:
     """Every subcommand with its flags.
 
