--- a/tests/test_cycle.py
+++ b/tests/test_cycle.py
@@ -220,3 +220,27 @@
     assert waits[:3] == pytest.approx([0.1, 0.2, 0.4]) and waits[-1] == pytest.approx(2.0)
     log.remove(jid=group.jid, key=group.key)
     assert group.phase is Phase.GONE and log.load.get(("s", 1), [0, 0]) == [0, 0]
+
+
+@pytest.mark.parametrize("grows", [True, False])
+def test_a_group_that_waits_for_ever_leaves_few_entries(grows: bool) -> None:
+    """Each end of its backoff brought another entry that came to life with the next."""
+    log = Backlog()
+    groups = [group_of(i, size=Size(1, 1, 0)) for i in range(20)]
+    for group in groups:
+        log.add(group=group)
+    now = 0.0
+    for _ in range(200):
+        walk = Walk(looks=100)
+        while (popped := log.pop(svc="s", walk=walk)) is not None:
+            log.park(group=popped, now=now)
+        now += 2.0
+        for group in log.due(now=now):
+            log.wake(group=group)
+        if grows:
+            walk.grow(sizes=[Size(9, 9, 0)])
+        walk.begin(top={})
+        walk.looks = 100
+        while (popped := log.pop(svc="s", walk=walk)) is not None:
+            log.park(group=popped, now=now)
+    assert len(log.parked["s"]) <= 64 + 2 * 20 + 1 and len(log.active["s"]) <= 40 and len(log.wait) <= 40
--- a/yarrowloom/place/group.py
+++ b/yarrowloom/place/group.py
@@ -26,8 +26,10 @@
     Phase.GONE: frozenset(),
 }
 Prio = tuple[bool, int, float, float, str, str]
+Entry = tuple[Prio, str, str, int]      # a group's place in a list, its name, the group's mark when it was put there
 BACKOFF_S = 0.1
 BACKOFF_MOST_S = 2.0
+SLACK = 64            # entries of groups that moved on which a list may hold beyond as many as there are groups
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,6 +57,7 @@
     again: float = 0.0             # end of its backoff
     why: str = ""                  # of its last failed cycle
     seen: float = 0.0
+    mark: int = 0                  # of its newest entry in a list
     load: int = 0                  # members counted in the queue's load
     sore: set[str] = field(default_factory=set)      # minions on which a member failed
     never: bool = False            # no minions known could hold it, were they empty: it is nobody's wait
@@ -120,14 +123,14 @@
 
 class Backlog:
     """Groups that wait. Invariants: an ACTIVE group stands in `active` under its `prio`, a PARKED one in its
-    service's list; entries whose group moved on are passed over. `load` sums up the work that waits, in core- and
+    service's list, each by exactly one entry that bears its `mark`; other entries are dropped when they are met. `load` sums up the work that waits, in core- and
     accelerator-milliseconds by service and rank."""
 
     def __init__(self) -> None:
         self.groups: dict[tuple[str, str], Group] = {}
         self.of: dict[str, set[str]] = {}
-        self.active: dict[str, list[tuple[Prio, str, str]]] = {}
-        self.parked: dict[str, list[tuple[Prio, str, str]]] = {}
+        self.active: dict[str, list[Entry]] = {}
+        self.parked: dict[str, list[Entry]] = {}
         self.wait: list[tuple[float, str, str]] = []
         self.load: dict[tuple[str, int], list[int]] = {}
 
@@ -142,7 +145,15 @@
         self._push(group)
 
     def _push(self, group: Group) -> None:
-        heapq.heappush(self.active.setdefault(group.svc, []), (group.prio, group.jid, group.key))
+        group.mark += 1
+        heapq.heappush(self.active.setdefault(group.svc, []), (group.prio, group.jid, group.key, group.mark))
+
+    def _lie(self, group: Group) -> None:
+        group.mark += 1
+        rows = self.parked.setdefault(group.svc, [])
+        if len(rows) > SLACK + 2 * len(self.groups):      # woken by time, and no pass met their entries
+            rows[:] = [row for row in rows if self._live(row, Phase.PARKED) is not None]
+        insort(rows, (group.prio, group.jid, group.key, group.mark))
 
     def weigh(self, *, group: Group, n: int) -> None:
         """`n` of the group's members wait now."""
@@ -174,7 +185,7 @@
         group.move(Phase.PARKED)
         group.again = now + min(BACKOFF_S * 2.0 ** min(group.tries, 10), BACKOFF_MOST_S)
         group.tries += 1
-        insort(self.parked.setdefault(group.svc, []), (group.prio, group.jid, group.key))
+        self._lie(group)
         heapq.heappush(self.wait, (group.again, group.jid, group.key))
 
     def bind(self, *, group: Group) -> None:
@@ -192,7 +203,7 @@
         if group.phase is Phase.ACTIVE:
             self._push(group)
         elif group.phase is Phase.PARKED:
-            insort(self.parked.setdefault(svc, []), (prio, group.jid, group.key))
+            self._lie(group)
 
     def due(self, *, now: float) -> list[Group]:
         """Parked groups whose backoff has ended."""
@@ -204,23 +215,21 @@
                 out.append(group)
         return out
 
-    def _live(self, row: tuple[Prio, str, str], svc: str, phase: Phase) -> Group | None:
+    def _live(self, row: Entry, phase: Phase) -> Group | None:
         group = self.groups.get((row[1], row[2]))
-        if group is None or group.phase is not phase or group.prio != row[0] or group.svc != svc:
-            return None
-        return group
+        return group if group is not None and group.phase is phase and group.mark == row[3] else None
 
     def pop(self, *, svc: str, walk: "Walk") -> Group | None:
         """The first waiting group of a service in order of priority: active ones, and, while the walk is on, parked
         ones beyond its place that it doesn't pass over. None: nothing left, or the walk has no looks left."""
         heap, rows = self.active.get(svc, []), self.parked.get(svc, [])
         while walk.looks > 0:
-            while heap and self._live(heap[0], svc, Phase.ACTIVE) is None:
+            while heap and self._live(heap[0], Phase.ACTIVE) is None:
                 heapq.heappop(heap)
             at = self._find(rows, walk.after) if walk.on else len(rows)
             parked = None
             while at < len(rows) and parked is None:
-                parked = self._live(rows[at], svc, Phase.PARKED)
+                parked = self._live(rows[at], Phase.PARKED)
                 if parked is None:
                     del rows[at]
             if parked is None:
@@ -235,13 +244,13 @@
                 return parked
             if not heap:
                 return None
-            group = self.groups[heapq.heappop(heap)[1:]]
+            group = self.groups[heapq.heappop(heap)[1:3]]
             group.move(Phase.TURN)
             return group
         return None
 
     @staticmethod
-    def _find(rows: list[tuple[Prio, str, str]], after: Prio | None) -> int:
+    def _find(rows: list[Entry], after: Prio | None) -> int:
         if after is None:
             return 0
         low, high = 0, len(rows)
