--- a/yarrowloom/place/group.py
+++ b/yarrowloom/place/group.py
@@ -123,8 +123,8 @@
 
 class Backlog:
     """Groups that wait. Invariants: an ACTIVE group stands in `active` under its `prio`, a PARKED one in its
-    service's list, each by exactly one entry that bears its `mark`; other entries are dropped when they are met. `load` sums up the work that waits, in core- and
-    accelerator-milliseconds by service and rank."""
+    service's list, each by exactly one entry that bears its `mark`; other entries are dropped when they are met.
+    `load` sums up the work that waits, in core- and accelerator-milliseconds by service and rank."""
 
     def __init__(self) -> None:
         self.groups: dict[tuple[str, str], Group] = {}
