--- a/yarrowloom/node/turns.py
+++ b/yarrowloom/node/turns.py
@@ -73,7 +73,7 @@
         >>> rep.taken(uid="a", kind=Kind.ENDS, m=one) is one and rep.screen(uid="a", kind=Kind.ENDS, m=one) is one
         True
         """
-        if kind is Kind.ROOM and "v" in m:
+        if kind is Kind.ROOM and isinstance(m, dict) and "v" in m:
             known = uid in self._room
             self._room[uid] = m
             return None if known else m
@@ -93,7 +93,7 @@
 
     def taken(self, *, uid: str, kind: Kind, m: Any) -> Any:
         """A message leaves the queue; what it says by now."""
-        if kind is Kind.ROOM and "v" in m:
+        if kind is Kind.ROOM and isinstance(m, dict) and "v" in m:
             return self._room.pop(uid, m)
         try:
             self._rows.difference_update(self._keys(uid=uid, kind=kind, m=m))
