--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -1,20 +1,27 @@
 """A deterministic cluster: nodes, links, disks and clocks in one thread of simulated time."""
 
 import heapq
+import math
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import orjson
 
+from tests.simcpu import Meter, cost
 from yarrowloom.base.log import Log
 from yarrowloom.base.startup import Startup
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.edge import EdgeNode
-from yarrowloom.wire.frame import Kind
+from yarrowloom.node.shell import TICK_CORE_S
+from yarrowloom.node.turns import Input, Rank, Repeats, Turns, rank_of
+from yarrowloom.wire.frame import LANES, Kind, Lane
 from yarrowloom.wire.http import Request, Response
+from yarrowloom.wire.peer import MARK_S, OWED, Seen
 
 PORTS = (7000, 7015)
+BUSY = 20_000         # no cluster of the tests' size has so many events in 10 ms
 BOUNDS = {"max-hold-ms": 6000.0, "stop-grace-ms": 400.0, "spread-factor": 2.0, "status_s": 120.0, "grace-s": 6.0}
 
 
@@ -37,15 +44,30 @@
         self.disk_busy = False
         self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
         self.inbox: list[Callable[[], None]] = []
+        self.repeats = Repeats()
+        self.turns: Turns | None = None     # only where processor time is charged
+        self.busy = False
+        self.woken = 0.0
+        self.spent = 0.0
+        self.mark = (0, 0, 0)     # messages, bytes and HTTP calls that came with the step that runs
+        self.seen = Seen()
+        self.owing: set[str] = set()     # peers that are still to learn of a loss
 
 
 class Sim:
     """Invariant: events at one time run in the order in which they were planned, so a seed fixes the run."""
 
-    def __init__(self, *, seed: int, sites: int = 3, cores: int = 3, edges: int = 1, sync_s: float = 0.005) -> None:
+    def __init__(self, *, seed: int, sites: int = 3, cores: int = 3, edges: int = 1, sync_s: float = 0.005,
+                 speed: float = 0.0, losses: int = 1) -> None:
+        """`speed`: of the processor that each core process has for itself; 0: steps take no time. `losses`: disks
+        that may be lost at once."""
+        self.speed = speed
+        self.losses = losses
+        self.meter = Meter()
         self.rng = random.Random(seed)
         self.now = 100.0
         self.wall0 = 1_700_000_000.0
+        self.skew: dict[str, float] = {}    # by machine: how far its wall clock is off
         self.sync_s = sync_s
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
@@ -55,9 +77,8 @@
         self.cuts: set[tuple[str, str]] = set()
         self.loss = 0.0
         self.stalls: dict[str, float] = {}
-        self.seq: dict[tuple[str, str, int], int] = {}
-        self.last: dict[tuple[str, str], float] = {}
-        self.seen: dict[tuple[str, str], tuple[int, int]] = {}
+        self.seq: dict[tuple[str, str, int, Lane], int] = {}
+        self.last: dict[tuple[str, str, Lane], float] = {}
         self.lives = 0
         self.calls: dict[int, Callable[[Response], None]] = {}
         self.owner_of_call: dict[int, str] = {}
@@ -78,8 +99,11 @@
 
     def run(self, *, seconds: float) -> None:
         end = self.now + seconds
+        mark, count = self.now, 0
         while self.heap and self.heap[0][0] <= end:
             self.now, _, fn = heapq.heappop(self.heap)
+            mark, count = (mark, count + 1) if self.now < mark + 0.01 else (self.now, 0)
+            assert count < BUSY, f"{count} events in 10 ms at {self.now:.4f}: something goes round without end"
             fn()
         self.now = end
 
@@ -98,7 +122,7 @@
         binds = {"control": f"{ip}:8000"} if core else {"front": f"{ip}:8001", "ready": f"{ip}:8002"}
         return Startup(name=ip, role="core" if core else "edge", ip=ip, site=f"z{ip.split('.')[1]}",
                        sites={s: "r" for s in self.sites}, binds=binds, ports=PORTS,
-                       seeds=tuple(f"{s}:8000" for s in self.core_ips[:3]), bootstrap=first,
+                       seeds=tuple(f"{s}:8000" for s in self.core_ips[:3]), bootstrap=first, losses=self.losses,
                        data_dir="/d" if core else None, disk_mb=64, memory_mb=256, beat_ms=1400, bounds=BOUNDS)
 
     def boot(self, *, ip: str, first: bool = False) -> None:
@@ -125,6 +149,13 @@
         self.uids[ip] = uid
         proc = Proc(node=node, life=self.lives)
         self.procs[ip] = proc
+        if core and self.speed:
+            assert isinstance(node, CoreNode)
+            pulse = node.pulse
+            chores: dict[Rank, Input] = {rank: partial(self._step, ip, proc, fn) for rank, fn in node.chores().items()}
+            proc.turns = Turns(tick=lambda: self._step(ip, proc, pulse), gap=TICK_CORE_S, chores=chores)
+            self._go(ip, proc)
+            return
         self.at(delay=self.rng.random() * 0.05, fn=lambda: self._tick(ip, proc))
 
     def kill(self, *, ip: str, power: bool = False) -> None:
@@ -149,6 +180,7 @@
             box, proc.inbox = proc.inbox, []
             for fn in box:
                 fn()
+            self._go(ip, proc)
         self.at(delay=seconds + 1e-6, fn=thaw)
 
     def cut(self, *, a: str, b: str, one_way: bool = False) -> None:
@@ -161,6 +193,51 @@
 
     # -- inputs and outputs
 
+    def post(self, ip: str, proc: Proc, fn: Callable[[], None], *, rank: Rank, mark: tuple[int, int, int] = (0, 0, 0),
+             until: float = math.inf) -> None:
+        """An input: carried out at once, or in its turn where processor time is charged. `mark`: the messages, bytes
+        and HTTP calls that come with it."""
+        if proc.turns is None:
+            self.step(ip, proc, fn)
+            return
+
+        def run() -> None:
+            proc.mark = mark
+            self._step(ip, proc, fn)
+        proc.turns.put(fn=run, rank=rank, until=until)
+        self._go(ip, proc)
+
+    def _go(self, ip: str, proc: Proc) -> None:
+        """Take the next turn of a process that is not busy."""
+        turns = proc.turns
+        if turns is None or proc.busy or not proc.up or self.procs.get(ip) is not proc or self.now < proc.frozen_till:
+            return
+        run = turns.take(now=self.now)
+        if run is not None:
+            run()
+        elif turns.due > proc.woken:
+            proc.woken = turns.due
+            self.at(delay=turns.due - self.now + 1e-9, fn=lambda: self._go(ip, proc))
+
+    def _step(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
+        """One step that takes its time; what it wants done is done at its end."""
+        node, out = proc.node, proc.node.out
+        node.now, node.wall = self.now, self.wall0 + self.now
+        calls = self.meter.run(fn)
+        messages, size, http = proc.mark
+        proc.mark = (0, 0, 0)
+        size += sum(len(body) for _, _, body in out.sends) + sum(len(body) for body, _ in out.writes)
+        spent = cost(calls=calls, messages=messages + len(out.sends), size=size,
+                     http=http + len(out.answers)) / self.speed
+        proc.busy = True
+        proc.spent += spent
+
+        def end() -> None:
+            proc.busy = False
+            self.step(ip, proc, lambda: None)
+            self._go(ip, proc)
+        self.at(delay=spent, fn=end)
+
     def step(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
         if not proc.up or self.procs.get(ip) is not proc:
             return
@@ -168,7 +245,7 @@
             proc.inbox.append(lambda: self.step(ip, proc, fn))
             return
         node = proc.node
-        node.now, node.wall = self.now, self.wall0 + self.now
+        node.now, node.wall = self.now, self.wall0 + self.now + self.skew.get(ip, 0.0)
         fn()
         out = node.out
         sends, out.sends = out.sends, []
@@ -208,19 +285,23 @@
             proc.disk_busy = False
             node = proc.node
             assert isinstance(node, CoreNode)
-            self.step(ip, proc, lambda: node.done(effs=[e for _, e in batch]))
+            self.post(ip, proc, lambda: node.done(effs=[e for _, e in batch]), rank=Rank.URGENT)
             self._sync(ip, proc)
         self.at(delay=wait, fn=synced)
 
-    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
-        key = (ip, dst, proc.life)
+    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind | None, body: bytes) -> None:
+        """One frame per message; without a kind, only a mark that tells the lane's sequence."""
+        lane = LANES[kind] if kind is not None else Lane.WORK
+        key = (ip, dst, proc.life, lane)
         seq = self.seq[key] = self.seq.get(key, 0) + 1
         boot, uid = proc.node.boot, proc.node.uid
         if ip != dst and ((ip, dst) in self.cuts or self.rng.random() < self.loss):
+            if lane is Lane.WORK and dst not in proc.owing:
+                proc.owing.add(dst)
+                self.at(delay=MARK_S, fn=lambda: self._mark(ip, proc, dst, OWED))
             return
         due = self.now if ip == dst else self.now + 0.001 + self.rng.random() * 0.002
-        due = self.last[ip, dst] = max(due, self.last.get((ip, dst), 0.0) + 1e-7)   # a stream keeps its order
-        delay = due - self.now
+        due = self.last[ip, dst, lane] = max(due, self.last.get((ip, dst, lane), 0.0) + 1e-7)   # in order
 
         def arrive() -> None:
             to = self.procs.get(dst)
@@ -228,15 +309,47 @@
                 return
 
             def take() -> None:
-                last = self.seen.get((ip, dst + str(to.life)), (0, 0))
-                if ip != dst and (boot < last[0] or (boot == last[0] and seq <= last[1])):
+                fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+                if not fresh:
                     return
-                self.seen[ip, dst + str(to.life)] = (boot, seq)
-                if ip != dst and (boot != last[0] or seq != last[1] + 1):
+                if lost and lane is Lane.WORK and ip != dst:
                     to.node.gap(uid=uid)
-                to.node.on(uid=uid, kind=kind, body=body)
-            self.step(dst, to, take)
-        self.at(delay=delay, fn=arrive)
+                elif lost and lane is Lane.URGENT and ip != dst:
+                    to.node.lost_from(uid=uid)
+                if kind is not None:
+                    to.node.on(uid=uid, kind=kind, m=orjson.loads(body))
+            if to.turns is None:
+                self.step(dst, to, take)
+            else:
+                self._queue(dst, to, (ip, uid, boot, seq, lane, kind, body))
+        self.at(delay=due - self.now, fn=arrive)
+
+    def _queue(self, dst: str, to: Proc, frame: tuple[str, str, int, int, Lane, Kind | None, bytes]) -> None:
+        """A frame for a process that charges its time: as the shell takes it."""
+        ip, uid, boot, seq, lane, kind, body = frame
+        fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+        if lost and lane is Lane.WORK and ip != dst:
+            node = self.core(dst)
+            self.post(dst, to, lambda: node.gap_agent(uid=uid), rank=Rank.AGENT)
+            self.post(dst, to, lambda: node.gap_place(uid=uid), rank=Rank.PLACE)
+        if not fresh or kind is None:
+            return
+        m = to.repeats.screen(uid=uid, kind=kind, m=orjson.loads(body))
+        if m is None:
+            return
+        rank = rank_of(kind=kind, m=m)
+        until = self.now + float(m.get("ttl", 30.0)) if rank is Rank.LATE else math.inf
+        self.post(dst, to, lambda: to.node.on(uid=uid, kind=kind, m=to.repeats.taken(uid=uid, kind=kind, m=m)),
+                  rank=rank, mark=(1, len(body), 0), until=until)
+
+    def _mark(self, ip: str, proc: Proc, dst: str, left: int) -> None:
+        proc.owing.discard(dst)
+        if proc.up and self.procs.get(ip) is proc and left > 0:
+            if (ip, dst) in self.cuts:
+                proc.owing.add(dst)
+                self.at(delay=MARK_S, fn=lambda: self._mark(ip, proc, dst, left - 1))
+            else:
+                self._send(ip, proc, dst, None, b"")
 
     def http(self, *, ip: str, src: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
              headers: dict[str, str] | None = None, back: Callable[[Response], None]) -> None:
@@ -255,7 +368,7 @@
             if proc is None or not proc.up or (src, ip) in self.cuts:
                 return
             self.calls[key] = answered
-            self.step(ip, proc, lambda: proc.node.http(call=key, req=req))
+            self.post(ip, proc, lambda: proc.node.http(call=key, req=req), rank=Rank.AGENT, mark=(0, len(raw), 1))
         self.at(delay=0.002, fn=arrive)
 
     def ask(self, *, ip: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
--- /dev/null
+++ b/tests/test_lanes.py
@@ -0,0 +1,344 @@
+"""Between nodes: lanes and what they lose, the order of inputs, repeats of calls."""
+
+import os
+import random
+from typing import Any, cast
+
+import orjson
+import pytest
+import trio
+import trio.testing
+
+from tests.simfleet import cluster
+from yarrowloom.base.log import Log
+from yarrowloom.node.calls import RESEND_MOST_S, Calls
+from yarrowloom.node.turns import TURNS_PER_CALL, Rank, Repeats, Turns, rank_of
+from yarrowloom.wire.frame import Frame, Kind, Lane, bundle, pack, unbundle
+from yarrowloom.wire.peer import FRAME_BYTES, OWED, QUEUE_MOST, TRAIL, Line, Peers, Seen
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_is_lost_shows_as_a_gap_and_nothing_goes_back(seed: int) -> None:
+    rng = random.Random(seed)
+    line, seen = Line(), Seen()
+    got: list[int] = []
+    sent, lost_after = 0, -1
+    for _ in range(400):
+        for _ in range(rng.randint(0, 3)):
+            line.put(kind=Kind.ORDER, body=b"%d" % sent)
+            sent += 1
+        if not line.rows:
+            continue
+        seq, body = line.take()
+        if rng.random() < 0.1:
+            line.broken(held=True)
+            lost_after = sent
+            continue
+        line.sent(real=True)
+        fresh, gap = seen.take(src="a", lane=2, boot=7, seq=seq)
+        rows = [m for _, m in unbundle(body=body)]
+        assert fresh and rows
+        if got and rows[0] != got[-1] + 1:
+            assert gap and lost_after >= 0
+        assert not got or rows[0] > got[-1]
+        got += rows
+        assert seen.take(src="a", lane=2, boot=7, seq=seq) == (False, False)
+        assert seen.take(src="a", lane=2, boot=6, seq=seq + 9) == (False, False)
+    assert got == sorted(set(got))
+
+
+def test_a_full_queue_drops_and_the_next_frame_tells() -> None:
+    line, seen = Line(), Seen()
+    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0])[0]
+    kept = [line.put(kind=Kind.ORDER, body=b"%d" % i) for i in range(QUEUE_MOST + 5)]
+    assert kept.count(False) == 5 and len(line.rows) == QUEUE_MOST
+    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0]) == (True, True)
+    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0]) == (True, False)
+
+
+def test_frames_are_bounded_and_one_message_may_be_larger() -> None:
+    line = Line()
+    big = b'"%s"' % (b"x" * (FRAME_BYTES + 9))
+    for body in (b'"%s"' % (b"y" * (FRAME_BYTES // 3)),) * 4 + (big, b"1"):
+        line.put(kind=Kind.ORDER, body=body)
+    assert [len(unbundle(body=line.take()[1])) for _ in range(4)] == [2, 2, 1, 1]
+
+
+def test_a_loss_on_a_lane_that_falls_silent_is_told_by_marks() -> None:
+    """The last order before a quiet minute was lost unnoticed until the next one."""
+    line = Line()
+    line.put(kind=Kind.ORDER, body=b"1")
+    line.take()
+    line.sent(real=True)
+    assert line.marks == TRAIL
+    line.take()
+    line.broken(held=True)
+    assert line.marks == OWED
+    line.take()
+    line.sent(real=False)
+    assert line.marks == TRAIL - 1
+
+
+@pytest.mark.parametrize("body", [b"", b"{}x", b'{"a":1}', b"[1]", b"[[1]]", b"[[1,2,3]]", b"null", b"[null]"])
+def test_unreadable_bodies_are_refused(body: bytes) -> None:
+    with pytest.raises((ValueError, TypeError)):
+        unbundle(body=body)
+
+
+def test_peers_batch_keep_order_per_lane_and_report_a_broken_body() -> None:
+    host = f"127.{os.getpid() % 200 + 2}.{os.getpid() // 200 % 250}.1"     # of this process alone
+    here, there = f"{host}:7301", f"{host}:7302"
+    got: list[tuple[Lane, Kind, Any]] = []
+    lost: list[Lane] = []
+    full = trio.Event()
+
+    def sink(uid: str, lane: Lane, rows: list[tuple[Kind, Any]], gap: bool) -> None:
+        if gap:
+            lost.append(lane)
+        got.extend((lane, kind, m) for kind, m in rows)
+        if len(got) >= 601 and len(lost) >= 5:
+            full.set()
+
+    async def main() -> None:
+        log = Log(name="t", level="error")
+        a = Peers(addr=here, uid=here + "#0", boot=1, sink=lambda *_: None, log=log)
+        b = Peers(addr=there, uid=there + "#0", boot=1, sink=sink, log=log)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(a.run)
+                nursery.start_soon(b.run)
+                stream = None
+                while a._nursery is None or stream is None:
+                    try:
+                        stream = await trio.open_tcp_stream(host, int(there.split(":")[1]))
+                    except OSError:
+                        await trio.lowlevel.checkpoint()
+                await stream.aclose()
+                for i in range(300):
+                    a.send(addr=there, kind=Kind.ORDER, body=b"%d" % i)
+                    a.send(addr=there, kind=Kind.PING, body=b"%d" % i)
+                a.send(addr=there, kind=Kind.CKPT, body=b'"st"')
+                while len(got) < 601:
+                    await trio.lowlevel.checkpoint()
+                b._deliver(Frame(lane=2, src=here, uid=here + "#0", boot=1, seq=999, body=b"[[46"))
+                b._deliver(Frame(lane=1, src=here, uid=here + "#0", boot=1, seq=999, body=b"[]"))
+                await full.wait()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    for kind, lane in ((Kind.ORDER, Lane.WORK), (Kind.PING, Lane.URGENT)):
+        rows = [(at, m) for at, k, m in got if k is kind]
+        assert rows == [(lane, i) for i in range(300)]
+    assert [at for at, k, _ in got if k is Kind.CKPT] == [Lane.COPY]
+    # Each lane's first frame (nothing is known of the ones before) and, of two lanes, the one out of its turn.
+    assert sorted(lost) == sorted([Lane.WORK, Lane.WORK, Lane.URGENT, Lane.URGENT, Lane.COPY])
+
+
+def test_a_fault_in_taking_a_message_is_not_put_down_to_the_peer() -> None:
+    """Such a fault ends the process, as any other does, rather than the connection."""
+    def sink(*_: object) -> None:
+        raise ValueError("fault")
+
+    async def main() -> None:
+        node = Peers(addr="10.0.0.1:7000", uid="10.0.0.1:7000#0", boot=1, sink=sink, log=Log(name="t", level="error"))
+        ours, theirs = trio.testing.memory_stream_pair()
+        await ours.send_all(pack(frame=Frame(lane=1, src="b", uid="b#0", boot=1, seq=1, body=b"[[20,{}]]")))
+        with pytest.raises(ValueError, match="fault"):
+            await node._take(cast(trio.SocketStream, theirs))
+        ours, theirs = trio.testing.memory_stream_pair()
+        await ours.send_all(b"\xff" * 9)
+        await node._take(cast(trio.SocketStream, theirs))     # what the peer did wrong ends the connection
+
+    trio.run(main)
+
+
+def test_one_frame_carries_what_waits() -> None:
+    line = Line()
+    for i in range(100):
+        line.put(kind=Kind.ENDS, body=b"%d" % i)
+    seq, body = line.take()
+    assert seq == 1 and not line.rows
+    raw = pack(frame=Frame(lane=2, src="a", uid="a#0", boot=1, seq=seq, body=body))
+    assert len(raw) < 1000 and body == bundle(rows=[(48, b"%d" % i) for i in range(100)])
+
+
+def test_ticks_and_urgent_inputs_pass_a_backlog() -> None:
+    done: list[str] = []
+    turns = Turns(tick=lambda: done.append("tick"), gap=0.05)
+    for i in range(200):
+        turns.put(fn=lambda i=i: done.append(f"w{i}"), rank=Rank.PLACE)                # type: ignore[misc]
+        turns.put(fn=lambda i=i: done.append(f"c{i}"), rank=Rank.LATE, until=99.0)     # type: ignore[misc]
+    now = 1.0
+    while len(turns) and (fn := turns.take(now=now)) is not None:
+        if round(now * 1000) % 40 == 0:
+            turns.put(fn=lambda: done.append("ping"), rank=Rank.URGENT)
+        fn()
+        now += 0.01
+    work = [d for d in done if d[0] == "w"]
+    assert work == [f"w{i}" for i in range(200)]
+    ticks = [i for i, d in enumerate(done) if d == "tick"]
+    assert all(b - a <= 8 for a, b in zip(ticks, ticks[1:], strict=False))
+    calls = [d for d in done if d[0] == "c"]
+    assert calls == [f"c{i}" for i in range(200)]
+    assert sum(d[0] == "w" for d in done[:done.index("c0")]) == TURNS_PER_CALL
+
+
+def test_late_calls_that_nobody_waits_for_are_passed_over() -> None:
+    done: list[float] = []
+    turns = Turns(tick=lambda: None, gap=9.0)
+    assert turns.take(now=0.0) is not None and turns.take(now=0.0) is None      # the tick
+    for until in (1.0, 5.0):
+        turns.put(fn=lambda until=until: done.append(until), rank=Rank.LATE, until=until)  # type: ignore[misc]
+    while (fn := turns.take(now=2.0)) is not None:
+        fn()
+    assert done == [5.0] and len(turns) == 0
+
+
+class Node:
+    """What calls need of their node."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.at: tuple[str, int] | None = ("p1", 1)
+        self.sent: list[tuple[float, str]] = []
+        self.ended: list[int] = []
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        self.sent.append((round(self.now, 2), uid))
+
+    def primary(self, *, g: int) -> tuple[str, int] | None:
+        return self.at
+
+    def learn(self, *, eps: list[Any]) -> None:
+        self.at = eps[0]
+
+    def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
+        self.ended.append(status)
+
+
+def test_calls_back_off_and_follow_the_primary_at_once() -> None:
+    node = Node()
+    calls = Calls(hub=node, base=0)
+    calls.start(g=1, op="put", b={}, done=("x",), ttl=8.0)
+    while node.now < 5.0:
+        calls.tick()
+        node.now += 0.05
+    gaps = [b[0] - a[0] for a, b in zip(node.sent, node.sent[1:], strict=False)]
+    assert len(node.sent) <= 5 and gaps == sorted(gaps) and max(gaps) <= RESEND_MOST_S + 0.11
+    before = len(node.sent)
+    node.at = ("p2", 2)
+    calls.tick()
+    assert node.sent[before:] == [(round(node.now, 2), "p2")]
+    calls.lost(uid="p1")
+    assert len(node.sent) == before + 1
+    calls.lost(uid="p2")
+    assert len(node.sent) == before + 2
+    calls.reply(m={"rid": 1, "s": 421, "d": [("p3", 3)]})
+    assert node.sent[-1][1] == "p3" and node.ended == []
+    calls.reply(m={"rid": 1, "s": 200, "d": {}})
+    assert node.ended == [200]
+
+
+def test_a_repeat_of_a_call_in_hand_is_passed_over_and_one_after_its_answer_is_not() -> None:
+    sim, _, _, _ = cluster(seed=81)
+    ip = sim.serving(g=1)[0]
+    node = sim.core(ip)
+    taken: list[int] = []
+    placer = node.placers[1]
+    real = placer.call
+
+    def call(*, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
+        taken.append(rid)
+        real(uid=uid, rid=rid, op=op, b=b)
+
+    placer.call = call  # type: ignore[method-assign]
+    m = {"rid": 7, "g": 1, "op": "count", "b": {"q": "fast"}}
+    node.reps[1].commit(ev={"t": "forget", "ids": []})     # an answer must wait for this event
+    for _ in range(5):
+        node.on(uid="10.0.1.1:7001#ff", kind=Kind.CALL, m=orjson.loads(orjson.dumps(m)))
+    assert taken == [7]
+    sim.run(seconds=1.0)
+    node.on(uid="10.0.1.1:7001#ff", kind=Kind.CALL, m=m)
+    assert taken == [7, 7]
+
+
+def test_a_deposed_primary_sends_its_callers_on() -> None:
+    sim, _, _, _ = cluster(seed=82)
+    ip = sim.serving(g=1)[0]
+    node = sim.core(ip)
+    node.reps[1].commit(ev={"t": "forget", "ids": []})
+    node.on(uid="10.0.1.1:7001#ff", kind=Kind.CALL, m={"rid": 7, "g": 1, "op": "count", "b": {"q": "fast"}})
+    node.out.sends.clear()
+    node.leave()
+    rows = [orjson.loads(body) for _, kind, body in node.out.sends if kind is Kind.REPLY]
+    assert [(r["rid"], r["s"]) for r in rows] == [(7, 421)]
+
+
+def test_a_tick_longer_than_its_gap_leaves_room_for_work_and_chores_for_both() -> None:
+    """Placing passes longer than the gap were due again at once, and nothing else was ever taken."""
+    done: list[str] = []
+    took = {"tick": 0.02, "chores": 0.3, "beat": 0.001, "ends": 0.01}
+    turns = Turns(tick=lambda: done.append("tick"), gap=0.05, chores={Rank.PLACE: lambda: done.append("chores")})
+    now, end = 0.0, 30.0
+    while now < end:
+        turns.put(fn=lambda: done.append("ends"), rank=Rank.PLACE)
+        if len(done) % 5 == 0:
+            turns.put(fn=lambda: done.append("beat"), rank=Rank.AGENT)
+        fn = turns.take(now=now)
+        assert fn is not None
+        fn()
+        now += took[done[-1]]
+    spent = {k: done.count(k) * s for k, s in took.items()}
+    assert spent["chores"] < 0.55 * end and spent["ends"] > 0.2 * end
+    last, at, worst = 0.0, 0.0, 0.0
+    for d in done:
+        at += took[d]
+        if d == "tick":
+            worst, last = max(worst, at - last), at
+    assert worst < 0.05 + 0.3 + 0.05     # a gap, one pass, the tick itself
+
+
+def test_beats_do_not_wait_for_a_backlog_of_placing() -> None:
+    done: list[str] = []
+    turns = Turns(tick=lambda: None, gap=0.05)
+    for _ in range(500):
+        turns.put(fn=lambda: done.append("ends"), rank=Rank.PLACE)
+    now = 0.0
+    for i in range(100):
+        turns.put(fn=lambda: done.append("beat"), rank=Rank.AGENT)
+        for _ in range(3):
+            fn = turns.take(now=now)
+            assert fn is not None
+            fn()
+            now += 0.02 if done and done[-1] == "ends" else 0.001
+        assert done.count("beat") >= i
+
+
+def test_a_backlog_does_not_grow_by_repeats() -> None:
+    rep = Repeats()
+    ends = {"g": 1, "m": "i", "f": 3, "x": [[1, "a"], [2, "b"]]}
+    claim = {"g": 1, "x": [["i", 3, "svc"], ["j", 4, "svc"]]}
+    lost = {"g": 1, "m": "i", "f": 3, "v": {}}
+    for kind, m in ((Kind.ENDS, ends), (Kind.CLAIM, claim), (Kind.LOST, lost)):
+        assert rep.screen(uid="a", kind=kind, m=m) is m
+        assert rep.screen(uid="a", kind=kind, m=dict(m)) is None
+        assert rep.screen(uid="b", kind=kind, m=m) is m
+        assert rep.taken(uid="a", kind=kind, m=m) is m and rep.screen(uid="a", kind=kind, m=m) is m
+    assert rep.screen(uid="a", kind=Kind.ENDS, m={**ends, "f": 4}) is not None     # under a newer fence it is news
+    assert rep.screen(uid="a", kind=Kind.ORDER, m={}) == rep.screen(uid="a", kind=Kind.ORDER, m={}) == {}
+    assert rep.screen(uid="a", kind=Kind.ENDS, m={"x": 3}) == {"x": 3}             # whoever handles it says why not
+    assert rep.screen(uid="a", kind=Kind.ROOM, m={"v": 1}) == {"v": 1}
+    assert rep.screen(uid="a", kind=Kind.ROOM, m={"v": 2}) is None
+    assert rep.taken(uid="a", kind=Kind.ROOM, m={"v": 1}) == {"v": 2}
+    assert rep.screen(uid="a", kind=Kind.ROOM, m={"v": 3}) == {"v": 3}
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_malformed_messages_reach_whoever_says_so(kind: Kind) -> None:
+    rep = Repeats()
+    odd: list[Any] = [None, 3, "x", [], {}, {"g": "1"}, {"g": 1, "m": "i", "f": 1, "x": [[[1]], 3]}, {"g": 1, "x": [3]},
+                      {"g": 1, "m": [], "f": {}, "x": 4}, {"g": None, "ttl": "x"}]
+    for m in odd:
+        rank_of(kind=kind, m=m)
+        assert rep.screen(uid="a", kind=kind, m=m) == m
+        assert rep.taken(uid="a", kind=kind, m=m) == m
--- a/yarrowloom/base/startup.py
+++ b/yarrowloom/base/startup.py
@@ -9,6 +9,7 @@
 from .errs import Finding, StartupError
 
 ENV = "YARROWLOOM_NODE_FILE"
+MOST_LOSSES = 4       # more backups than that are not kept, whatever the budget
 DEFAULT_PATH = "/etc/yarrowloom/local.json"
 
 _BOUNDS_MS = {"drain-ms": 2000, "config-apply-ms": 2000, "evacuate-ms": 5000, "max-hold-ms": 10000,
@@ -32,6 +33,8 @@
     disk_mb: int
     memory_mb: int
     beat_ms: int
+    link_mbps: float = 1000.0     # above 0; what the machine's own link carries each way
+    losses: int = 1               # disks that may be lost at once: each group has as many backups
     bounds: dict[str, float] = field(default_factory=dict)
 
     def bound(self, *, name: str, default: float) -> float:
@@ -77,6 +80,11 @@
     bounds = want("bounds", dict, {})
     limits = want("limits", dict, {})
     boot = doc.get("bootstrap", False)
+    budget = want("fault-budget", dict, {})
+    losses = budget.get("machines", 1) if isinstance(budget, dict) else 1
+    if not isinstance(losses, int) or isinstance(losses, bool) or losses < 0:
+        bad.append(Finding(place="fault-budget.machines", text="not a whole number of 0 or more"))
+        losses = 1
     if isinstance(binds, dict):
         bad += [Finding(place=f"bind-addrs.{k}", text="not HOST:PORT") for k, v in binds.items() if not _addr_ok(v)]
     if isinstance(seeds, list):
@@ -84,6 +92,9 @@
     if isinstance(ports, list) and not (len(ports) == 2 and all(isinstance(p, int) and 0 < p < 65536 for p in ports)
                                         and ports[0] < ports[1]):
         bad.append(Finding(place="internal-ports", text="not two rising ports"))
+    link = limits.get("link-mbps", 1000.0) if isinstance(limits, dict) else 1000.0
+    if isinstance(link, bool) or not isinstance(link, (int, float)) or link <= 0:
+        bad.append(Finding(place="limits.link-mbps", text="not a number above 0"))
     data = doc.get("data-dir")
     if data is not None and not isinstance(data, str):
         bad.append(Finding(place="data-dir", text="not a path"))
@@ -94,7 +105,8 @@
     figs = {k: float(v) for k, v in bounds.items() if isinstance(v, (int, float))}
     return Startup(name=name, role=role, ip=ip, site=site, sites=sites, binds=binds, ports=(ports[0], ports[1]),
                    seeds=tuple(seeds), bootstrap=boot, data_dir=data, disk_mb=int(limits.get("disk-mb", 0) or 0),
-                   memory_mb=int(limits.get("memory-mb", 256) or 256), beat_ms=int(beat), bounds=figs)
+                   memory_mb=int(limits.get("memory-mb", 256) or 256), beat_ms=int(beat),
+                   link_mbps=float(link), losses=min(max(losses, 1), MOST_LOSSES), bounds=figs)
 
 
 def load(*, path: str | None = None) -> Startup:
--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -1,15 +1,17 @@
 """The command line: one program, the role is the subcommand."""
 
+import inspect
 import sys
+from typing import Any
 
 from .base.errs import YarrowError
 
+EXITS = """Exit codes: 0 done, 1 something was lost, 2 flags that cannot be read, 64 wrong use, unreachable target, port
+in use or missing dependency, 70 internal, 74 disk unusable, 78 settings or experiment unusable, 130 interrupted."""
 
-class Commands:
-    """yarrowloom: a cluster scheduler for jobs.
 
-    Exit codes: 0 done, 64 wrong use or unreachable target, 70 internal, 74 disk unusable, 78 settings unusable.
-    """
+class Commands:
+    """yarrowloom: a cluster scheduler for jobs."""
 
     def edge(self, level: str = "info") -> None:
         """Serve callers; settings from the file named by YARROWLOOM_NODE_FILE."""
@@ -27,20 +29,25 @@
         startup = load(path=path)
         return f"{path}: fit for use by {startup.name}"
 
+    def defaults(self) -> str:
+        """Check the project's own settings (deploy/defaults.toml) and show them."""
+        import orjson
+
+        from .base.defaults import load
+        return orjson.dumps(load(), option=orjson.OPT_INDENT_2).decode()
+
     def state(self, addr: str) -> str:
         """Show what the core node at a control address (HOST:PORT) knows."""
-        import httpcore
-        import orjson
+        return _show(_fetch(url=f"http://{addr}/state"))
 
-        from .base.errs import UsageError
-        try:
-            res = httpcore.request("GET", f"http://{addr}/state", extensions={
-                "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
-        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
-            raise UsageError(text=f"{addr}: not reached ({type(err).__name__})") from err
-        if res.status != 200:
-            raise UsageError(text=f"{addr}: answered {res.status}; is it a control address?")
-        return orjson.dumps(orjson.loads(res.content), option=orjson.OPT_INDENT_2).decode()
+    def explain(self, addr: str, job: str) -> str:
+        """Say why a job waits: ask the core node at a control address (HOST:PORT) about a job's ID."""
+        return _show(_fetch(url=f"http://{addr}/jobs/{job}"))
+
+    def warm(self, addr: str) -> str:
+        """Show hits, misses and core-seconds of warm room, by group of jobs, at the placing nodes of one core node."""
+        doc = _fetch(url=f"http://{addr}/state")
+        return _show({g: row["warm"] for g, row in doc["placing"].items()})
 
     def load(self, *addrs: str, host: str, prefix: str, jobs: int = 50, rate: float = 5.0, seed: int = 1) -> str:
         """Send a seeded mix of jobs to front addresses and report latencies, losses and repeats."""
@@ -55,11 +62,87 @@
         trio.run(load.run)
         return " ".join(pair(key=k, val=v) for k, v in report(load=load).items())
 
+    def local(self, cores: int = 3, edges: int = 2, minions: int = 20, jobs: int = 100, seed: int = 1,
+              rate: float = 20.0, port: int = 0, keep: bool = False) -> None:
+        """Start a small cluster on loopback, run a mix of jobs to its end, clean up; exits 0 if nothing was lost."""
+        from .rig.local import lines, local
+        out, good = local(cores=cores, edges=edges, minions=minions, jobs=jobs, seed=seed, rate=rate, port=port,
+                          keep=keep)
+        print("\n".join(lines(out=out)))
+        sys.exit(0 if good else 1)
+
+    def experiment(self, path: str, out: str = "target/experiments") -> None:
+        """Run the experiment that a file (TOML) describes; the report and its raw figures go to a folder of OUT."""
+        from .rig.experiment import experiment
+        from .rig.local import lines
+        figs, good = experiment(path=str(path), out=str(out))
+        print("\n".join(lines(out=figs)))
+        sys.exit(0 if good else 1)
+
+    def slopes(self, *runs: str, reps: int = 5, out: str = "") -> None:
+        """Measure on this machine what a beat, a start, a change, a checkpoint and a job cost; all runs, or some."""
+        from .rig.local import lines
+        from .rig.slopes import slopes
+        print("\n".join(lines(out=slopes(reps=reps, out=str(out), only=tuple(map(str, runs))))))
+
+
+def _show(doc: Any) -> str:
+    import orjson
+    return orjson.dumps(doc, option=orjson.OPT_INDENT_2).decode()
+
+
+def _fetch(*, url: str) -> Any:
+    """GET from a core node, following where it sends us; raises UsageError if nothing useful comes."""
+    import httpcore
+    import orjson
+
+    from .base.errs import UsageError
+    try:
+        for _ in range(3):
+            res = httpcore.request("GET", url, extensions={
+                "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 3.0)})
+            if res.status != 307:
+                break
+            url = dict(res.headers)[b"location"].decode()
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.UnsupportedProtocol) as err:
+        raise UsageError(text=f"{url}: not reached ({type(err).__name__})") from err
+    if res.status != 200:
+        raise UsageError(text=f"{url}: answered {res.status}: {res.content.decode(errors='replace')[:200]}; "
+                              "is it a control address?")
+    return orjson.loads(res.content)
+
+
+def usage() -> str:
+    """Every subcommand with its flags.
+
+    >>> [row.split()[0] for row in usage().splitlines() if row.startswith("  ") and row[2] != " "][:2]
+    ['edge', 'core']
+    """
+    rows = [str(Commands.__doc__), "", "usage: yarrowloom.py COMMAND [ARGUMENTS] [--FLAG=VALUE ...]", ""]
+    for name, fn in vars(Commands).items():
+        if name.startswith("_"):
+            continue
+        words = [name]
+        for arg in list(inspect.signature(fn).parameters.values())[1:]:
+            must = arg.default is inspect.Parameter.empty
+            if arg.kind is inspect.Parameter.VAR_POSITIONAL:
+                words.append(f"{arg.name.upper()}...")
+            elif arg.kind is inspect.Parameter.KEYWORD_ONLY or not must:
+                flag = f"--{arg.name}=" + (arg.name.upper() if must else str(arg.default) or "''")
+                words.append(flag if must else f"[{flag}]")
+            else:
+                words.append(arg.name.upper())
+        rows += ["  " + " ".join(words), f"      {fn.__doc__}"]
+    return "\n".join([*rows, "", EXITS])
+
 
 def main() -> None:
     """Entry."""
     args = sys.argv[1:]
     try:
+        if not args or args[0] in ("-h", "--help", "help"):
+            print(usage())
+            return
         if args[:1] in (["edge"], ["core"]) and len(args) == 1:
             getattr(Commands(), args[0])()
             return
@@ -70,6 +153,12 @@
         for item in err.findings:
             print(f"  {item}", file=sys.stderr)
         sys.exit(err.exit_code)
+    except ModuleNotFoundError as err:
+        if str(err.name).startswith("yarrowloom"):
+            raise
+        file = "requirements-rig.txt" if args[:1] == ["experiment"] else "requirements.txt"
+        print(f"yarrowloom: missing dependency {err.name}: python3 -m pip install -r {file}", file=sys.stderr)
+        sys.exit(64)
     except BrokenPipeError:
         sys.stderr.close()
         sys.exit(0)
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -3,32 +3,36 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..base.defaults import Defaults
 from ..base.log import Log
 from ..base.startup import Startup
+from ..fleet.owners import total
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
-from .calls import NOT_PRIMARY
+from .calls import NOT_PRIMARY, InHand
 from .chief import LEASE_S
 from .control import dispatch
 from .hub import CoreHub
+from .turns import Input, Rank
 
 REC = frozenset({Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED, Kind.INSTALL, Kind.INSTALLED, Kind.CKPT,
                  Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG, Kind.YIELD})
-THAW_S = 0.5
+THAW_S = 0.3
 
 
 class CoreNode(CoreHub):
     """Inputs and effects. Invariant: effects leave in the order of their events."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
-                 rand: float = 0.5) -> None:
-        super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand)
+                 rand: float = 0.5, defaults: Defaults | None = None) -> None:
+        super().__init__(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand,
+                         defaults=defaults)
+        self.hand = InHand()
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near, "copied": self._copied, "send": self._sendeff, "none": self._none,
-            "reply": self._reply, "news": self._news, "owned": self._owned, "owned-all": self._owned_all,
-            "stops": self._stops, "orders": self._orders, "endsok": self._endsok, "giveback": self._giveback,
-            "selfown": self._selfown}
+            "reply": self._reply, "news": self._news, "owned": self._owned, "stops": self._stops,
+            "orders": self._orders, "endsok": self._endsok, "selfown": self._selfown}
 
     # -- effects
 
@@ -45,7 +49,7 @@
     def _copied(self, g: int, tag: str) -> None:
         camp = self.reps[g].camp
         if camp is not None:
-            camp.copied(tag=tag, far=False)
+            camp.copied(tag=tag, uid="")
 
     def _sendeff(self, uid: str, kind: int, body: dict[str, Any]) -> None:
         self.send(uid=uid, kind=Kind(kind), body=body)
@@ -56,16 +60,13 @@
     def _news(self, doc: dict[str, Any]) -> None:
         self.take_news(doc=doc)
 
-    def _owned(self, mid: str) -> None:
+    def _owned(self, mids: list[str]) -> None:
         if self.chief is not None:
-            self.chief.owned(mid=mid)
+            self.chief.owned(mids=mids)
 
     def _selfown(self, doc: dict[str, Any]) -> None:
         self._heartok(uid=self.uid, m=doc)
 
-    def _owned_all(self) -> None:
-        self.hearted = -9.0
-
     def _stops(self, g: int, rows: list[Any]) -> None:
         if g in self.placers:
             self.placers[g].stops(rows)
@@ -77,9 +78,6 @@
     def _endsok(self, g: int, uid: str, mid: str, fence: int, rows: list[Any]) -> None:
         self.send(uid=uid, kind=Kind.ENDSOK, body={"g": g, "m": mid, "f": fence, "x": rows})
 
-    def _giveback(self, g: int, uid: str, mid: str, lid: int) -> None:
-        self.send(uid=uid, kind=Kind.RETURN, body={"g": g, "x": [[mid, lid]]})
-
     # -- inputs
 
     def http(self, *, call: Any, req: Request) -> None:
@@ -98,12 +96,15 @@
             rep.flush()
 
     def heart(self) -> dict[str, Any]:
-        """A core's heart tells what its agent owns."""
-        return {**super().heart(), "own": [[m.mid, m.fence] for m in self.agent.minions.values()]}
-
-    def on(self, *, uid: str, kind: Kind, body: bytes) -> None:
-        """One frame from `uid`."""
-        m = self.load(body=body)
+        """A core's heart tells what its agent owns: a digest, and all of it if the chief asked."""
+        own = [(m.mid, m.fence) for m in self.agent.minions.values()]
+        body = {**super().heart(), "dig": total(rows=own)}
+        if self.listing:
+            body["own"] = own
+        return body
+
+    def on(self, *, uid: str, kind: Kind, m: Any) -> None:
+        """One message from `uid`, parsed; it is the node's from now on."""
         if kind in REC:
             self.reps[m["g"]].on(uid=uid, kind=kind, m=m)
         elif kind is Kind.HEART:
@@ -117,25 +118,45 @@
         elif kind is Kind.REPLY:
             self.calls.reply(m=m)
         elif kind is Kind.ROOM:
-            self.agent.views[m["u"]] = (self.now, m["v"])
-            for p in self.placers.values():
-                p.pool.views[m["u"]] = (self.now, m["v"])
-                p.dirty = True
+            self._room(m=m)
         else:
             self._jobs(uid=uid, kind=kind, m=m)
         self._flush()
 
+    def _room(self, *, m: dict[str, Any]) -> None:
+        if "v" in m:
+            self.agent.share.views[m["u"]] = (self.now, m["v"])
+        elif m["g"] in self.placers:
+            placer = self.placers[m["g"]]
+            placer.room.report(uid=m["u"], rows=m["x"], shut=m["shut"], now=self.now)
+            placer.pump()
+
     def _call(self, *, uid: str, m: dict[str, Any]) -> None:
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
+        if not self.hand.take(uid=uid, rid=rid, g=g, now=self.now):
+            return
         if g < 0:
             self._handed(uid=uid, rid=rid, op=op, b=b)
         elif not self.reps[g].serving():
             self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
         elif g == 0:
             self._serve0(uid=uid, rid=rid, op=op, b=b)
+            if op == "leave":     # the minion's agent answers
+                self.hand.drop(uid=uid, rid=rid)
         else:
             self.placers[g].call(uid=uid, rid=rid, op=op, b=b)
 
+    def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
+        """Answer a call of another node."""
+        self.hand.drop(uid=uid, rid=rid)
+        super().reply(uid=uid, rid=rid, status=status, doc=doc)
+
+    def deposed(self, *, g: int) -> None:
+        """Calls in hand are not answered here any more: their callers look for the next primary at once."""
+        super().deposed(g=g)
+        for uid, rid in self.hand.leave(g=g):
+            self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
+
     def _jobs(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
         if kind is Kind.ATTACH:
             self.agent.attach(uid=uid, b=m)
@@ -147,6 +168,8 @@
             self.agent.order(uid=uid, b=m)
         elif kind is Kind.STOP:
             self.agent.stop(b=m)
+        elif kind is Kind.ROOMGET:
+            self.agent.share.roomget(uid=uid, g=m["g"])
         elif kind is Kind.ENDSOK:
             self.agent.endsok(body=m)
         elif kind is Kind.LOSTOK:
@@ -168,13 +191,10 @@
 
     def _heart(self, *, b: dict[str, Any]) -> None:
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"]}
-        news = self.newer(have=b["have"])
-        if news:
-            body["news"] = news
+        body = self.answer(b=b)
         if b["kind"] == "edge":
-            fed = sorted(u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u))[:FANOUT]
-            if b["u"] not in fed:
+            edges = [u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u)]
+            if len(edges) > FANOUT and b["u"] not in (fed := sorted(edges)[:FANOUT]):
                 body["via"] = ring(uid=b["u"], among=fed, n=2)
         if self.chief is not None and self.reps[0].serving():
             body.update(self.chief.heart(b=b))
@@ -193,40 +213,91 @@
             self.roster[u] = self.now
         if "news" in m:
             self.take_news(doc=m["news"])
+        if "t" in m:
+            self.told(uid=uid, m=m)
         for mid, fence, info in m.get("own", []):
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
             self.agent.disown(mid=mid)
+        if m.get("list") or m.get("shed"):
+            self.let_go(mids=m.get("shed", []))
+            self.listing, self.hearted = True, -9.0
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost."""
+        self.gap_agent(uid=uid)
+        self.gap_place(uid=uid)
+
+    def gap_agent(self, *, uid: str) -> None:
+        """Perhaps what a placing node wanted, or answers."""
+        self.calls.lost(uid=uid)
+        self.lost_from(uid=uid)
         self.agent.gap(uid=uid)
+
+    def gap_place(self, *, uid: str) -> None:
+        """Perhaps what an agent told."""
         for g, p in self.placers.items():
             if self.reps[g].serving():
                 p.gap(uid=uid)
 
     def tick(self) -> None:
-        """About twenty times a second."""
+        """About twenty times a second: all that goes by time."""
+        self.pulse()
+        self.agent_chores()
+        self.place_chores()
+
+    def chores(self) -> dict[Rank, Input]:
+        """What goes by time besides the pulse, by class."""
+        return {Rank.AGENT: self.agent_chores, Rank.PLACE: self.place_chores}
+
+    def agent_chores(self) -> None:
+        """Beats that are held, what is to be told again, minions that fell silent."""
+        self.agent.tick()
+        self._flush()
+
+    def place_chores(self) -> None:
+        """Placing: may take long, so a busy process does it less often."""
+        for g, p in list(self.placers.items()):
+            if self.reps[g].serving():
+                p.tick()
+        self._flush()
+
+    def pulse(self) -> None:
+        """Hearts, promises, ballots, calls: cheap, and in time also in a busy process."""
         if self.now - self.ticked > THAW_S:
             self.note(event="stood-still", s=round(self.now - self.ticked, 2))
-            for rep in self.reps.values():
-                rep.thawed()
+            self._thawed(slept=self.now - self.ticked)
         self.ticked = self.now
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
-            own = self.chief.heart(b=self.heart())
-            if own["own"] or own["dis"]:
-                self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+            if self.hearted == self.now:
+                self._self_heart()
             self.chief.tick()
+        if self.hearted == self.now:
+            self.listing = False
         self.calls.tick()
+        self.hand.sweep(now=self.now)
         for rep in self.reps.values():
             rep.tick()
-        self.agent.tick()
-        for g, p in list(self.placers.items()):
-            if self.reps[g].serving():
-                p.tick()
         self._flush()
 
+    def _thawed(self, *, slept: float) -> None:
+        """The process stood still: what others may have said meanwhile is not silence of theirs."""
+        for rep in self.reps.values():
+            rep.thawed()
+        for at in (self.heard, self.roster, self.chief.last if self.chief is not None else {}):
+            for uid, when in at.items():
+                at[uid] = min(when + slept, self.now)
+
+    def _self_heart(self) -> None:
+        """The chief's word to the agent of its own node."""
+        assert self.chief is not None
+        own = self.chief.heart(b=self.heart())
+        if "own" not in own:
+            self._heartok(uid=self.uid, m=own)
+        elif own["own"] or own["dis"]:
+            self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
+
     def leave(self) -> None:
         """The process is to end: hand the groups served here to their backups."""
         for rep in self.reps.values():
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..agent import Agent
+from ..base.defaults import SHIPPED, Defaults
 from ..base.errs import YarrowError
 from ..base.log import Log
 from ..base.startup import Startup
@@ -26,12 +27,13 @@
     served here; the agent acts only while `trusted`."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
-                 rand: float = 0.5) -> None:
+                 rand: float = 0.5, defaults: Defaults | None = None) -> None:
         super().__init__(startup=startup, uid=uid, boot=boot, kind="core", log=log)
         self.now = now
         self._rand = rand
         self.reg = Registry()
-        self.jobs = {g: Jobs() for g in self.groups()}
+        self.defaults = defaults or SHIPPED
+        self.jobs = {g: Jobs(learn=self.defaults["learn"]["on"]) for g in self.groups()}
         self.reps: dict[int, Replica] = {}
         for g in range(JOB_GROUPS + 1):
             state = self.reg if g == 0 else self.jobs[g]
@@ -45,6 +47,7 @@
         self.agent = Agent(hub=self, hold_ms=int(hold), lag_ms=startup.beat_ms,
                            stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)))
         self.lease = -9.0
+        self.listing = False                 # the chief wants to be told all that the agent holds
         self.roster: dict[str, float] = {}
         self.owner: dict[str, tuple[str, float]] = {}
         self.before: dict[int, str] = {}
@@ -59,7 +62,8 @@
     def _genesis(self, *, g: int) -> Epoch:
         seeds = [s.replace("#?", "#0") for s in self.seeds()]
         n = len(seeds)
-        return {"n": 0, "p": seeds[g % n], "b": seeds[(g + 1) % n] if n > 1 else "", "w": seeds, "t": ""}
+        return {"n": 0, "p": seeds[g % n], "w": seeds, "t": "",
+                "b": [seeds[(g + i) % n] for i in range(1, min(self.startup.losses, n - 1) + 1)]}
 
     def jitter(self) -> float:
         """0 to 1, from a small generator of its own."""
@@ -70,20 +74,21 @@
         """To disk."""
         self.out.writes.append((dump(body=rec), done))
 
-    def partners(self) -> list[str]:
+    def partners(self, *, first: list[str]) -> list[str]:
         """Members that may be a backup: alive ones first, other sites before the own, the least loaded first."""
         load: dict[str, int] = {}
         for e in self.eps.values():
             load[e["p"]] = load.get(e["p"], 0) + 1
-            load[e["b"]] = load.get(e["b"], 0) + 1
-        rows = [(not self._up(uid=u), site == self.startup.site, load.get(u, 0), u)
+            for b in e["b"]:
+                load[b] = load.get(b, 0) + 1
+        rows = [(not self.up(uid=u), site == self.startup.site, u not in first, load.get(u, 0), u)
                 for u, site in self.peers().items() if u != self.uid]
         return [u for *_, u in sorted(rows)]
 
     def peers(self) -> dict[str, str]:
         """Core nodes and their sites as far as known. After a restart of all there are no members yet, only what
         epochs name and whose hearts are heard; a uid that gave way to another at its address does not count."""
-        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], e["b"]) if u}
+        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u}
         heard = {u for u, i in self.info.items() if i["kind"] == "core" and self.alive(uid=u)} | {self.uid}
         new = {addr_of(uid=u): u for u in heard}
         out = {}
@@ -93,13 +98,18 @@
                 out[u] = str(row.get("site", ""))
         return out
 
-    def _up(self, *, uid: str) -> bool:
+    def losses(self) -> int:
+        """How many disks may be lost at once."""
+        return self.startup.losses
+
+    def up(self, *, uid: str) -> bool:
+        """Heard of lately."""
         return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
 
     def witnesses(self, *, have: list[str]) -> list[str]:
         """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer."""
-        up = [u for u in have if u in self.members and self._up(uid=u)]
-        up += [u for u in sorted(self.members) if u not in have and self._up(uid=u)]
+        up = [u for u in have if u in self.members and self.up(uid=u)]
+        up += [u for u in sorted(self.members) if u not in have and self.up(uid=u)]
         size = min(len(up) - 1 + len(up) % 2, WITNESSES)
         return sorted(up[:size]) if size >= max(len(have), 3) else have
 
@@ -112,13 +122,13 @@
         e = self.reps[g].epoch
         assert e is not None
         was = self.before.get(g, "")
-        self.note(event="primary", group=g, epoch=e["n"], backup=e["b"])
+        self.note(event="primary", group=g, epoch=e["n"], backups=",".join(e["b"]))
         self._spread(g=g)
         if g == 0:
             self.chief = Chief(node=self, late=was if was != self.uid else "")
             self._publish()
         else:
-            self.placers[g] = Placer(g=g, hub=self, rep=self.reps[g], jobs=self.jobs[g],
+            self.placers[g] = Placer(defaults=self.defaults, g=g, hub=self, rep=self.reps[g], jobs=self.jobs[g],
                                      far=self.startup.bound(name="spread-factor", default=2),
                                      status_s=self.startup.bound(name="status_s", default=120))
 
@@ -138,10 +148,26 @@
         """The agent may act: group 0's primary gave its word lately, or is this node."""
         return self.now < self.lease or (self.chief is not None and self.reps[0].serving())
 
+    def let_go(self, *, mids: list[str]) -> None:
+        """The chief wants these given to others. Let go of are those in good order, with none on its way out: the
+        next agent would have to find out anew that a minion is silent or about to leave."""
+        for mid in mids:
+            m = self.agent.minions.get(mid)
+            if m is not None and self.agent.open(m=m) and all(r.sent or r.live for r in m.runs.values()):
+                self.agent.disown(mid=mid)
+
     def evacuated(self, *, site: str) -> bool:
         """Nothing may start there."""
         return site in self.evac
 
+    def ranks(self) -> dict[str, int]:
+        """The queues of the newest configuration, with their ranks."""
+        return {name: int(row.get("rank", 9)) for name, row in self.table.routes.items()} if self.table else {}
+
+    def evacuations(self) -> frozenset[str]:
+        """Sites to which nothing is to be sent."""
+        return frozenset(self.evac)
+
     def gone(self, *, mid: str, fence: int) -> None:
         """A minion is no more."""
         self.agent.disown(mid=mid)
@@ -156,6 +182,11 @@
         for g, e in eps:
             self.reps[g].learn(e)
 
+    def configured(self) -> None:
+        """A newer configuration is in force here."""
+        for placer in self.placers.values():
+            placer.configured()
+
     def installed(self, *, g: int, epoch: Epoch) -> None:
         """A newer epoch is decided."""
         old = self.eps.get(g)
@@ -192,8 +223,9 @@
                 rep.barrier(then=("reply", uid, rid, status, doc))
                 return
             if ev is not None:
-                rep.commit(ev=ev, then=("news", {"conf": ev["doc"]}))
-                self.note(event="config-accepted", stamp=ev["doc"]["config-version"])
+                rep.commit(ev=ev)
+                rep.barrier(then=("news", {"conf": self.reg.conf}))
+                self.note(event="config-accepted", stamp=self.reg.stamp)
             rep.barrier(then=("reply", uid, rid, 200, {}))
         elif op == "getconf":
             rep.barrier(then=("reply", uid, rid, 200 if self.reg.conf else 404, self.reg.conf or {}))
@@ -294,4 +326,5 @@
                            for g, r in self.reps.items()},
                 "minions": {m.mid: {"phase": m.phase.value, "free": m.free(), "runs": len(m.runs)}
                             for m in self.agent.minions.values()},
-                "backlog": {str(g): len(p.ready) for g, p in self.placers.items()}}
+                "backlog": {str(g): len(p.backlog) for g, p in self.placers.items()},
+                "placing": {str(g): p.figures() for g, p in self.placers.items()}}
