--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -67,3 +67,26 @@
     ring.append(bodies=[b"x"])
     ring.close()
     assert Ring(folder=str(tmp_path), files=4, size=4096).load() == [b"x"]
+
+
+def test_files_grow_where_a_checkpoint_would_fill_them(tmp_path: pathlib.Path) -> None:
+    """A file that a checkpoint nearly fills would be left again after a few records, each time for another one."""
+    ring = Ring(folder=str(tmp_path), files=4, size=4096, most=32768)
+    ring.load()
+    ring.rotate()
+    ring.append(bodies=[b"old"])
+    big = [b"c" * 5000]
+    ring.rotate(need=ring.room(bodies=big))
+    ring.append(bodies=big)
+    rotations = 0
+    for i in range(50):
+        rec = [b"%04d" % i * 10]
+        if ring.full(extra=ring.room(bodies=rec)):
+            rotations += 1
+            ring.rotate(need=ring.room(bodies=big))
+            ring.append(bodies=big)
+        ring.append(bodies=rec)
+    assert rotations == 0 and ring.size == 16384
+    again = Ring(folder=str(tmp_path), files=4, size=4096, most=32768)
+    assert again.load()[:2] == [b"old", big[0]]
+    assert len(again.load()) >= 2
--- a/yarrowloom/fleet/registry.py
+++ b/yarrowloom/fleet/registry.py
@@ -6,7 +6,8 @@
 import orjson
 
 from ..base.errs import Finding, InvalidError, StampError
-from . import conf
+from . import conf, delta
+from .owners import Owners
 
 _SEEN = 256
 
@@ -18,7 +19,7 @@
 
 class Registry:
     """Invariants: the configuration's stamp only rises; `fence` is above every fence given out; a minion has at
-    most one owner; `mods` rises with every change of evacuations or members."""
+    most one owner; `mods` rises with every change of evacuations or members; `owners` follows `minions`."""
 
     def __init__(self) -> None:
         self.conf: dict[str, Any] | None = None
@@ -26,6 +27,7 @@
         self.evac: list[str] = []
         self.members: dict[str, dict[str, Any]] = {}
         self.minions: dict[str, dict[str, Any]] = {}
+        self.owners = Owners(rows=self.minions)
         self.fence = 0
         self.mods = 0
 
@@ -44,12 +46,17 @@
         doc = orjson.loads(orjson.dumps(doc))
         for key in ("conf", "calls", "evac", "members", "minions", "fence", "mods"):
             setattr(self, key, doc[key])
+        self.owners = Owners(rows=self.minions)
 
     def apply(self, ev: dict[str, Any]) -> None:
         """Take one event."""
         kind = ev["t"]
         if kind == "conf":
-            self.conf = ev["doc"]
+            if "d" in ev:
+                assert self.conf is not None
+                self.conf = delta.merge(doc=self.conf, delta=ev["d"])
+            else:
+                self.conf = ev["doc"]
             self.calls = [*self.calls[-_SEEN:], ev["h"]]
         elif kind == "evac":
             self.mods += 1
@@ -63,15 +70,19 @@
         elif kind == "own":
             for mid, owner, info in ev["ms"]:
                 self.fence += 1
-                old = self.minions.get(mid, {})
-                self.minions[mid] = {**old, **info, "o": owner, "f": self.fence}
+                old = self.minions.get(mid)
+                row = self.minions[mid] = {**(old or {}), **info, "o": owner, "f": self.fence}
+                self.owners.put(mid=mid, row=row, old=old)
         elif kind == "gone":
-            row = self.minions.get(ev["m"])
-            if row is not None and row["f"] <= ev["f"]:
+            gone = self.minions.get(ev["m"])
+            if gone is not None and gone["f"] <= ev["f"]:
                 del self.minions[ev["m"]]
+                self.owners.drop(mid=ev["m"], row=gone)
 
     def judge(self, *, method: str, base: str | None, body: bytes) -> dict[str, Any] | None:
-        """The event that a PUT or PATCH makes; None: accepted before. Raises what is wrong with it."""
+        """The event that a PUT or PATCH makes; None: accepted before. Raises what is wrong with it.
+
+        The event holds the change (`d`) if that is small, else the whole (`doc`)."""
         try:
             num = int((base or "").strip().strip('"'))
         except ValueError as err:
@@ -94,4 +105,8 @@
         if doc["config-version"] <= self.stamp:
             raise InvalidError(text="version does not rise", findings=[
                 Finding(place="config-version", text=f"not above {self.stamp}")])
+        if self.conf is not None:
+            change = delta.diff(old=self.conf, new=doc)
+            if delta.small(delta=change, doc=doc):
+                return {"t": "conf", "d": change, "h": mark}
         return {"t": "conf", "doc": doc, "h": mark}
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -1,5 +1,6 @@
 """The edge node: callers' requests pass a chain of filters, each of which may answer."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -11,11 +12,13 @@
 from ..job.spec import group_of, job_id, parse
 from ..wire.frame import Kind
 from ..wire.http import Limits, Request, Response
-from .base import JOB_GROUPS, NodeBase
+from .base import ALIVE_S, FANOUT, JOB_GROUPS, NodeBase
 
-MARGIN_S = 0.15
-READY_S = 1.5
+MARGIN_S = 0.2        # an answer leaves this long before its caller's deadline, or a third of what is left before
+READY_S = 2.5         # a core that is merely busy answers something within this time
+HAND_MIN, HAND_MAX = 64, 1024
 VIA_S = 1.0           # relays that have been out of contact this long are left for the cores
+FULL_S = 10.0         # a relay that had no room is not asked again this long
 RETRY = (("retry-after", "1"),)
 
 
@@ -29,13 +32,15 @@
     route: dict[str, Any] | None = None
     rest: str = ""
     job: dict[str, Any] | None = None
+    ttl: float = 0.0      # seconds until it must be answered
 
 
 Filter = Callable[[Way], Response | None]
 
 
 class EdgeNode(NodeBase):
-    """Invariant: a request is answered 503 or 429 only if nothing of it was sent on."""
+    """Invariants: a request is answered 503 or 429 only if nothing of it was sent on; `hand` counts the bytes of the
+    bodies of the calls in hand, which are at most `hand_most` calls and about a sixteenth of the memory."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log) -> None:
         super().__init__(startup=startup, uid=uid, boot=boot, kind="edge", log=log)
@@ -43,7 +48,12 @@
         self.closing = False
         self.via: list[str] = []
         self.via_at = -9.0
-        self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._parsed)
+        self.shun: dict[str, float] = {}      # relays that have no room, and until when
+        self.reached = -9.0           # when a core last answered a call
+        self.hand = 0
+        self.hand_most = min(max(2 * startup.memory_mb, HAND_MIN), HAND_MAX)
+        self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._timely, self._roomy,
+                                            self._parsed)
 
     def configured(self) -> None:
         """The operator's limits hold for callers from now on."""
@@ -55,8 +65,9 @@
         self.limits.idle_ms = int(lim.get("idle-timeout-ms", self.limits.idle_ms))
 
     def ready(self) -> bool:
-        """Can serve: configured, in contact, and knows who keeps the records."""
-        return (self.table is not None and not self.closing and self.now - self.contact < READY_S
+        """Can serve: configured, answered by cores lately, and knows who keeps the records."""
+        near = self.now - max(self.contact, self.reached) < READY_S
+        return (near and self.table is not None and not self.closing
                 and all(g in self.eps for g in range(JOB_GROUPS + 1)))
 
     def http(self, *, call: Any, req: Request) -> None:
@@ -95,6 +106,25 @@
             return Response.of(400 if method == "POST" else 410, {"error": "not a job id"})
         return None
 
+    def _timely(self, way: Way) -> Response | None:
+        """How long the caller waits: by the route, or less by its own word."""
+        assert way.route is not None
+        left = float(way.route["deadline-ms"])
+        try:
+            said = float(way.req.headers.get("x-deadline-ms", left))
+        except ValueError:
+            said = left
+        left = min(left, said if math.isfinite(said) else left) / 1000
+        way.ttl = left - min(MARGIN_S, left / 3)
+        return Response.of(503, {"error": "no time left"}, headers=RETRY) if left <= 0 else None
+
+    def _roomy(self, way: Way) -> Response | None:
+        """A bounded number of calls is in hand; more are turned away before anything is done for them."""
+        size = len(way.req.body)
+        if len(self.calls.open) < self.hand_most and self.hand + size <= self.startup.memory_mb << 16:
+            return None
+        return Response.of(503, {"error": "too many calls in hand"}, headers=RETRY)
+
     def _parsed(self, way: Way) -> Response | None:
         if way.req.method != "POST":
             return None
@@ -107,16 +137,13 @@
     def _forward(self, way: Way) -> None:
         assert way.route is not None
         name, method = way.route["name"], way.req.method
-        ttl = float(way.route["deadline-ms"])
-        try:
-            ttl = min(ttl, float(way.req.headers.get("x-deadline-ms", ttl)))
-        except ValueError:
-            pass
-        ttl = max(ttl / 1000 - MARGIN_S, 0.05)
+        ttl, size = way.ttl, len(way.req.body)
+        self.hand += size
         if method == "GET" and not way.rest:
             count: dict[str, Any] = {"left": JOB_GROUPS, "sum": 0}
             for g in range(1, JOB_GROUPS + 1):
-                self.calls.start(g=g, op="count", b={"q": name}, done=("count", way.call, count), ttl=ttl)
+                self.calls.start(g=g, op="count", b={"q": name}, done=("count", way.call, size if g == 1 else 0, count),
+                                 ttl=ttl)
             return
         g = group_of(jid=way.rest, groups=JOB_GROUPS)
         b: dict[str, Any] = {"id": way.rest, "q": name}
@@ -124,12 +151,13 @@
             assert way.job is not None
             b["j"] = {**way.job, "svc": way.route["backend"], "mt": int(way.route.get("max-tries", 1))}
         op = {"POST": "put", "GET": "get", "DELETE": "del"}[method]
-        self.calls.start(g=g, op=op, b=b, done=(op, way.call), ttl=ttl)
+        self.calls.start(g=g, op=op, b=b, done=(op, way.call, size), ttl=ttl)
 
     def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
         """An answer of the records, or none in time."""
+        self.hand -= done[2]
         if done[0] == "count":
-            box = done[2]
+            box = done[3]
             if box["left"] <= 0:
                 return
             box["left"] -= 1
@@ -151,40 +179,54 @@
 
     # -- frames and time
 
-    def on(self, *, uid: str, kind: Kind, body: bytes) -> None:
-        """One frame."""
-        m = self.load(body=body)
+    def on(self, *, uid: str, kind: Kind, m: Any) -> None:
+        """One message."""
         if kind is Kind.HEARTOK:
             self.contact = max(self.contact, self.now - m.get("age", 0.0))
-            if m.get("via"):
-                self.via, self.via_at = m["via"], self.now
+            if m.get("full"):
+                self.shun[uid] = self.now + FULL_S
+                self.via = [u for u in self.via if u != uid]
+            elif m.get("via"):
+                via = [u for u in m["via"] if self.shun.get(u, -9.0) < self.now]
+                if via:
+                    self.via, self.via_at = via, self.now
             elif uid in self.via and m.get("age", 0.0) < VIA_S:
                 self.via_at = self.now
             self.take_news(doc=m.get("news", {}))
+            self.told(uid=uid, m=m)
         elif kind is Kind.HEART:
             self._relay(b=m)
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.REPLY:
+            self.reached = self.now
             self.calls.reply(m=m)
 
+    def children(self) -> int:
+        """How many edges this one may feed: at 2 Mbit/s four, whose hearts and changes take a tenth of the link."""
+        return max(1, min(FANOUT, int(2 * self.startup.link_mbps)))
+
     def _relay(self, *, b: dict[str, Any]) -> None:
-        """Feed news to another edge, telling how old the own contact with the cores is."""
+        """Feed news to another edge, telling how old the own contact with the cores is; or turn it away."""
+        fed = sum(self.now - at < ALIVE_S for u, at in self.heard.items() if u != b["u"])
+        if fed >= self.children():
+            self.send(uid=b["u"], kind=Kind.HEARTOK, body={"t": b["t"], "age": self.now - self.contact, "full": True})
+            return
         self.hear(b=b)
-        body: dict[str, Any] = {"t": b["t"], "age": max(0.0, self.now - self.contact)}
-        news = self.newer(have=b["have"])
-        if news:
-            body["news"] = news
+        body = {**self.answer(b=b), "age": max(0.0, self.now - self.contact)}
         self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
 
     def targets(self) -> list[str]:
-        """Relays named by a core that feeds enough edges, as long as they are in contact; else the ring."""
-        if self.via and self.now - self.via_at < VIA_S:
+        """Relays named by a core that feeds enough edges, as long as they are in contact; else the ring. The whole
+        configuration comes from cores, whose links carry it."""
+        if self.via and self.now - self.via_at < VIA_S and self.table is not None and not self.torn:
             return self.via
         return super().targets()
 
     def gap(self, *, uid: str) -> None:
-        """Frames were lost: calls repeat by themselves."""
+        """Frames were lost, perhaps answers: ask again at once; news at once if told."""
+        self.calls.lost(uid=uid)
+        self.lost_from(uid=uid)
 
     def tick(self) -> None:
         """Several times a second."""
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -1,29 +1,38 @@
-"""The trio shell round a node: sockets, disk and clocks; the node itself is a pure state machine."""
+"""The trio shell round a node: sockets, disk and clocks; the node itself is a pure state machine.
 
+Inputs are queued and taken in the order of their classes, a short slice at a time, between which all tasks run: so
+hundreds of beats that arrive together hold up neither ticks nor hearts.
+"""
+
+import math
 import secrets
 import signal
 import time
-from collections.abc import Callable
 from functools import partial
 from typing import Any
 
 import orjson
 import trio
 
+from ..base.defaults import load as load_defaults
 from ..base.errs import StartupError, YarrowError
 from ..base.log import Log
 from ..base.startup import Startup, load
 from ..store import Ring
-from ..wire.frame import Kind, dump
+from ..wire.frame import Kind, Lane, dump
 from ..wire.http import Request, Response, Server, listen
-from ..wire.peer import Peers
+from ..wire.peer import Peers, Rows
 from .core import CoreNode
 from .edge import EdgeNode
 from .tally import Tally
+from .turns import Input, Rank, Repeats, Turns, rank_of
 
 TICK_CORE_S = 0.05
 TICK_EDGE_S = 0.1
 QUIET_S = 1.0
+SLICE_S = 0.004
+LONG_S = 0.02         # after a slice this long all sockets are read before the next tick
+WAIT_S = 30.0         # an HTTP call that the node has not answered by then gets 504
 Node = CoreNode | EdgeNode
 
 
@@ -34,16 +43,25 @@
         self.node = node
         self.log = log
         self.ring = ring
-        self.peers = Peers(addr=f"{node.startup.ip}:{port}", uid=node.uid, boot=node.boot, sink=self._frame,
-                           gap=self._gap, log=log)
-        self.waits: dict[int, tuple[trio.Event, list[Response]]] = {}
+        self.peers = Peers(addr=f"{node.startup.ip}:{port}", uid=node.uid, boot=node.boot, sink=self._frames,
+                           log=log)
+        if isinstance(node, CoreNode):
+            self.turns = Turns(tick=self._tick, gap=TICK_CORE_S, chores=node.chores())
+        else:
+            self.turns = Turns(tick=self._tick, gap=TICK_EDGE_S)
+        self.repeats = Repeats()
+        self.wake = trio.Event()
+        self.running = False
+        self.credit = 0.0
+        self.swept = 0.0
+        self.waits: dict[int, tuple[trio.Event, list[Response], float]] = {}
         self.call = 0
         self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
         self.dirty = trio.Event()
         self.servers: list[Server] = []
         self.tally = Tally()
 
-    def step(self, fn: Callable[[], None]) -> None:
+    def step(self, fn: Input) -> None:
         """Give the node one input and carry out what it wants."""
         node = self.node
         node.now, node.wall = time.monotonic(), time.time()
@@ -64,15 +82,86 @@
                 wait[1].append(res)
                 wait[0].set()
 
-    def _frame(self, uid: str, _addr: str, kind: Kind, body: bytes) -> None:
-        self.tally.gets(kind=kind)
+    def post(self, *, fn: Input, rank: Rank, until: float = math.inf) -> None:
+        """Queue an input for the node; taken at once while there is credit for it."""
+        self.turns.put(fn=fn, rank=rank, until=until)
+        self._drain()
+
+    def _drain(self) -> None:
+        """Take inputs in their order, whoever brought them. Invariant: between two rounds in which all tasks run, no
+        more than a slice is spent here and one input longer than that."""
+        if self.running:
+            return
+        self.running = True
+        turns = self.turns
+        now = time.monotonic()
         try:
-            self.step(partial(self.node.on, uid=uid, kind=kind, body=body))
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
+            while self.credit > 0:
+                fn = turns.take(now=now)
+                if fn is None:
+                    break
+                self.step(fn)
+                then, now = now, time.monotonic()
+                self.credit -= now - then
+        finally:
+            turns.ended(now=now)
+            self.running = False
+        if len(turns):
+            self.wake.set()
+
+    def _frames(self, uid: str, lane: Lane, rows: Rows, lost: bool) -> None:
+        node = self.node
+        if lost and lane is Lane.URGENT:
+            self.post(fn=partial(node.lost_from, uid=uid), rank=Rank.URGENT)
+        elif lost and lane is Lane.WORK and isinstance(node, CoreNode):     # in each class before what came after
+            self.post(fn=partial(node.gap_agent, uid=uid), rank=Rank.AGENT)
+            self.post(fn=partial(node.gap_place, uid=uid), rank=Rank.PLACE)
+        elif lost and lane is Lane.WORK:
+            self.post(fn=partial(node.gap, uid=uid), rank=Rank.AGENT)
+        for kind, doc in rows:
+            self.tally.gets(kind=kind)
+            m = self.repeats.screen(uid=uid, kind=kind, m=doc)
+            if m is None:
+                continue
+            rank = rank_of(kind=kind, m=m)
+            until = math.inf
+            if rank is Rank.LATE:
+                ttl = m.get("ttl")
+                until = time.monotonic() + (ttl if isinstance(ttl, int | float) else WAIT_S)
+            self.post(fn=partial(self._on, uid, kind, m), rank=rank, until=until)
+
+    def _on(self, uid: str, kind: Kind, m: Any) -> None:
+        try:
+            self.node.on(uid=uid, kind=kind, m=self.repeats.taken(uid=uid, kind=kind, m=m))
+        except (KeyError, IndexError, AttributeError, TypeError, ValueError) as err:
             self.log.warn("frame-malformed", kind=kind.name, peer=uid, why=repr(err))
 
-    def _gap(self, uid: str) -> None:
-        self.step(partial(self.node.gap, uid=uid))
+    def _tick(self) -> None:
+        now = self.node.now
+        if now - self.swept > 1.0:
+            self.swept = now
+            for event, _, until in list(self.waits.values()):
+                if now > until:
+                    event.set()
+        if isinstance(self.node, CoreNode):
+            self.node.pulse()
+        else:
+            self.node.tick()
+
+    async def work(self) -> None:
+        """Give credit for one slice after another; the other tasks run between them."""
+        turns = self.turns
+        while True:
+            self.credit = SLICE_S
+            self._drain()
+            if self.credit < SLICE_S - LONG_S:     # one round of tasks finds what has arrived, the next has taken it
+                await trio.lowlevel.checkpoint()
+            if len(turns):
+                await trio.lowlevel.checkpoint()
+                continue
+            self.wake = trio.Event()
+            with trio.move_on_after(max(0.0, turns.due - time.monotonic())):
+                await self.wake.wait()
 
     async def handle(self, req: Request) -> Response:
         """One HTTP call: wait for the node's answer."""
@@ -83,11 +172,10 @@
         key = self.call
         box: list[Response] = []
         event = trio.Event()
-        self.waits[key] = (event, box)
+        self.waits[key] = (event, box, time.monotonic() + WAIT_S)
         try:
-            self.step(partial(self.node.http, call=key, req=req))
-            with trio.move_on_after(30):
-                await event.wait()
+            self.post(fn=partial(self.node.http, call=key, req=req), rank=Rank.AGENT)
+            await event.wait()
         finally:
             del self.waits[key]
         return box[0] if box else Response(status=504)
@@ -106,13 +194,6 @@
         good = req.path.startswith("/readiness") and isinstance(node, EdgeNode) and node.ready()
         return Response(status=200 if good else 503)
 
-    async def ticks(self) -> None:
-        """Time goes on."""
-        gap = TICK_CORE_S if isinstance(self.node, CoreNode) else TICK_EDGE_S
-        while True:
-            self.step(self.node.tick)
-            await trio.sleep(gap)
-
     async def writer(self) -> None:
         """Write and sync records in batches; effects follow."""
         ring, node = self.ring, self.node
@@ -135,12 +216,12 @@
                     await trio.sleep(0.2)
                     continue
                 self.tally.wrote(head=head, bodies=bodies)
-                self.step(partial(node.done, effs=[eff for _, eff in batch]))
+                self.post(fn=partial(node.done, effs=[eff for _, eff in batch]), rank=Rank.URGENT)
 
     @staticmethod
     def _put(ring: Ring, head: list[bytes], bodies: list[bytes]) -> None:
         if head:
-            ring.rotate()
+            ring.rotate(need=ring.room(bodies=head))
         ring.append(bodies=head + bodies)
 
     async def stop_on_term(self, scope: trio.CancelScope) -> None:
@@ -214,7 +295,7 @@
                 srv.limits.body_bytes, srv.limits.idle_ms, srv.limits.header_bytes = 16 << 20, 60000, 65536
                 self.servers.append(srv)
                 nursery.start_soon(partial(listen, addr=binds["control"], server=srv))
-            nursery.start_soon(self.ticks)
+            nursery.start_soon(self.work)
             nursery.start_soon(self.watch_settings)
             nursery.start_soon(self.stop_on_term, nursery.cancel_scope)
             self.log.info("started", role=node.kind, uid=node.uid)
@@ -225,7 +306,7 @@
     if startup.data_dir is None:
         raise StartupError(text="a core needs data-dir")
     size = min(8 << 20, max(1 << 20, startup.disk_mb * (1 << 20) // 8))
-    ring = Ring(folder=startup.data_dir, size=size)
+    ring = Ring(folder=startup.data_dir, size=size, most=max(size, startup.disk_mb * (1 << 20) // 6))
     recs = ring.load()
     port = startup.ports[0]
     addr = f"{startup.ip}:{port}"
@@ -233,11 +314,13 @@
     first = not known and startup.bootstrap
     uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
     node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
-                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30))
+                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30),
+                    defaults=load_defaults())
     if known:
         node.restore(recs=recs)
-    ring.rotate()
-    ring.append(bodies=node.checkpoint())
+    head = node.checkpoint()
+    ring.rotate(need=ring.room(bodies=head))
+    ring.append(bodies=head)
     return Shell(node=node, log=log, ring=ring, port=port)
 
 
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -3,16 +3,12 @@
 import enum
 from typing import Any, Protocol
 
-from ..wire.frame import Kind
+import orjson
+
+from ..wire.frame import Kind, dump
 from .epoch import Epoch
 
-PROMISE_S = 1.2       # how long one word of the backup lets the primary act
-SILENCE_S = PROMISE_S * 1.05 + 0.15
-SUSPECT_S = 0.9       # a backup or disk that has not answered this long is replaced
-PING_S = 0.2
-RESEND_S = 0.3
-SPARES = 6
-REST_S = 3.0          # a primary that gave up its duty lets others try this long
+                      # makes all minions attach anew
 
 
 class Reducer(Protocol):
@@ -25,7 +21,18 @@
         """All of it as plain data."""
 
     def load(self, doc: Any) -> None:
-        """Replace all of it."""
+        """Replace all of it; `doc` is the state's own from now on."""
+
+
+def encode(*, state: Reducer) -> str:
+    """The whole state as JSON text. It goes into records and frames as a string, so that none of those who only
+    carry it has to parse it or to write it anew."""
+    return dump(body=state.dump()).decode()
+
+
+def decode(*, text: Any) -> Any:
+    """The plain data of `encode`'s text; a record of the own state holds the data itself, written only once."""
+    return orjson.loads(text) if isinstance(text, str) else text
 
 
 class Hub(Protocol):
@@ -43,8 +50,14 @@
     def effect(self, *, eff: tuple[Any, ...]) -> None:
         """Carry out an effect that is now durable."""
 
-    def partners(self) -> list[str]:
-        """Members that may be a backup, best first."""
+    def partners(self, *, first: list[str]) -> list[str]:
+        """Members that may be a backup, best first; of equals, those in `first`."""
+
+    def up(self, *, uid: str) -> bool:
+        """Heard of lately."""
+
+    def losses(self) -> int:
+        """How many disks may be lost at once: the number of backups."""
 
     def witnesses(self, *, have: list[str]) -> list[str]:
         """The set that should keep epochs, given the one that does."""
@@ -55,6 +68,9 @@
     def jitter(self) -> float:
         """0 to 1."""
 
+    def note(self, *, event: str, **fields: object) -> None:
+        """Log."""
+
     def installed(self, *, g: int, epoch: Epoch) -> None:
         """A newer epoch is decided."""
 
--- a/yarrowloom/store/ring.py
+++ b/yarrowloom/store/ring.py
@@ -25,10 +25,11 @@
     """Invariants: file numbers rise by one along the journal; record numbers rise by one within it; a record
     counts only if its checksum fits and it follows the one before; what a sync has not covered may be torn."""
 
-    def __init__(self, *, folder: str, files: int = 4, size: int = 4 << 20) -> None:
+    def __init__(self, *, folder: str, files: int = 4, size: int = 4 << 20, most: int = 0) -> None:
         self.folder = folder
         self.files = files
         self.size = size
+        self.most = max(size, most)       # files may grow to this where checkpoints need it
         self._fd = -1
         self._file = 0
         self._pos = 0
@@ -85,8 +86,12 @@
         """Whether the current file has no room for `extra` bytes more."""
         return self._fd < 0 or self._pos + extra > self.size
 
-    def rotate(self) -> None:
-        """Move on to the next file, preallocated; nothing of it counts until records are synced."""
+    def rotate(self, *, need: int = 0) -> None:
+        """Move on to the next file, preallocated; nothing of it counts until records are synced. `need`: bytes that
+        the checkpoint at its beginning takes; where that is over a third of a file, files are larger from now on, else
+        each few records would bring another checkpoint."""
+        while self.size < 3 * need and self.size < self.most:
+            self.size = min(2 * self.size, self.most)
         if self._fd >= 0:
             os.close(self._fd)
         self._file += 1
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -1,7 +1,8 @@
-"""What nodes say to each other: one protobuf envelope, length-prefixed, with a JSON body of plain data."""
+"""What nodes say to each other: one protobuf envelope, length-prefixed, with a JSON body of many messages."""
 
 import enum
 import struct
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,7 +14,7 @@
 
 
 class Kind(enum.IntEnum):
-    """Kinds of frames."""
+    """Kinds of messages."""
 
     HEART = 1
     HEARTOK = 2
@@ -47,13 +48,37 @@
     LOSTOK = 51
     ROOM = 52
     NAK = 53
+    ROOMGET = 54
+
+
+class Lane(enum.IntEnum):
+    """Streams between two nodes, each with a connection and a sequence of its own.
+
+    One stream cannot do: a PING behind 2 MB of checkpoint or a second of orders comes too late, and if it overtook
+    them inside one sequence, what it overtook would count as lost. Splitting is right because no message of one
+    lane relies on one of another: hearts, news and record messages are repeated until answered and checked by
+    epoch and number, so they need no report of a gap; leases, orders, ends and attachments rely on each other only,
+    and a gap among them makes both sides attach anew. A checkpoint is asked for and answered by its tag.
+    """
+
+    URGENT = 1
+    WORK = 2
+    COPY = 3
+
+
+_URGENT = frozenset({Kind.HEART, Kind.HEARTOK, Kind.NEWS, Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED,
+                     Kind.INSTALL, Kind.INSTALLED, Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG,
+                     Kind.YIELD})
+LANES: dict[Kind, Lane] = {k: Lane.COPY if k is Kind.CKPT else Lane.URGENT if k in _URGENT else Lane.WORK
+                           for k in Kind}
 
 
 @dataclass
 class Frame(betterproto.Message):  # type: ignore[misc]
-    """Invariant: `seq` rises per sender life (`boot`) and receiver; a receiver drops what does not rise."""
+    """Invariant: `seq` rises per sender life (`boot`), receiver and lane; a receiver drops what does not rise.
+    `body` is a JSON array of [kind, message]; an empty one only carries the sequence."""
 
-    kind: int = betterproto.uint32_field(1)
+    lane: int = betterproto.uint32_field(1)
     src: str = betterproto.string_field(2)
     uid: str = betterproto.string_field(3)
     boot: int = betterproto.uint64_field(4)
@@ -67,21 +92,100 @@
     return _LEN.pack(len(raw)) + raw
 
 
+def _varint(num: int) -> bytes:
+    out = bytearray()
+    while num > 0x7F:
+        out.append(num & 0x7F | 0x80)
+        num >>= 7
+    out.append(num)
+    return bytes(out)
+
+
+def _read_varint(raw: bytes, pos: int) -> tuple[int, int]:
+    num = shift = 0
+    while True:
+        byte = raw[pos]
+        pos += 1
+        num |= (byte & 0x7F) << shift
+        if byte < 0x80:
+            return num, pos
+        shift += 7
+
+
+class Sealer:
+    """Writes the frames of one lane to one peer. All but the last two fields stay, so they are encoded once.
+
+    >>> one = Frame(lane=2, src="a", uid="a#0", boot=7, seq=300, body=b"[]")
+    >>> Sealer(lane=Lane.WORK, src="a", uid="a#0", boot=7).seal(seq=300, body=b"[]") == pack(frame=one)
+    True
+    """
+
+    def __init__(self, *, lane: Lane, src: str, uid: str, boot: int) -> None:
+        self._head = bytes(Frame(lane=int(lane), src=src, uid=uid, boot=boot))
+
+    def seal(self, *, seq: int, body: bytes) -> bytes:
+        """Length-prefixed bytes; `seq` is above 0, `body` not empty."""
+        raw = b"%b\x28%b\x32%b%b" % (self._head, _varint(seq), _varint(len(body)), body)
+        return _LEN.pack(len(raw)) + raw
+
+
 def dump(*, body: Any) -> bytes:
-    """Encode a body."""
+    """Encode a message."""
     return orjson.dumps(body, option=orjson.OPT_NON_STR_KEYS)
 
 
+def bundle(*, rows: Iterable[tuple[int, bytes]]) -> bytes:
+    """Encoded messages as the body of one frame.
+
+    >>> bundle(rows=[(20, b'{"g":1}'), (21, b'{}')])
+    b'[[20,{"g":1}],[21,{}]]'
+    """
+    return b"[" + b",".join([b"[%d,%b]" % row for row in rows]) + b"]"
+
+
+def unbundle(*, body: bytes) -> list[tuple[Kind, Any]]:
+    """Messages of a frame, parsed at once; kinds that are not known are left out. Raises ValueError.
+
+    >>> unbundle(body=b'[[20,{"g":1}],[9999,{}]]')
+    [(<Kind.PING: 20>, {'g': 1})]
+    """
+    out: list[tuple[Kind, Any]] = []
+    known = Kind._value2member_map_
+    for row in orjson.loads(body):
+        if not isinstance(row, list) or len(row) != 2:
+            raise ValueError("not a message")
+        kind = known.get(row[0]) if isinstance(row[0], int) else None
+        if isinstance(kind, Kind):
+            out.append((kind, row[1]))
+    return out
+
+
 class Splitter:
     """Cuts a byte stream into frames; raises ValueError on anything malformed."""
 
     def __init__(self) -> None:
         self._buf = bytearray()
+        self._head = b""       # what the last frame began with, up to `seq`
+        self._last = Frame()
+
+    def _read(self, raw: bytes) -> Frame:
+        """One frame; the short way if only `seq` and `body` differ from the last one."""
+        pos, last = len(self._head), self._last
+        if pos and raw.startswith(self._head) and raw[pos:pos + 1] == b"\x28":
+            seq, pos = _read_varint(raw, pos + 1)
+            if raw[pos:pos + 1] == b"\x32":
+                size, pos = _read_varint(raw, pos + 1)
+                if pos + size == len(raw) and 0 < seq < 1 << 64:
+                    return Frame(lane=last.lane, src=last.src, uid=last.uid, boot=last.boot, seq=seq, body=raw[pos:])
+        frm: Frame = Frame().parse(raw)
+        head = bytes(Frame(lane=frm.lane, src=frm.src, uid=frm.uid, boot=frm.boot))
+        self._head, self._last = (head, frm) if raw.startswith(head) else (b"", frm)
+        return frm
 
     def feed(self, data: bytes) -> list[Frame]:
         """Take bytes, return whole frames.
 
-        >>> one = pack(frame=Frame(kind=1, src="a", body=b"{}"))
+        >>> one = pack(frame=Frame(lane=1, src="a", body=b"[]"))
         >>> cut = Splitter()
         >>> [f.src for f in cut.feed(one[:5]) + cut.feed(one[5:] + one)]
         ['a', 'a']
@@ -96,7 +200,7 @@
             if len(self._buf) - pos - 4 < size:
                 break
             try:
-                out.append(Frame().parse(bytes(self._buf[pos + 4:pos + 4 + size])))
+                out.append(self._read(bytes(self._buf[pos + 4:pos + 4 + size])))
             except Exception as err:
                 raise ValueError(f"frame not readable: {err}") from err
             pos += 4 + size
