--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.explore import Found, Search, attached, replay
+from tests.explore import Found, Search, attached, choices, do, replay
 from tests.model import ONE, TWO, Choice, Rep
 from yarrowloom.agent.agent import Agent
 from yarrowloom.agent.minion import Minion
@@ -127,3 +127,26 @@
     assert why.startswith(f"Broken {rule}")
     monkeypatch.undo()
     replay(attached(jobs), trail)       # with the guard, the same way ends well
+
+
+def test_without_a_guard_a_task_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A run found at an attachment is called never started; one swap after the placing node died brings it out."""
+    def after_death() -> Found:
+        w = attached(LONE)
+        for _ in range(15):
+            do(w, choices(w)[0])
+        assert any(m.running for m in w.minis.values())
+        do(w, ("die", 1, False))
+        return Search(swaps=1, faults=0, window=30, stop_at=1000).run(w)
+    calm = after_death()
+    assert calm.broken == [] and calm.states > 60
+    real = Agent.attach
+
+    def attach(self: Agent, *, uid: str, b: dict[str, Any]) -> None:
+        for r in self.minions[b["m"]].runs.values():
+            r.sent = r.live = False
+        real(self, uid=uid, b=b)
+    monkeypatch.setattr(Agent, "attach", attach)
+    found = after_death()
+    print(calm.states, found.broken)
+    assert any(why.startswith("Broken TWICE") for why, _ in found.broken)
