--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,7 @@
 """Tests that are known to be red: the full run leaves out just these; then they are run by themselves and printed.
 
-Usage: `python tests/known_red.py deselect` prints pytest's flags; `python tests/known_red.py run` runs them and ends with
-1 if one has turned green (it is to be taken off the list), is missing, or if more than three are listed.
+Usage: `python tests/known_red.py deselect` prints pytest's flags; `python tests/known_red.py run` runs them and ends
+with 1 if one has turned green (it is to be taken off the list), is missing, or if more than three are listed.
 """
 
 import subprocess
