--- /dev/null
+++ b/tests/test_mutants_place.py
@@ -0,0 +1,135 @@
+"""Proofs for guards of the placing: each test takes one out of the code, and the judge names its rule."""
+
+from typing import Any
+
+import pytest
+
+from tests.simproof import proof, settle, stream
+from tests.simwork import Day, task
+from yarrowloom.agent import agent as agent_mod
+from yarrowloom.agent import choice
+from yarrowloom.agent.agent import Agent
+from yarrowloom.agent.minion import Minion
+from yarrowloom.place import binding as binding_mod
+from yarrowloom.place import cycle
+from yarrowloom.place.binding import Binding
+from yarrowloom.place.desk import Desk
+from yarrowloom.place.group import Backlog
+from yarrowloom.place.placer import Placer
+from yarrowloom.place.room import Room
+
+
+def without(*, name: str) -> tuple[tuple[str, cycle.Filter], ...]:
+    return tuple(row for row in cycle.FILTERS if row[0] != name)
+
+
+def blind(*, patch: pytest.MonkeyPatch, **more: Any) -> None:
+    """The agent's own look at what the cycle chose passes over some of the metadata."""
+    real = choice.named
+
+    def named(*, agent: Agent, b: dict[str, Any]) -> list[Minion]:
+        return real(agent=agent, b={**b, **more})
+    patch.setattr(agent_mod, "named", named)
+
+
+def test_route_a_task_goes_only_where_its_label_is() -> None:
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(cycle, "FILTERS", without(name="label"))
+        blind(patch=p, req="")
+    proof(rule="ROUTE", story=lambda: stream(day=Day(seed=4101, minions=9), requires="r1"), out=out)
+
+
+def test_route_members_keep_apart() -> None:
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(cycle, "FILTERS", without(name="spread"))
+        p.setattr(cycle, "_spread", lambda snap, ask, spot: True)
+        blind(patch=p, apart=0)
+    proof(rule="ROUTE", story=lambda: stream(day=Day(seed=4102, minions=9), anti_affinity=1), out=out)
+
+
+def test_route_a_task_goes_only_to_its_service() -> None:
+    def story() -> Day:
+        day = Day(seed=4103, minions=6, aux=3)
+        for _ in range(8):
+            day.job(task(n=5), queue="side")
+            day.job(task(n=2))
+            day.sim.run(seconds=0.3)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(Desk, "service", lambda self, *, job: "svc")
+    proof(rule="ROUTE", story=story, out=out)
+
+
+def test_gang_nothing_binds_below_the_criterion() -> None:
+    """Half of a gang has room: without the criterion that half starts and waits alone."""
+    def story() -> Day:
+        day = Day(seed=4104, minions=4, work=6.0)
+        day.job(task(n=2, cpus=4000))
+        day.sim.run(seconds=0.3)
+        day.job(task(n=4, cpus=4000, gang=True))
+        settle(day=day, seconds=24.0)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(cycle, "placement_feasible", lambda *, placed, ask: placed > 0)
+    proof(rule="GANG", story=story, out=out)
+
+
+def test_order_a_repeated_job_starts_no_sooner_than_due() -> None:
+    def story() -> Day:
+        day = Day(seed=4105)
+        day.timed(task(n=2), first=4.0, period=3.0, count=2)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        real = Placer.tick
+
+        def tick(self: Placer) -> None:
+            self.hub.wall += 3.0
+            try:
+                real(self)
+            finally:
+                self.hub.wall -= 3.0
+        p.setattr(Placer, "tick", tick)
+    proof(rule="ORDER", story=story, out=out)
+
+
+def test_unasked_an_order_that_waits_for_its_disk_does_not_leave_for_a_cancelled_job() -> None:
+    """The start is on its way to the disks when the job is cancelled: it must not be ordered afterwards."""
+    def story() -> Day:
+        day = Day(seed=4106, work=20.0, sync_s=0.4)
+        for _ in range(4):
+            jid = day.job(task(n=3))
+            day.sim.until(cond=lambda jid=jid: jid in day.judge.accepted, limit=6.0)  # type: ignore[misc]
+            day.client.drop(jid=jid)
+            day.sim.run(seconds=2.0)
+        settle(day=day)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(binding_mod, "ENDED", frozenset())
+        real = Binding.stops
+
+        def stops(self: Binding, rows: list[Any]) -> None:
+            """Stops that are told again would mend it."""
+            if not self.halting:
+                real(self, rows)
+        p.setattr(Binding, "stops", stops)
+    proof(rule="UNASKED", story=story, out=out)
+
+
+def test_lost_a_parked_group_is_woken_by_room_and_by_time() -> None:
+    def story() -> Day:
+        day = Day(seed=4107, minions=4, work=3.0)
+        for _ in range(6):
+            day.job(task(n=4, cpus=2000))
+        settle(day=day, seconds=30.0)
+        return day
+
+    def out(p: pytest.MonkeyPatch) -> None:
+        p.setattr(Room, "take_grown", lambda self: {})
+        p.setattr(Backlog, "due", lambda self, *, now: [])
+    proof(rule="LOST", story=story, out=out)
