--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from yarrowloom.store import Ring
+from yarrowloom.store import END, Ring
 
 
 def fill(*, rng: random.Random, ring: Ring, kept: list[bytes], n: int) -> None:
@@ -90,3 +90,74 @@
     again = Ring(folder=str(tmp_path), files=4, size=4096, most=32768)
     assert again.load()[:2] == [b"old", big[0]]
     assert len(again.load()) >= 2
+
+
+def cut(*, path: pathlib.Path, at: int) -> None:
+    """What no sync covered is gone: zeros from there on."""
+    raw = path.read_bytes()
+    path.write_bytes(raw[:at] + bytes(len(raw) - at))
+
+
+def test_records_that_a_killed_process_left_unsynced_and_a_later_loss_of_power(tmp_path: pathlib.Path) -> None:
+    """Seen on tsr-grown trouble-2 (simulated): a process is killed between write and sync; the next one reads its last
+    record and numbers on from it; later the power goes and takes that record, but not what followed in the next file.
+    All that followed was dropped for the gap, a whole group's state with it."""
+    first = Ring(folder=str(tmp_path), files=4, size=4096)
+    first.load()
+    first.rotate()
+    first.append(bodies=[b"c0", END])
+    synced = first._pos
+    first.append(bodies=[b"never synced"])
+    slot = tmp_path / f"ring-{first._file % 4}"
+    second = Ring(folder=str(tmp_path), files=4, size=4096)
+    assert second.load() == [b"c0", END, b"never synced"]
+    second.rotate()
+    second.append(bodies=[b"c1", END])
+    second.append(bodies=[b"acknowledged"])
+    cut(path=slot, at=synced)
+    assert Ring(folder=str(tmp_path), files=4, size=4096).load() == [b"c1", END, b"acknowledged"]
+
+
+def test_a_file_with_a_torn_checkpoint_after_a_gap_does_not_count(tmp_path: pathlib.Path) -> None:
+    first = Ring(folder=str(tmp_path), files=4, size=4096)
+    first.load()
+    first.rotate()
+    first.append(bodies=[b"c0", END, b"kept"])
+    synced = first._pos
+    first.append(bodies=[b"gone"])
+    slot = tmp_path / f"ring-{first._file % 4}"
+    second = Ring(folder=str(tmp_path), files=4, size=4096)
+    second.load()
+    second.rotate()
+    second.append(bodies=[b"half of c1"])
+    cut(path=slot, at=synced)
+    assert Ring(folder=str(tmp_path), files=4, size=4096).load() == [b"c0", END, b"kept"]
+
+
+def test_a_refused_write_uses_up_no_numbers(tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    ring = Ring(folder=str(tmp_path), files=4, size=4096)
+    ring.load()
+    ring.rotate()
+    ring.append(bodies=[b"c0", END, b"a"])
+    with monkeypatch.context() as patch:
+        def refuse(_fd: int) -> None:
+            raise OSError("refused")
+        patch.setattr("yarrowloom.store.ring.os.fdatasync", refuse)
+        with pytest.raises(OSError, match="refused"):
+            ring.append(bodies=[b"b"])
+    ring.close()
+    ring.rotate()
+    ring.append(bodies=[b"c1", END, b"b"])
+    got = Ring(folder=str(tmp_path), files=4, size=4096).load()
+    assert got[-3:] == [b"c1", END, b"b"]
+
+
+def test_load_syncs_what_it_gives_out(tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    ring = Ring(folder=str(tmp_path), files=4, size=4096)
+    ring.load()
+    ring.rotate()
+    ring.append(bodies=[b"c0", END])
+    seen: list[int] = []
+    monkeypatch.setattr("yarrowloom.store.ring.os.fsync", seen.append)
+    Ring(folder=str(tmp_path), files=4, size=4096).load()
+    assert len(seen) == 1
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -18,7 +18,7 @@
 from ..base.errs import StartupError, YarrowError
 from ..base.log import Log
 from ..base.startup import Startup, load
-from ..store import Ring
+from ..store import END, Ring
 from ..wire.frame import Kind, Lane, dump
 from ..wire.http import Request, Response, Server, listen
 from ..wire.peer import Peers, Rows
@@ -221,6 +221,7 @@
     @staticmethod
     def _put(ring: Ring, head: list[bytes], bodies: list[bytes]) -> None:
         if head:
+            head = [*head, END]
             ring.rotate(need=ring.room(bodies=head))
         ring.append(bodies=head + bodies)
 
@@ -318,7 +319,7 @@
                     defaults=load_defaults())
     if known:
         node.restore(recs=recs)
-    head = node.checkpoint()
+    head = [*node.checkpoint(), END]
     ring.rotate(need=ring.room(bodies=head))
     ring.append(bodies=head)
     return Shell(node=node, log=log, ring=ring, port=port)
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -286,6 +286,10 @@
                 ids.append(jid)
         if ids:
             self.rep.commit(ev={"t": "forget", "ids": ids})
+        for task, held in list(self.held.items()):      # of a gang's member that is done by another's end, say
+            spot = self.room.spots.get(held.mid)
+            if spot is None or spot.seq != held.seq:
+                del self.held[task]
         again = []
         for task, (mid, run, told) in list(self.halting.items()):
             if now - told > STOP_AGAIN_S:
--- a/yarrowloom/store/__init__.py
+++ b/yarrowloom/store/__init__.py
@@ -1,5 +1,5 @@
 """The disk: a ring of preallocated files holding one journal for all that a node keeps."""
 
-from .ring import Ring
+from .ring import END, Ring
 
-__all__ = ["Ring"]
+__all__ = ["END", "Ring"]
--- a/yarrowloom/store/ring.py
+++ b/yarrowloom/store/ring.py
@@ -15,6 +15,7 @@
 _HEAD = struct.Struct("<8sQI")   # magic, file number, checksum of the two
 _REC = struct.Struct("<IIQ")     # length, checksum, record number
 _MAGIC = b"YLRING01"
+END = b'{"k":"none","end":true}'     # follows a checkpoint: what begins a file is whole
 
 
 def _crc(*, num: int, body: bytes) -> int:
@@ -23,7 +24,10 @@
 
 class Ring:
     """Invariants: file numbers rise by one along the journal; record numbers rise by one within it; a record
-    counts only if its checksum fits and it follows the one before; what a sync has not covered may be torn."""
+    counts only if its checksum fits and it follows the one before; what a sync has not covered may be torn. What
+    `load` gives out is synced first, whoever wrote it: a killed process may have left records that no sync covers,
+    and numbers go on from them. Where a file does not follow the one before all the same, it counts alone if its
+    checkpoint is whole, else not at all."""
 
     def __init__(self, *, folder: str, files: int = 4, size: int = 4 << 20, most: int = 0) -> None:
         self.folder = folder
@@ -44,7 +48,8 @@
         found: list[tuple[int, bytes]] = []
         for slot in range(self.files):
             try:
-                with open(self._path(slot), "rb") as fh:
+                with open(self._path(slot), "rb+") as fh:
+                    os.fsync(fh.fileno())
                     raw = fh.read()
             except FileNotFoundError:
                 continue
@@ -59,15 +64,21 @@
         out: list[bytes] = []
         last: int | None = None
         for num, raw in found:
-            if self._file and num != self._file + 1:
-                out.clear()
-                last = None
-            self._file = num
+            recs: list[tuple[int, bytes]] = []
             for idx, body in self._records(raw=raw):
-                if last is not None and idx != last + 1:
+                if recs and idx != recs[-1][0] + 1:
                     break
-                last = idx
-                out.append(body)
+                recs.append((idx, body))
+            follows = num == self._file + 1 and (not recs or last is None or recs[0][0] == last + 1)
+            if self._file and not follows:
+                if END not in (body for _, body in recs):
+                    recs = []
+                else:
+                    out.clear()
+            self._file = num
+            if recs:
+                out += [body for _, body in recs]
+                last = recs[-1][0]
         self._next = (last or 0) + 1
         return out
 
@@ -113,15 +124,16 @@
 
     def append(self, *, bodies: list[bytes]) -> None:
         """Write records and sync them. A zeroed head follows the last one."""
-        buf = bytearray()
+        buf, num = bytearray(), self._next
         for body in bodies:
-            buf += _REC.pack(len(body), _crc(num=self._next, body=body), self._next)
+            buf += _REC.pack(len(body), _crc(num=num, body=body), num)
             buf += body
-            self._next += 1
+            num += 1
         end = bytes(_REC.size) if self._pos + len(buf) + _REC.size <= self.size else b""
         self._write(pos=self._pos, data=bytes(buf) + end)
         self._pos += len(buf)
         os.fdatasync(self._fd)
+        self._next = num          # a number is used up only by what the disk took
 
     def room(self, *, bodies: list[bytes]) -> int:
         """Bytes these records take."""
