--- a/yarrowloom/edge/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""edge: see docs/design.md."""
