--- a/tests/simnet.py
+++ b/yarrowloom/sim/cluster.py
@@ -9,51 +9,24 @@
 
 import orjson
 
-from tests.simcpu import Meter, cost
-from yarrowloom.base.log import Log
-from yarrowloom.base.startup import Startup
-from yarrowloom.node.core import CoreNode
-from yarrowloom.node.edge import EdgeNode
-from yarrowloom.node.shell import TICK_CORE_S
-from yarrowloom.node.turns import Input, Rank, Repeats, Turns, rank_of
-from yarrowloom.wire.frame import LANES, Kind, Lane
-from yarrowloom.wire.http import Request, Response
-from yarrowloom.wire.peer import MARK_S, OWED, Seen
+from ..base.log import Log
+from ..base.startup import Startup
+from ..node.core import CoreNode
+from ..node.edge import EdgeNode
+from ..node.shell import TICK_CORE_S
+from ..node.turns import Input, Rank, Turns, rank_of
+from ..wire.frame import LANES, Kind, Lane
+from ..wire.http import Request, Response
+from ..wire.peer import MARK_S, OWED
+from .errors import SimError
+from .process import Disk, Proc
+from .processor import Meter, cost
 
 PORTS = (7000, 7015)
 BUSY = 20_000         # no cluster of the tests' size has so many events in 10 ms
 BOUNDS = {"max-hold-ms": 6000.0, "stop-grace-ms": 400.0, "spread-factor": 2.0, "status_s": 120.0, "grace-s": 6.0}
 
 
-class Disk:
-    """What a machine keeps. `synced` survives a loss of power; `torn` writes may or may not."""
-
-    def __init__(self) -> None:
-        self.synced: list[bytes] = []
-        self.pending: list[bytes] = []
-
-
-class Proc:
-    """One process of a node."""
-
-    def __init__(self, *, node: CoreNode | EdgeNode, life: int) -> None:
-        self.node = node
-        self.life = life
-        self.up = True
-        self.frozen_till = 0.0
-        self.disk_busy = False
-        self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
-        self.inbox: list[Callable[[], None]] = []
-        self.repeats = Repeats()
-        self.turns: Turns | None = None     # only where processor time is charged
-        self.busy = False
-        self.woken = 0.0
-        self.spent = 0.0
-        self.mark = (0, 0, 0)     # messages, bytes and HTTP calls that came with the step that runs
-        self.seen = Seen()
-        self.owing: set[str] = set()     # peers that are still to learn of a loss
-
-
 class Sim:
     """Invariant: events at one time run in the order in which they were planned, so a seed fixes the run."""
 
@@ -94,20 +67,24 @@
     # -- time
 
     def at(self, *, delay: float, fn: Callable[[], None]) -> None:
+        """Plan an event."""
         self.count += 1
         heapq.heappush(self.heap, (self.now + delay, self.count, fn))
 
     def run(self, *, seconds: float) -> None:
+        """Let simulated time pass."""
         end = self.now + seconds
         mark, count = self.now, 0
         while self.heap and self.heap[0][0] <= end:
             self.now, _, fn = heapq.heappop(self.heap)
             mark, count = (mark, count + 1) if self.now < mark + 0.01 else (self.now, 0)
-            assert count < BUSY, f"{count} events in 10 ms at {self.now:.4f}: something goes round without end"
+            if count >= BUSY:
+                raise SimError(text=f"{count} events in 10 ms at {self.now:.4f}: something goes round without end")
             fn()
         self.now = end
 
     def until(self, *, cond: Callable[[], bool], limit: float) -> bool:
+        """Run until a condition holds; return whether it does."""
         end = self.now + limit
         while self.now < end:
             if cond():
@@ -118,6 +95,7 @@
     # -- machines
 
     def startup(self, *, ip: str, first: bool) -> Startup:
+        """The settings of a machine's process."""
         core = ip.split(".")[2] != "1"
         binds = {"control": f"{ip}:8000"} if core else {"front": f"{ip}:8001", "ready": f"{ip}:8002"}
         return Startup(name=ip, role="core" if core else "edge", ip=ip, site=f"z{ip.split('.')[1]}",
@@ -150,9 +128,9 @@
         proc = Proc(node=node, life=self.lives)
         self.procs[ip] = proc
         if core and self.speed:
-            assert isinstance(node, CoreNode)
-            pulse = node.pulse
-            chores: dict[Rank, Input] = {rank: partial(self._step, ip, proc, fn) for rank, fn in node.chores().items()}
+            pulse = self.core(ip).pulse
+            chores: dict[Rank, Input] = {
+                rank: partial(self._step, ip, proc, fn) for rank, fn in self.core(ip).chores().items()}
             proc.turns = Turns(tick=lambda: self._step(ip, proc, pulse), gap=TICK_CORE_S, chores=chores)
             self._go(ip, proc)
             return
@@ -173,6 +151,7 @@
         self.disks[ip] = Disk()
 
     def freeze(self, *, ip: str, seconds: float) -> None:
+        """Let a process stand still."""
         proc = self.procs[ip]
         proc.frozen_till = self.now + seconds
 
@@ -184,11 +163,13 @@
         self.at(delay=seconds + 1e-6, fn=thaw)
 
     def cut(self, *, a: str, b: str, one_way: bool = False) -> None:
+        """Lose all that goes between two ends."""
         self.cuts.add((a, b))
         if not one_way:
             self.cuts.add((b, a))
 
     def heal(self) -> None:
+        """End all cuts."""
         self.cuts.clear()
 
     # -- inputs and outputs
@@ -239,6 +220,7 @@
         self.at(delay=spent, fn=end)
 
     def step(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
+        """Give a process one input and carry out what it wants."""
         if not proc.up or self.procs.get(ip) is not proc:
             return
         if self.now < proc.frozen_till:
@@ -283,8 +265,7 @@
             disk.synced += [b for b, _ in batch]
             del disk.pending[:len(batch)]
             proc.disk_busy = False
-            node = proc.node
-            assert isinstance(node, CoreNode)
+            node = self.core(ip)
             self.post(ip, proc, lambda: node.done(effs=[e for _, e in batch]), rank=Rank.URGENT)
             self._sync(ip, proc)
         self.at(delay=wait, fn=synced)
@@ -382,8 +363,10 @@
         return got[0].status, orjson.loads(got[0].body) if got[0].body else None
 
     def core(self, ip: str) -> CoreNode:
+        """The core node of a machine."""
         node = self.procs[ip].node
-        assert isinstance(node, CoreNode)
+        if not isinstance(node, CoreNode):
+            raise SimError(text=f"{ip} is no core node")
         return node
 
     def serving(self, *, g: int) -> list[str]:
--- /dev/null
+++ b/yarrowloom/sim/errors.py
@@ -0,0 +1,16 @@
+"""Errors of the simulator itself; a rule that the simulated system breaks is no error but a result."""
+
+from ..base.errs import YarrowError
+
+
+class SimError(YarrowError):
+    """The simulation cannot go on, or was asked for what it does not hold."""
+
+    code = "simulation"
+
+
+class FaultsError(YarrowError):
+    """A file of faults cannot be used."""
+
+    code = "faults-invalid"
+    exit_code = 78
--- a/tests/simherd.py
+++ b/yarrowloom/sim/herd.py
@@ -1,8 +1,9 @@
 """Many minions in the simulated cluster, and what it takes to have them all back."""
 
-from tests.simfleet import Oracle, SimCaller, SimMinion, config
-from tests.simnet import Sim
-from yarrowloom.agent.minion import Phase
+from ..agent.minion import Phase
+from .cluster import Sim
+from .errors import SimError
+from .minions import Oracle, SimCaller, SimMinion, config
 
 
 def herd(*, seed: int, minions: int, cores: int = 5, edges: int = 2, rack: int = 12,
@@ -18,7 +19,8 @@
     sim.run(seconds=1.0)
     status, _ = sim.ask(ip=sim.core_ips[0], method="PUT", path="/config", doc=config(version=3),
                         headers={"if-match": "0"})
-    assert status == 200
+    if status != 200:
+        raise SimError(text=f"the configuration was answered {status}")
     return sim, oracle, SimCaller(sim=sim, oracle=oracle), fleet
 
 
@@ -51,7 +53,9 @@
 def back(*, sim: Sim, n: int, limit: float = 40.0) -> tuple[float, float]:
     """Seconds from now until every group is served, and until `n` minions are attached."""
     t0 = sim.now
-    assert sim.until(cond=lambda: serves(sim=sim), limit=limit)
+    if not sim.until(cond=lambda: serves(sim=sim), limit=limit):
+        raise SimError(text=f"not all groups are served after {limit:g} s")
     mid = sim.now - t0
-    assert sim.until(cond=lambda: len(attached(sim=sim)) >= n, limit=limit), len(attached(sim=sim))
+    if not sim.until(cond=lambda: len(attached(sim=sim)) >= n, limit=limit):
+        raise SimError(text=f"{len(attached(sim=sim))} of {n} minions are attached after {limit:g} s")
     return mid, sim.now - t0
--- a/tests/simrules.py
+++ b/yarrowloom/sim/judge.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from tests.simfleet import Oracle, SimMinion
-from tests.simnet import Sim
+from .cluster import Sim
+from .minions import Oracle, SimMinion
 
 CANCEL_S = 4.0
 VISIBLE_S = 3.0
@@ -61,6 +61,7 @@
         self.near = max(self.near, self.sim.now + seconds + NEAR_S)
 
     def breach(self, *, rule: str, what: str) -> None:
+        """Note a broken rule."""
         self.broken.append(f"{rule} {what}")
 
     def rules(self) -> set[str]:
@@ -70,6 +71,7 @@
     # -- what minions see
 
     def started(self, *, m: SimMinion, task: str, run: int, spec: str, saved: str) -> None:
+        """A minion begins a task."""
         jid, k, _, _ = task.split(".")
         job, now = self.jobs.get(jid), self.sim.now
         where = f"{task} run {run} on {m.mid} at {now:.2f}"
@@ -133,6 +135,7 @@
             self.breach(rule="EVAC", what=f"{where} in {m.site}")
 
     def ended(self, *, m: SimMinion, task: str, run: int, how: str) -> None:
+        """A minion's run of a task ended."""
         self.alive.get(task, []).remove((m.mid, run))
         self.ends[how] = self.ends.get(how, 0) + 1
         who = owner(task=task, step=self.step_of(task))
--- a/tests/simlink.py
+++ b/yarrowloom/sim/links.py
@@ -6,11 +6,13 @@
 
 import orjson
 
-from tests.simfleet import HOST
-from tests.simnet import Proc, Sim
-from yarrowloom.base.startup import Startup
-from yarrowloom.node.edge import EdgeNode
-from yarrowloom.wire.frame import LANES, Kind, Lane
+from ..base.startup import Startup
+from ..node.edge import EdgeNode
+from ..wire.frame import LANES, Kind, Lane
+from .cluster import Sim
+from .errors import SimError
+from .minions import HOST
+from .process import Proc
 
 HEAD = 80             # bytes of envelope and of TCP that come with each frame
 
@@ -27,9 +29,11 @@
         super().__init__(seed=seed, **kw)
 
     def startup(self, *, ip: str, first: bool) -> Startup:
+        """The settings of a machine's process, with its link."""
         return replace(super().startup(ip=ip, first=first), link_mbps=self.rate(ip))
 
     def rate(self, ip: str) -> float:
+        """Bandwidth of a machine's link, in Mbit/s."""
         return self.mbps if ip.split(".")[2] == "1" else 100 * self.mbps
 
     def _send(self, ip: str, proc: Proc, dst: str, kind: Kind | None, body: bytes) -> None:
@@ -49,10 +53,12 @@
         super()._send(ip, proc, dst, kind, body)
 
     def edges(self) -> list[EdgeNode]:
+        """The edge nodes."""
         out = []
         for ip in self.edge_ips:
             node = self.procs[ip].node
-            assert isinstance(node, EdgeNode)
+            if not isinstance(node, EdgeNode):
+                raise SimError(text=f"{ip} is no edge node")
             node.now = self.now
             out.append(node)
         return out
@@ -95,4 +101,4 @@
         if status == 200:
             return
         sim.run(seconds=0.2)
-    raise AssertionError(status)
+    raise SimError(text=f"the configuration was answered {status}")
--- a/tests/simfleet.py
+++ b/yarrowloom/sim/minions.py
@@ -4,8 +4,9 @@
 
 import orjson
 
-from tests.simnet import Sim
-from yarrowloom.wire.http import Response
+from ..wire.http import Response
+from .cluster import Sim
+from .errors import SimError
 
 HOST = "h.example"
 SLOW = 1.02
@@ -41,11 +42,13 @@
         self.tries = 3
 
     def step_of(self, task: str) -> dict[str, Any]:
+        """The step that a task belongs to."""
         jid, _, s, _ = task.split(".")
         row: dict[str, Any] = self.jobs[jid]["stages"][int(s)]
         return row
 
     def started(self, *, m: "SimMinion", task: str, run: int, spec: str, saved: str) -> None:
+        """A minion begins a task."""
         jid, k, s, _ = task.split(".")
         job = self.jobs.get(jid)
         if job is None or spec != job["task-spec"]:
@@ -82,11 +85,13 @@
         self.alive.setdefault(task, []).append((m.mid, run))
 
     def ended(self, *, m: "SimMinion", task: str, run: int, how: str) -> None:
+        """A minion's run of a task ended."""
         self.alive.get(task, []).remove((m.mid, run))
         if how == "done":
             self.done.add(task)
 
     def note(self, *, task: str, how: str) -> None:
+        """An end was acknowledged."""
         if how == "done":
             self.noted.add(task)
         if how == "failed":
@@ -135,6 +140,7 @@
         self.running = {}
 
     def end(self, *, task: str, how: str) -> None:
+        """End a run and list its end."""
         row = self.running.pop(task)
         self.oracle.ended(m=self, task=task, run=row["run"], how=how)
         self.num += 1
@@ -143,6 +149,7 @@
             self.plan(delay=0.05)
 
     def plan(self, *, delay: float) -> None:
+        """Plan the next heartbeat."""
         self.planned += 1
         mark = self.planned
 
@@ -161,6 +168,7 @@
                 "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500]}
 
     def beat(self) -> None:
+        """Send a heartbeat."""
         if not self.up or self.inflight:
             return
         self.seq += 1
@@ -186,11 +194,13 @@
         self.sim.http(ip=dst, src=self.mid, method="PUT", path=f"/minions/{self.mid}", doc=doc, back=back)
 
     def miss(self) -> None:
+        """A heartbeat failed: try another node."""
         self.target = ""
         self.at += 1
         self.plan(delay=0.1)
 
     def answer(self, *, doc: dict[str, Any], sent: float) -> None:
+        """Take the answer to a heartbeat."""
         if doc.get("beat-target"):
             self.target = doc["beat-target"].split(":")[0]
         self.plan(delay=min(doc.get("retry-after-ms", 1400), 1400) / 1000)
@@ -225,6 +235,7 @@
                 task=task, run=run, how=how))
 
     def finish(self, *, task: str, run: int, how: str) -> None:
+        """End a run if it still goes on."""
         if self.up and task in self.running and self.running[task]["run"] == run:
             self.end(task=task, how=how)
 
@@ -237,6 +248,7 @@
         self.n = 0
 
     def submit(self, *, stages: list[dict[str, Any]], queue: str = "fast", **more: Any) -> str:
+        """Hand a job in; return its ID."""
         self.n += 1
         jid = f"{self.sim.rng.getrandbits(64):016x}"
         doc = {"task-spec": f"spec-{jid}", "stages": stages, **more}
@@ -269,11 +281,13 @@
         self.sim.at(delay=3.0, fn=late)
 
     def state(self, *, jid: str, queue: str = "fast") -> tuple[int, Any]:
+        """Ask for a job's state."""
         status, doc = self.sim.ask(ip=self.sim.edge_ips[0], method="GET", path=f"/{queue}/{jid}",
                                    headers={"host": HOST, "x-deadline-ms": "3000"})
         return status, doc["state"] if status == 200 else None
 
     def cancel(self, *, jid: str, queue: str = "fast") -> int:
+        """Cancel a job."""
         status, _ = self.sim.ask(ip=self.sim.edge_ips[0], method="DELETE", path=f"/{queue}/{jid}",
                                  headers={"host": HOST, "x-deadline-ms": "3000"})
         if status == 200:
@@ -293,6 +307,7 @@
         status, _ = sim.ask(ip=ip, method="PUT", path="/config", doc=config(version=3), headers={"if-match": "0"})
         if status == 200:
             break
-    assert status == 200, status
+    if status != 200:
+        raise SimError(text=f"the configuration was answered {status}")
     sim.run(seconds=2.0)
     return sim, oracle, SimCaller(sim=sim, oracle=oracle), fleet
--- /dev/null
+++ b/yarrowloom/sim/process.py
@@ -0,0 +1,38 @@
+"""One process of a node, and what its machine keeps on disk."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ..node.core import CoreNode
+from ..node.edge import EdgeNode
+from ..node.turns import Repeats, Turns
+from ..wire.peer import Seen
+
+
+class Disk:
+    """What a machine keeps. `synced` survives a loss of power; `torn` writes may or may not."""
+
+    def __init__(self) -> None:
+        self.synced: list[bytes] = []
+        self.pending: list[bytes] = []
+
+
+class Proc:
+    """One process of a node."""
+
+    def __init__(self, *, node: CoreNode | EdgeNode, life: int) -> None:
+        self.node = node
+        self.life = life
+        self.up = True
+        self.frozen_till = 0.0
+        self.disk_busy = False
+        self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
+        self.inbox: list[Callable[[], None]] = []
+        self.repeats = Repeats()
+        self.turns: Turns | None = None     # only where processor time is charged
+        self.busy = False
+        self.woken = 0.0
+        self.spent = 0.0
+        self.mark = (0, 0, 0)     # messages, bytes and HTTP calls that came with the step that runs
+        self.seen = Seen()
+        self.owing: set[str] = set()     # peers that are still to learn of a loss
--- /dev/null
+++ b/yarrowloom/sim/workload.py
@@ -0,0 +1,169 @@
+"""Callers that ask as they go, and a configured cluster with workers and callers."""
+
+from typing import Any
+
+import orjson
+
+from ..wire.http import Response
+from .cluster import Sim
+from .errors import SimError
+from .judge import ENDS, Judge
+from .minions import HOST, SimCaller, config
+from .worker import Worker, World
+
+
+class Client(SimCaller):
+    """Asks and cancels without waiting. Every answer goes to the judge."""
+
+    def __init__(self, *, sim: Sim, judge: Judge) -> None:
+        super().__init__(sim=sim, oracle=judge)
+        self.judge = judge
+
+    def _send(self, *, jid: str, queue: str, doc: Any, left: int) -> None:
+        self.judge.queue[jid] = queue
+        super()._send(jid=jid, queue=queue, doc=doc, left=left)
+
+    def _call(self, *, method: str, jid: str, back: Any) -> None:
+        self.sim.http(ip=self.sim.rng.choice(self.sim.edge_ips), src="caller", method=method,
+                      path=f"/{self.judge.queue[jid]}/{jid}", headers={"host": HOST, "x-deadline-ms": "3000"},
+                      back=back)
+
+    def poll(self, *, jid: str) -> None:
+        """Ask for a job's state."""
+        sent = self.sim.now
+
+        def back(res: Response) -> None:
+            state = orjson.loads(res.body)["state"] if res.status == 200 else ""
+            self.judge.shown(jid=jid, status=res.status, state=state, sent=sent)
+        self._call(method="GET", jid=jid, back=back)
+
+    def drop(self, *, jid: str, left: int = 5) -> None:
+        """Cancel a job, again after silence."""
+        got: list[int] = []
+        self.judge.asked.add(jid)
+
+        def back(res: Response) -> None:
+            if not got and 200 <= res.status < 300:
+                self.judge.cancelled.setdefault(jid, self.sim.now)
+            got.append(res.status)
+
+        def late() -> None:
+            if (not got or got[0] >= 500) and left:
+                self.drop(jid=jid, left=left - 1)
+        self._call(method="DELETE", jid=jid, back=back)
+        self.sim.at(delay=3.0, fn=late)
+
+
+def plan(*, version: int, guards: bool, tries: int) -> dict[str, Any]:
+    """Two queues on `svc`, one on `aux`."""
+    doc = config(version=version, guards=guards, tries=tries)
+    doc["route-table"].append({**doc["route-table"][1], "name": "side", "path-prefix": "/side/", "backend": "aux"})
+    doc["service-table"].append({**doc["service-table"][0], "name": "aux"})
+    return doc
+
+
+class Day:
+    """A configured cluster with workers, of which the last `aux` belong to another service."""
+
+    def __init__(self, *, seed: int, minions: int = 8, aux: int = 0, work: float = 0.5, guards: bool = False,
+                 tries: int = 3, cap: tuple[int, int, int] = (4000, 8000, 0), racks: int = 3, **kw: Any) -> None:
+        self.sim = sim = Sim(seed=seed, **kw)
+        self.judge = judge = Judge(sim=sim, tries=tries)
+        self.world = World(work=work)
+        judge.services = {"fast": {"svc"}, "slow": {"svc"}, "side": {"aux"}}
+        self.fleet: list[Worker] = []
+        self.guards = guards
+        for i in range(minions):
+            self.hire(mid=f"i-{i}", site=f"z{i % len(sim.sites)}", cap=cap, labels=("a", f"r{i % racks}"),
+                      svc="aux" if i >= minions - aux else "svc")
+        self.client = Client(sim=sim, judge=judge)
+        self.jids: list[str] = []
+        self.asks = True
+        sim.run(seconds=1.0)
+        doc = plan(version=3, guards=guards, tries=tries)
+        if not any(sim.ask(ip=ip, method="PUT", path="/config", doc=doc, headers={"if-match": "0"})[0] == 200
+                   for ip in sim.core_ips):
+            raise SimError(text="no core node took the configuration")
+        sim.run(seconds=2.0)
+        sim.at(delay=0.2, fn=self._poll)
+
+    def hire(self, *, mid: str, site: str, cap: tuple[int, int, int], labels: tuple[str, ...], svc: str = "svc",
+             addr: str = "") -> Worker:
+        """One more minion."""
+        m = Worker(sim=self.sim, judge=self.judge, world=self.world, mid=mid, site=site, cap=cap, labels=labels,
+                   svc=svc, guards=self.guards, addr=addr)
+        self.fleet.append(m)
+        return m
+
+    def flap(self, *, m: Worker, up: float, down: float, times: int, same: bool) -> None:
+        """A minion goes down and comes back by turns, under a new id each time, at the same address or another."""
+        def fall() -> None:
+            self.judge.trouble()
+            m.crash()
+            self.sim.at(delay=down, fn=rise)
+
+        def rise() -> None:
+            new = self.hire(mid=f"{m.mid}x", site=m.site, cap=m.cap, labels=m.labels, svc=m.svc,
+                            addr=m.addr if same else "")
+            if times > 1:
+                self.flap(m=new, up=up, down=down, times=times - 1, same=same)
+        self.sim.at(delay=up, fn=fall)
+
+    def evacuate(self, *, site: str, on: bool) -> None:
+        """The operator's order; it binds from its acknowledgement, and no longer once its taking back is sent."""
+        def back(res: Response) -> None:
+            if on and 200 <= res.status < 300:
+                self.judge.evac[site] = self.sim.now
+        if not on:
+            self.judge.evac.pop(site, None)
+        self.sim.http(ip=self.sim.rng.choice(self.sim.core_ips), src="op", method="POST" if on else "DELETE",
+                      path=f"/evacuation/{site}", back=back)
+
+    def _poll(self) -> None:
+        live = [j for j in self.jids if self.judge.shows.get(j) in (None, "pending", "active")]
+        if self.asks:
+            if live:
+                self.client.poll(jid=self.sim.rng.choice(live))
+            if self.jids:
+                self.client.poll(jid=self.sim.rng.choice(self.jids))
+            self.sim.at(delay=0.2, fn=self._poll)
+
+    def job(self, *stages: dict[str, Any], queue: str = "fast") -> str:
+        """Hand a job in."""
+        jid = self.client.submit(stages=list(stages), queue=queue)
+        self.jids.append(jid)
+        return jid
+
+    def timed(self, *stages: dict[str, Any], first: float, period: float, count: int, queue: str = "fast") -> str:
+        """Hand a repeated job in whose first time is due in so many seconds."""
+        wall = self.sim.wall0 + self.sim.now
+        jid = self.client.submit(stages=list(stages), queue=queue, **{
+            "first-run-ms": int((wall + first) * 1000), "period-ms": int(period * 1000), "repeat-count": count})
+        self.jids.append(jid)
+        return jid
+
+    def settle(self, *, limit: float = 60.0) -> list[str]:
+        """Wait until all accepted jobs have ended or a rule is broken; return the jobs that are left."""
+        judge, sim = self.judge, self.sim
+        end = sim.now + limit
+
+        sim.until(cond=lambda: all(j in judge.accepted or j in judge.refused for j in self.jids), limit=8.0)
+
+        def left() -> list[str]:
+            return [j for j in self.jids if j in judge.accepted and judge.shows.get(j) not in ENDS]
+        while left() and sim.now < end and not judge.broken:
+            for jid in left():
+                self.client.poll(jid=jid)
+            sim.run(seconds=0.5)
+        for jid in self.jids:
+            if jid in judge.accepted:
+                self.client.poll(jid=jid)
+        sim.run(seconds=1.0)
+        judge.close()
+        return left()
+
+
+def task(*, n: int = 3, cpus: int = 1000, **more: Any) -> dict[str, Any]:
+    """A step; flags in Python's case."""
+    return {"task-count": n, "cpus": cpus, "mem-mb": 100, "estimate-ms": 500,
+            **{k.replace("_", "-"): v for k, v in more.items()}}
