--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -6,8 +6,8 @@
 
 from .base.errs import YarrowError
 
-EXITS = """Exit codes: 0 done, 1 something was lost, 2 flags that cannot be read, 64 wrong use, unreachable target, port
-in use or missing dependency, 70 internal, 74 disk unusable, 78 settings or experiment unusable, 130 interrupted."""
+EXITS = """Exit codes: 0 done, 1 something was lost or a rule broken, 2 flags that cannot be read, 64 wrong use, unreachable
+target, port in use or missing dependency, 70 internal, 74 disk unusable, 78 settings or experiment unusable, 130 interrupted."""
 
 
 class Commands:
@@ -79,6 +79,22 @@
         print("\n".join(lines(out=figs)))
         sys.exit(0 if good else 1)
 
+    def simulate(self, seed: int | None = None, seconds: float | None = None, size: int | None = None,
+                 faults: str = "") -> None:
+        """Play one simulated run of SIZE core nodes with faults from a file (TOML) or drawn from the seed; exits 1 if
+        a rule was broken."""
+        from .sim.command import simulate
+        sys.exit(simulate(seed=seed, seconds=seconds, size=size, faults=faults))
+
+    def hunt(self, runs: int = 100, jobs: int = 2, seed: int = 1, seconds: float = 30.0, size: int = 3, most: int = 1,
+             out: str = "", replay: str = "") -> None:
+        """Play many simulated runs until MOST of them broke a rule, shrink and tell these, keep them as files in OUT;
+        or REPLAY such a file step by step. Exits 1 if a rule was broken."""
+        from .sim.command import hunting
+        from .sim.command import replay as again
+        sys.exit(again(path=str(replay)) if replay else hunting(
+            runs=runs, jobs=jobs, seed=seed, seconds=seconds, size=size, most=most, out=str(out)))
+
     def slopes(self, *runs: str, reps: int = 5, out: str = "") -> None:
         """Measure on this machine what a beat, a start, a change, a checkpoint and a job cost; all runs, or some."""
         from .rig.local import lines
@@ -156,7 +172,7 @@
     except ModuleNotFoundError as err:
         if str(err.name).startswith("yarrowloom"):
             raise
-        file = "requirements-rig.txt" if args[:1] == ["experiment"] else "requirements.txt"
+        file = "requirements-rig.txt" if args[:1] in (["experiment"], ["hunt"]) else "requirements.txt"
         print(f"yarrowloom: missing dependency {err.name}: python3 -m pip install -r {file}", file=sys.stderr)
         sys.exit(64)
     except BrokenPipeError:
--- a/yarrowloom/sim/cluster.py
+++ b/yarrowloom/sim/cluster.py
@@ -92,6 +92,10 @@
             self.run(seconds=0.05)
         return cond()
 
+    def clock(self, ip: str) -> float:
+        """A machine's steady clock."""
+        return self.now
+
     # -- machines
 
     def startup(self, *, ip: str, first: bool) -> Startup:
@@ -116,7 +120,7 @@
             known = [r["uid"] for r in map(orjson.loads, disk.synced) if r.get("k") == "id"]
             fresh = not known and first
             uid = known[-1] if known else f"{ip}:7000#0" if fresh else f"{ip}:7000#{self.lives:x}x"
-            node = CoreNode(startup=st, uid=uid, boot=boot, log=log, first=fresh, now=self.now,
+            node = CoreNode(startup=st, uid=uid, boot=boot, log=log, first=fresh, now=self.clock(ip),
                             rand=self.rng.random())
             if known:
                 node.restore(recs=list(disk.synced))
@@ -203,7 +207,7 @@
     def _step(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
         """One step that takes its time; what it wants done is done at its end."""
         node, out = proc.node, proc.node.out
-        node.now, node.wall = self.now, self.wall0 + self.now
+        node.now, node.wall = self.clock(ip), self.wall0 + self.now
         calls = self.meter.run(fn)
         messages, size, http = proc.mark
         proc.mark = (0, 0, 0)
@@ -227,7 +231,7 @@
             proc.inbox.append(lambda: self.step(ip, proc, fn))
             return
         node = proc.node
-        node.now, node.wall = self.now, self.wall0 + self.now + self.skew.get(ip, 0.0)
+        node.now, node.wall = self.clock(ip), self.wall0 + self.now + self.skew.get(ip, 0.0)
         fn()
         out = node.out
         sends, out.sends = out.sends, []
@@ -375,7 +379,7 @@
         for ip in self.procs:
             proc = self.procs[ip]
             if proc.up and isinstance(proc.node, CoreNode) and self.now >= proc.frozen_till:
-                proc.node.now = self.now
+                proc.node.now = self.clock(ip)
                 if proc.node.reps[g].serving():
                     out.append(ip)
         return out
--- /dev/null
+++ b/yarrowloom/sim/command.py
@@ -0,0 +1,114 @@
+"""The subcommands `simulate` and `hunt`: checked flags, progress, what is printed."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+from ..base.errs import Finding, UsageError
+from .draw import draw
+from .faults import MOST_S, MOST_SIZE, Plan, dump, load
+from .hunt import hunt, plan_of, shrunk, tale
+from .play import Report, Settings, play
+
+MOST_SEED = (1 << 63) - 1
+MOST_RUNS = 1_000_000
+MOST_JOBS = 256
+
+
+def _whole(*, name: str, value: Any, low: int, high: int, bad: list[Finding]) -> int:
+    """A whole number from a flag, or a finding."""
+    if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
+        bad.append(Finding(place=f"--{name}", text=f"{value!r} is not a whole number from {low} to {high}"))
+        return low
+    return value
+
+
+def _seconds(*, value: Any, bad: list[Finding]) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 1 <= value <= MOST_S:
+        bad.append(Finding(place="--seconds", text=f"{value!r} is not a number from 1 to {MOST_S:g}"))
+        return 1.0
+    return float(value)
+
+
+def _settings(*, seed: Any, seconds: Any, size: Any, bad: list[Finding]) -> Settings:
+    return Settings(seed=_whole(name="seed", value=seed, low=0, high=MOST_SEED, bad=bad),
+                    seconds=_seconds(value=seconds, bad=bad),
+                    size=_whole(name="size", value=size, low=1, high=MOST_SIZE, bad=bad))
+
+
+def _refuse(*, bad: list[Finding]) -> None:
+    if bad:
+        raise UsageError(text="flags that cannot be used", findings=bad)
+
+
+def _from_plan(*, plan: Plan, seed: Any, seconds: Any, size: Any) -> Settings:
+    """Flags come before the file, the file before what is usual."""
+    usual, bad = Settings(), list[Finding]()
+
+    def pick(flag: Any, filed: Any, default: Any) -> Any:
+        return flag if flag is not None else filed if filed is not None else default
+    settings = _settings(seed=pick(seed, plan.seed, usual.seed), seconds=pick(seconds, plan.seconds, usual.seconds),
+                         size=pick(size, plan.size, usual.size), bad=bad)
+    _refuse(bad=bad)
+    return Settings(seed=settings.seed, seconds=settings.seconds, size=settings.size, faults=plan.faults)
+
+
+def simulate(*, seed: Any, seconds: Any, size: Any, faults: Any) -> int:
+    """Play one run and print its report; return the exit code."""
+    if faults:
+        settings = _from_plan(plan=load(path=str(faults)), seed=seed, seconds=seconds, size=size)
+    else:
+        settings = _from_plan(plan=Plan(faults=()), seed=seed, seconds=seconds, size=size)
+        settings = Settings(seed=settings.seed, seconds=settings.seconds, size=settings.size,
+                            faults=draw(seed=settings.seed, shape=settings.shape))
+    report = play(settings=settings)
+    print("\n".join(report.lines()))
+    return 1 if report.breaches else 0
+
+
+def replay(*, path: str) -> int:
+    """Play a file's run again and print all that happens; return the exit code."""
+    settings = _from_plan(plan=load(path=path), seed=None, seconds=None, size=None)
+    report = play(settings=settings)
+    print("\n".join(str(event) for event in report.story.events))
+    print("\n".join(report.lines()))
+    return 1 if report.breaches else 0
+
+
+def hunting(*, runs: Any, jobs: Any, seed: Any, seconds: Any, size: Any, most: Any, out: str) -> int:
+    """Play many runs; shrink and print those that broke a rule; return the exit code."""
+    bad: list[Finding] = []
+    runs = _whole(name="runs", value=runs, low=1, high=MOST_RUNS, bad=bad)
+    jobs = _whole(name="jobs", value=jobs, low=1, high=MOST_JOBS, bad=bad)
+    most = _whole(name="most", value=most, low=1, high=MOST_RUNS, bad=bad)
+    settings = _settings(seed=seed, seconds=seconds, size=size, bad=bad)
+    _refuse(bad=bad)
+    from tqdm import tqdm
+    with tqdm(total=runs, unit="run", file=sys.stderr, disable=None) as bar:
+        def told(report: Report) -> None:
+            bar.update()
+            if report.breaches:
+                bar.write(f"seed {report.settings.seed}: {report.breaches[0]}", file=sys.stderr)
+        found = hunt(settings=settings, runs=runs, jobs=jobs, most=most, progress=told)
+    print(f"runs {found.runs}, with a breach {len(found.broken)}")
+    for report in found.broken:
+        print()
+        print("\n".join(_smaller(report=report, out=out)))
+    return 1 if found.broken else 0
+
+
+def _smaller(*, report: Report, out: str) -> list[str]:
+    """Shrink one run, keep it as a file if asked to, and tell it."""
+    from tqdm import tqdm
+    with tqdm(desc=f"shrinking seed {report.settings.seed}", unit="step", file=sys.stderr, disable=None) as bar:
+        small = shrunk(report=report, told=lambda _: bar.update() and None)
+    rows = [f"shrunk from {len(report.faults)} faults to {len(small.faults)}", *tale(report=small)]
+    if out:
+        path = Path(out) / f"seed-{report.settings.seed}-size-{report.settings.size}.toml"
+        try:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_text(dump(plan=plan_of(report=small)))
+        except OSError as err:
+            raise UsageError(text=f"{path}: {err.strerror}") from err
+        rows.insert(1, f"kept as {path}")
+    return rows
--- /dev/null
+++ b/yarrowloom/sim/draw.py
@@ -0,0 +1,122 @@
+"""Faults drawn from a seed, within what the deployment must bear."""
+
+import random
+from dataclasses import dataclass
+
+from .faults import Fault, FaultKind
+
+CATCH_UP_S = 4.0      # a machine counts as lost for so long after its return
+FIRST_S = 1.0         # no fault comes sooner
+ALL_DOWN_CHANCE = 0.3
+CUTS = (FaultKind.CUT, FaultKind.CUT_IN, FaultKind.CUT_OUT)
+
+# What makes a core machine count as lost: kind, relative frequency, shortest and longest time, strengths to draw from.
+_LOST: tuple[tuple[FaultKind, int, float, float, tuple[float, ...]], ...] = (
+    (FaultKind.KILL, 3, 0.3, 3.0, (0.0,)),
+    (FaultKind.POWER_LOSS, 3, 0.3, 3.0, (0.0,)),
+    (FaultKind.ROLL, 3, 0.3, 1.0, (0.0,)),
+    (FaultKind.LOSE_DISK, 3, 0.3, 3.0, (0.0,)),
+    (FaultKind.REPLACE, 3, 0.3, 3.0, (0.0,)),
+    (FaultKind.FREEZE, 4, 0.3, 6.0, (0.0, 1.0)),
+    (FaultKind.CUT, 3, 0.5, 8.0, (0.0,)),
+    (FaultKind.CUT_IN, 2, 0.5, 8.0, (0.0,)),
+    (FaultKind.CUT_OUT, 2, 0.5, 8.0, (0.0,)),
+    (FaultKind.HOLD, 3, 0.2, 3.0, (0.0, 1.0)),
+    (FaultKind.RESET, 2, 0.0, 0.0, (0.0,)),
+    (FaultKind.SLOW_LINK, 2, 0.5, 4.0, (0.02, 0.2, 0.6)),
+    (FaultKind.DISK_STALL, 2, 0.2, 3.0, (0.0,)),
+    (FaultKind.DISK_SLOW, 2, 1.0, 5.0, (10.0, 40.0)),
+    (FaultKind.DISK_REFUSE, 2, 0.2, 3.0, (0.0,)),
+)
+_EDGE = (FaultKind.KILL, FaultKind.ROLL, FaultKind.FREEZE, *CUTS, FaultKind.HOLD, FaultKind.RESET)
+_MINION = (FaultKind.CRASH, FaultKind.MUTE, FaultKind.HANG, FaultKind.CRAWL, FaultKind.DRAIN, *CUTS)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Shape:
+    """The deployment that faults are drawn for; `losses`: core machines that may be lost at once."""
+
+    cores: int
+    edges: int
+    minions: int
+    losses: int
+    seconds: float
+
+
+def draw(*, seed: int, shape: Shape) -> tuple[Fault, ...]:
+    """Faults in the order of their times; all are over when the load ends.
+
+    >>> shape = Shape(cores=3, edges=1, minions=9, losses=1, seconds=30.0)
+    >>> draw(seed=5, shape=shape) == draw(seed=5, shape=shape)
+    True
+    """
+    rng = random.Random(f"faults {seed}")
+    faults = _all_cores(rng=rng, shape=shape)
+    for _ in range(shape.losses):
+        faults += _core_losses(rng=rng, shape=shape, taken=list(faults))
+    faults += _small(rng=rng, shape=shape)
+    return tuple(sorted(faults, key=lambda f: (f.at_s, f.where, f.kind)))
+
+
+def _time(*, rng: random.Random, low: float, high: float) -> float:
+    return round(rng.uniform(low, high), 2)
+
+
+def _all_cores(*, rng: random.Random, shape: Shape) -> list[Fault]:
+    """At times all core processes end at once, and keep their disks."""
+    if rng.random() > ALL_DOWN_CHANCE:
+        return []
+    kind = rng.choice([FaultKind.KILL, FaultKind.POWER_LOSS])
+    at_s = _time(rng=rng, low=FIRST_S, high=max(FIRST_S, shape.seconds - 6.0))
+    return [Fault(kind=kind, at_s=at_s, for_s=_time(rng=rng, low=0.3, high=1.5), where="all-cores")]
+
+
+def _core_losses(*, rng: random.Random, shape: Shape, taken: list[Fault]) -> list[Fault]:
+    """One core machine after the other, each back for `CATCH_UP_S` before the next one goes."""
+    faults: list[Fault] = []
+    at_s = _time(rng=rng, low=FIRST_S, high=4.0)
+    while at_s < shape.seconds - 1.0:
+        kind, _, low, high, strengths = rng.choices(_LOST, weights=[row[1] for row in _LOST])[0]
+        for_s = _time(rng=rng, low=low, high=min(high, shape.seconds - at_s) if high else 0.0)
+        fault = Fault(kind=kind, at_s=at_s, for_s=max(low, for_s), where=f"core-{rng.randrange(shape.cores)}",
+                      strength=rng.choice(strengths))
+        if not any(_clash(fault=fault, other=other) for other in taken):
+            faults.append(fault)
+        at_s = round(fault.end_s + CATCH_UP_S + rng.uniform(0.0, 2.0), 2)
+    return faults
+
+
+def _clash(*, fault: Fault, other: Fault) -> bool:
+    """Whether two faults would hit one machine together, or all machines while one is lost."""
+    if other.where not in ("all-cores", fault.where):
+        return False
+    return fault.at_s < other.end_s + CATCH_UP_S and other.at_s < fault.end_s + CATCH_UP_S
+
+
+def _small(*, rng: random.Random, shape: Shape) -> list[Fault]:
+    """What may go wrong in any number."""
+    faults = []
+    for _ in range(rng.randint(0, max(1, int(shape.seconds / 4)))):
+        at_s = _time(rng=rng, low=FIRST_S, high=max(FIRST_S, shape.seconds - 3.0))
+        for_s = _time(rng=rng, low=0.3, high=min(8.0, max(0.3, shape.seconds - at_s)))
+        faults.append(_one(rng=rng, shape=shape, at_s=at_s, for_s=for_s))
+    return faults
+
+
+def _one(*, rng: random.Random, shape: Shape, at_s: float, for_s: float) -> Fault:
+    core, edge = f"core-{rng.randrange(shape.cores)}", f"edge-{rng.randrange(shape.edges)}"
+    part = rng.randrange(6)
+    if part == 0:
+        return Fault(kind=rng.choice(_EDGE), at_s=at_s, for_s=for_s, where=edge)
+    if part == 1:
+        step_s = round(rng.uniform(-5.0, 5.0), 1)
+        return Fault(kind=FaultKind.CLOCK_STEP, at_s=at_s, for_s=for_s, where=rng.choice([core, edge]), strength=step_s)
+    if part == 2:
+        return Fault(kind=FaultKind.CLOCK_DRIFT, at_s=at_s, for_s=for_s, where=core,
+                     strength=rng.choice([-0.02, -0.01, 0.01]))
+    if part == 3:
+        return Fault(kind=FaultKind.LOSS, at_s=at_s, for_s=min(for_s, 3.0), where="links",
+                     strength=rng.choice([0.01, 0.05, 0.2]))
+    kind = rng.choice(_MINION)
+    return Fault(kind=kind, at_s=at_s, for_s=for_s, where=f"minion-{rng.randrange(shape.minions)}",
+                 strength=0.1 if kind is FaultKind.CRAWL else 0.0)
--- /dev/null
+++ b/yarrowloom/sim/hunt.py
@@ -0,0 +1,70 @@
+"""Many runs in several processes, until one breaks a rule."""
+
+import multiprocessing
+from collections.abc import Callable
+from concurrent.futures import FIRST_COMPLETED as FIRST
+from concurrent.futures import Future, ProcessPoolExecutor, wait
+from dataclasses import dataclass, replace
+
+from .faults import Plan, dump
+from .play import Report, Settings, play
+from .shrink import shrink
+
+STORY_LINES = 60
+AHEAD = 2             # runs planned for each process
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hunt:
+    """What came of a hunt: how many runs ended, and those that broke a rule."""
+
+    runs: int
+    broken: tuple[Report, ...]
+
+
+def hunt(*, settings: Settings, runs: int, jobs: int, most: int = 1,
+         progress: Callable[[Report], None] = lambda report: None) -> Hunt:
+    """Play the seeds from `settings.seed` on in `jobs` processes; after `most` runs that broke a rule no more are
+    begun. Each run's report goes to `progress`."""
+    seeds = iter(range(settings.seed, settings.seed + runs))
+    ended, broken = 0, list[Report]()
+    with ProcessPoolExecutor(max_workers=jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
+        waiting: set[Future[Report]] = set()
+        while True:
+            while len(waiting) < AHEAD * jobs and len(broken) < most:
+                seed = next(seeds, None)
+                if seed is None:
+                    break
+                waiting.add(pool.submit(play, settings=replace(settings, seed=seed)))
+            if not waiting:
+                break
+            done, waiting = wait(waiting, return_when=FIRST)
+            for future in done:
+                report = future.result()
+                ended += 1
+                progress(report)
+                if report.breaches:
+                    broken.append(report)
+            if len(broken) >= most:
+                for future in waiting:
+                    future.cancel()
+                waiting = {future for future in waiting if not future.cancelled()}
+    return Hunt(runs=ended, broken=tuple(sorted(broken, key=lambda r: r.settings.seed)))
+
+
+def plan_of(*, report: Report) -> Plan:
+    """The file that plays a run again."""
+    run = report.settings
+    return Plan(faults=report.faults, seed=run.seed, seconds=run.seconds, size=run.size)
+
+
+def tale(*, report: Report, last: int = STORY_LINES) -> list[str]:
+    """The faults of a run as a file, and the story of its first breach."""
+    events = report.story.about(text=report.breaches[0], last=last) if report.breaches else report.story.events
+    return [*report.lines(), "", *dump(plan=plan_of(report=report)).splitlines(), "",
+            *(str(event) for event in events)]
+
+
+def shrunk(*, report: Report, told: Callable[[Report], None] = lambda report: None) -> Report:
+    """The smallest run found that breaks the same rule."""
+    return shrink(report=report, told=told)
--- /dev/null
+++ b/yarrowloom/sim/inject.py
@@ -0,0 +1,260 @@
+"""Carries faults out on a simulated day."""
+
+from collections.abc import Callable
+from functools import partial
+
+from ..node.core import CoreNode
+from ..node.edge import EdgeNode
+from .errors import SimError
+from .faults import Fault, FaultKind
+from .judge import EARLY_S
+from .network import Cut
+from .process import Disk
+from .troubled import TroubledSim
+from .worker import Worker
+from .workload import Day
+
+RESET_S = 0.01        # what is on its way when connections are reset is lost
+LEAVE_CORE_S = 0.6    # what a core process has after SIGTERM
+LEAVE_EDGE_S = 2.5
+JITTER_S = 0.3        # machines that went together come back within this long of each other
+JUMPS_S = 5.0         # how much earlier a repeated job may start on days on which clocks jump
+
+
+class Injector:
+    """Invariant: what a fault began its end undoes, also where faults overlap."""
+
+    def __init__(self, *, day: Day, sim: TroubledSim) -> None:
+        self.day = day
+        self.sim = sim
+        self.addresses = 0
+        self.minions: list[Worker] = list(day.fleet)
+        self.begin: dict[FaultKind, Callable[[Fault], Callable[[], None] | None]] = {
+            FaultKind.KILL: partial(self._kill, power=False), FaultKind.POWER_LOSS: partial(self._kill, power=True),
+            FaultKind.ROLL: self._roll, FaultKind.LOSE_DISK: self._lose_disk, FaultKind.REPLACE: self._replace,
+            FaultKind.REMOVE: self._remove, FaultKind.FREEZE: self._freeze,
+            FaultKind.CUT: partial(self._cut, outward=True, inward=True),
+            FaultKind.CUT_IN: partial(self._cut, outward=False, inward=True),
+            FaultKind.CUT_OUT: partial(self._cut, outward=True, inward=False),
+            FaultKind.HOLD: self._hold, FaultKind.RESET: self._reset, FaultKind.LOSS: self._loss,
+            FaultKind.SLOW_LINK: self._slow_link, FaultKind.DISK_STALL: self._disk_stall,
+            FaultKind.DISK_SLOW: self._disk_slow, FaultKind.DISK_REFUSE: self._disk_refuse,
+            FaultKind.CLOCK_STEP: self._clock_step, FaultKind.CLOCK_DRIFT: self._clock_drift,
+            FaultKind.CRASH: self._crash, FaultKind.MUTE: self._mute, FaultKind.HANG: partial(self._sick, how="hung"),
+            FaultKind.GREY: partial(self._sick, how="grey"), FaultKind.CRAWL: self._crawl, FaultKind.DRAIN: self._drain}
+
+    def plan(self, *, faults: tuple[Fault, ...]) -> None:
+        """Plan faults, whose times count from now."""
+        for i, fault in enumerate(faults):
+            for name in fault.where.split("/"):
+                self._known(name=name, place=f"faults[{i}].where")
+            if fault.kind is FaultKind.CLOCK_STEP:
+                self.day.judge.early = max(self.day.judge.early, EARLY_S + max(JUMPS_S, abs(fault.strength)))
+            self.sim.at(delay=fault.at_s, fn=partial(self._run, fault))
+
+    def _known(self, *, name: str, place: str) -> None:
+        many = {"core": len(self.sim.core_ips), "edge": len(self.sim.edge_ips), "minion": len(self.minions)}
+        role, _, number = name.partition("-")
+        if role in many and int(number) >= many[role]:
+            raise SimError(text=f"{place}: there are {many[role]} of {role}, no {name}")
+
+    def _run(self, fault: Fault) -> None:
+        self.day.judge.trouble(seconds=fault.for_s)
+        self.sim.note(who="fault", text=f"begins: {fault}")
+        end = self.begin[fault.kind](fault)
+        if end is not None:
+            self.sim.at(delay=max(fault.for_s, 1e-3), fn=partial(self._end, fault, end))
+
+    def _end(self, fault: Fault, end: Callable[[], None]) -> None:
+        end()
+        self.sim.note(who="fault", text=f"ends:   {fault.kind} of {fault.where}")
+
+    # -- names
+
+    def end_of(self, name: str) -> str:
+        """The address of a machine, or the ID of a minion, that stands at a name now."""
+        role, _, number = name.partition("-")
+        if role == "core":
+            return self.sim.core_ips[int(number)]
+        if role == "edge":
+            return self.sim.edge_ips[int(number)]
+        return self.minions[int(number)].mid
+
+    def _side(self, fault: Fault, *, outward: bool = True, inward: bool = True) -> Cut:
+        ends = [self.end_of(name) for name in fault.where.split("/")]
+        return Cut(inside=frozenset(ends[:1]), others=frozenset(ends[1:]), outward=outward, inward=inward)
+
+    def _worker(self, fault: Fault) -> Worker:
+        return self.minions[int(fault.where.partition("-")[2])]
+
+    # -- processes
+
+    def _kill(self, fault: Fault, *, power: bool) -> Callable[[], None]:
+        ips = list(self.sim.core_ips) if fault.where == "all-cores" else [self.end_of(fault.where)]
+        for ip in ips:
+            if self.sim.procs[ip].up:
+                self.sim.kill(ip=ip, power=power)
+
+        def back() -> None:
+            for ip in ips:
+                delay = self.sim.rng.random() * JITTER_S if len(ips) > 1 else 0.0
+                self.sim.at(delay=delay, fn=partial(self.sim.start, ip=ip))
+        return back
+
+    def _roll(self, fault: Fault) -> None:
+        """SIGTERM: the process hands over, ends, and is started again."""
+        ip = self.end_of(fault.where)
+        proc = self.sim.procs[ip]
+        if not proc.up:
+            return
+        node = proc.node
+        if isinstance(node, CoreNode):
+            self.sim.step(ip, proc, node.leave)
+            wait_s = LEAVE_CORE_S
+        elif isinstance(node, EdgeNode):
+            node.closing = True
+            wait_s = LEAVE_EDGE_S
+
+        def stop() -> None:
+            if self.sim.procs[ip] is proc and proc.up:
+                self.sim.kill(ip=ip)
+                self.sim.note(who=ip, text="process ended in order")
+            self.sim.at(delay=fault.for_s, fn=partial(self.sim.start, ip=ip))
+        self.sim.at(delay=wait_s, fn=stop)
+
+    def _lose_disk(self, fault: Fault) -> Callable[[], None]:
+        ip = self.end_of(fault.where)
+        if self.sim.procs[ip].up:
+            self.sim.kill(ip=ip, power=True)
+        self.sim.wipe(ip=ip)
+        return partial(self.sim.start, ip=ip)
+
+    def _replace(self, fault: Fault) -> Callable[[], None]:
+        """The machine is gone; an empty one takes its place at another address."""
+        old = self.end_of(fault.where)
+        self._gone(ip=old)
+        self.addresses += 1
+        new = f"{old.rsplit('.', 1)[0]}.{100 + self.addresses}"
+        self.sim.core_ips[self.sim.core_ips.index(old)] = new
+
+        def back() -> None:
+            self.sim.boot(ip=new)
+            self.sim.note(who=new, text=f"empty machine in place of {old}")
+        return back
+
+    def _remove(self, fault: Fault) -> None:
+        self._gone(ip=self.end_of(fault.where))
+
+    def _gone(self, *, ip: str) -> None:
+        if self.sim.procs[ip].up:
+            self.sim.kill(ip=ip, power=True)
+        self.sim.disks[ip] = Disk()
+
+    def _freeze(self, fault: Fault) -> None:
+        """Strength above 0: between a step and what the step wants done."""
+        ip = self.end_of(fault.where)
+        if fault.strength:
+            self.sim.stand_still[ip] = fault.for_s
+        else:
+            self.sim.freeze(ip=ip, seconds=fault.for_s)
+
+    # -- links
+
+    def _cut(self, fault: Fault, *, outward: bool, inward: bool) -> Callable[[], None]:
+        return self.sim.isolate(cut=self._side(fault, outward=outward, inward=inward))
+
+    def _hold(self, fault: Fault) -> Callable[[], None]:
+        return self.sim.hold(cut=self._side(fault), deliver=fault.strength > 0)
+
+    def _reset(self, fault: Fault) -> None:
+        self.sim.at(delay=RESET_S, fn=self.sim.isolate(cut=self._side(fault)))
+
+    def _loss(self, fault: Fault) -> Callable[[], None]:
+        self.sim.loss += fault.strength
+
+        def end() -> None:
+            self.sim.loss = max(0.0, round(self.sim.loss - fault.strength, 6))
+        return end
+
+    def _slow_link(self, fault: Fault) -> Callable[[], None]:
+        ip = self.end_of(fault.where)
+        self.sim.link_delay[ip] = fault.strength
+
+        def end() -> None:
+            self.sim.link_delay.pop(ip, None)
+        return end
+
+    # -- disks and clocks
+
+    def _disk_stall(self, fault: Fault) -> None:
+        ip = self.end_of(fault.where)
+        self.sim.stalls[ip] = max(self.sim.stalls.get(ip, 0.0), self.sim.now + fault.for_s)
+
+    def _disk_slow(self, fault: Fault) -> Callable[[], None]:
+        ip = self.end_of(fault.where)
+        self.sim.disk_factor[ip] = fault.strength
+
+        def end() -> None:
+            self.sim.disk_factor.pop(ip, None)
+        return end
+
+    def _disk_refuse(self, fault: Fault) -> Callable[[], None]:
+        ip = self.end_of(fault.where)
+        self._disk_stall(fault)
+        self.sim.refusing.add(ip)
+        return lambda: self.sim.refusing.discard(ip)
+
+    def _clock_step(self, fault: Fault) -> Callable[[], None]:
+        ip = self.end_of(fault.where)
+        self.sim.skew[ip] = self.sim.skew.get(ip, 0.0) + fault.strength
+
+        def end() -> None:
+            self.sim.skew[ip] -= fault.strength
+        return end
+
+    def _clock_drift(self, fault: Fault) -> Callable[[], None]:
+        ip = self.end_of(fault.where)
+        self.sim.drift(ip=ip, rate=fault.strength)
+        return partial(self.sim.drift, ip=ip, rate=0.0)
+
+    # -- minions
+
+    def _crash(self, fault: Fault) -> Callable[[], None]:
+        """The minion dies; another one takes its place."""
+        old = self._worker(fault)
+        if old.up:
+            old.crash()
+
+        return partial(self._hire, old)
+
+    def _hire(self, old: Worker) -> None:
+        """Another minion takes the place of one that is gone, under a new ID."""
+        if old in self.minions and not old.up:
+            self.minions[self.minions.index(old)] = self.day.hire(
+                mid=f"{old.mid}x", site=old.site, cap=old.cap, labels=old.labels, svc=old.svc)
+
+    def _mute(self, fault: Fault) -> None:
+        self._worker(fault).mute = self.sim.now + fault.for_s
+
+    def _sick(self, fault: Fault, *, how: str) -> Callable[[], None]:
+        worker = self._worker(fault)
+        worker.sick = how
+
+        def end() -> None:
+            worker.sick = ""
+        return end
+
+    def _crawl(self, fault: Fault) -> Callable[[], None]:
+        worker = self._worker(fault)
+        worker.speed = fault.strength
+
+        def end() -> None:
+            worker.speed = 1.0
+        return end
+
+    def _drain(self, fault: Fault) -> Callable[[], None]:
+        """The minion leaves in order."""
+        worker = self._worker(fault)
+        if worker.up and not worker.drained:
+            worker.drain()
+        return partial(self._hire, worker)
--- /dev/null
+++ b/yarrowloom/sim/network.py
@@ -0,0 +1,48 @@
+"""Cuts and held links of the simulated network."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Cut:
+    """What goes out of (`outward`) or into (`inward`) the inside is lost. The outside: `others`, or all that are not
+    inside."""
+
+    inside: frozenset[str]
+    others: frozenset[str] = frozenset()
+    outward: bool = True
+    inward: bool = True
+
+    def _outside(self, end: str) -> bool:
+        return end in self.others if self.others else end not in self.inside
+
+    def covers(self, *, src: str, dst: str) -> bool:
+        """Whether what goes from one end to the other is hit."""
+        return bool((self.outward and src in self.inside and self._outside(dst))
+                    or (self.inward and dst in self.inside and self._outside(src)))
+
+
+class Cuts(set[tuple[str, str]]):
+    """The pairs that are cut singly, and whole cuts beside them; `in` asks for both."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.whole: list[Cut] = []
+        self.everything = False     # while frames that were held are dropped
+
+    def __contains__(self, pair: object) -> bool:
+        if self.everything or super().__contains__(pair):
+            return True
+        if not self.whole or not isinstance(pair, tuple):
+            return False
+        src, dst = pair
+        return any(cut.covers(src=src, dst=dst) for cut in self.whole)
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Hold:
+    """Frames that wait while a link stands still, in the order in which they were sent."""
+
+    cut: Cut
+    sends: list[Callable[[], None]] = field(default_factory=list)
--- /dev/null
+++ b/yarrowloom/sim/play.py
@@ -0,0 +1,153 @@
+"""One run: a cluster under load and faults, judged until it has come to rest."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from .draw import Shape, draw
+from .errors import SimError
+from .events import Check, Story
+from .faults import Fault
+from .inject import Injector
+from .troubled import TroubledSim
+from .watch import Operator, ServingCheck, TellingJudge
+from .workload import Day, task
+
+SITES = 3
+MINIONS_EACH = 3          # minions by core
+JOB_GAP_S = 0.5           # a cluster of three gets a job this often; larger ones in proportion more
+WORK_S = 1.2              # a usual task's length
+LOOK_S = 0.2              # breaches are looked for this often
+SETTLE_S = 45.0           # accepted jobs end within this time after the load
+CANCEL_SHARE = 0.08
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """What fixes a run. Without `faults` they are drawn from the seed."""
+
+    seed: int = 1
+    seconds: float = 30.0
+    size: int = 3
+    faults: tuple[Fault, ...] | None = None
+
+    @property
+    def shape(self) -> Shape:
+        """The deployment."""
+        return Shape(cores=self.size, edges=max(1, self.size // 3), minions=MINIONS_EACH * self.size,
+                     losses=1 if self.size < 7 else 2, seconds=self.seconds)
+
+    def planned(self) -> tuple[Fault, ...]:
+        """The faults of the run."""
+        return draw(seed=self.seed, shape=self.shape) if self.faults is None else self.faults
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What became of a run."""
+
+    settings: Settings
+    faults: tuple[Fault, ...]
+    jobs: int
+    finished: int
+    changes: int
+    elections: int
+    simulated_s: float
+    breaches: tuple[str, ...]
+    story: Story = field(default_factory=Story)
+
+    @property
+    def rules(self) -> frozenset[str]:
+        """Names of the rules that were broken."""
+        return frozenset(breach.split(" ", 1)[0] for breach in self.breaches)
+
+    def lines(self) -> list[str]:
+        """The report for a reader."""
+        run = self.settings
+        return [f"seed {run.seed}, {run.size} cores, {run.seconds:g} s of load, {self.simulated_s:.1f} s simulated, "
+                f"{len(self.faults)} faults",
+                f"jobs {self.jobs}, finished {self.finished}; configuration changes {self.changes}; elections "
+                f"{self.elections}; breaches {len(self.breaches)}", *self.breaches]
+
+
+class Run:
+    """Sets a run up and plays it."""
+
+    def __init__(self, *, settings: Settings, checks: tuple[Check, ...] = ()) -> None:
+        self.settings = settings
+        self.story = Story()
+        self.checks = checks
+        shape = settings.shape
+        self.sim = TroubledSim(seed=settings.seed, sites=min(SITES, shape.cores), cores=shape.cores,
+                               edges=shape.edges, losses=shape.losses, checks=(self.story, *checks))
+        self.judge = TellingJudge(sim=self.sim)
+        self.day = Day(seed=settings.seed, minions=shape.minions, work=WORK_S, sim=self.sim, judge=self.judge)
+        self.sim.started_s = self.sim.now
+        self.serving = ServingCheck(sim=self.sim)
+        self.operator = Operator(sim=self.sim)
+        self.faults = settings.planned()
+        self.problems: list[str] = []
+
+    def breaches(self) -> tuple[str, ...]:
+        """All that is broken so far."""
+        own = [*self.judge.broken, *self.sim.ended, *self.serving.broken, *self.operator.broken, *self.problems]
+        return (*own, *(text for check in self.checks for text in check.breaches()))
+
+    def play(self) -> Report:
+        """Play the run until its end or its first breach."""
+        try:
+            Injector(day=self.day, sim=self.sim).plan(faults=self.faults)
+            self._load()
+            if not self.breaches():
+                self._rest()
+        except SimError as err:
+            if not self.sim.now > self.sim.started_s:
+                raise
+            self.problems.append(f"ENDLESS {err.text}")
+        finished = sum(jid in self.judge.over for jid in self.day.jids)
+        return Report(settings=self.settings, faults=self.faults, jobs=len(self.day.jids), finished=finished,
+                      changes=self.operator.changes, elections=self.serving.elections,
+                      simulated_s=self.sim.now - self.sim.started_s, breaches=self.breaches(), story=self.story)
+
+    def _load(self) -> None:
+        end_s = self.sim.now + self.settings.seconds
+        next_job_s, number = self.sim.now, 0
+        while self.sim.now < end_s and not self.breaches():
+            while next_job_s <= self.sim.now:
+                next_job_s += JOB_GAP_S * 3 / self.settings.size
+                number += 1
+                self._job(number=number)
+            self.sim.run(seconds=min(LOOK_S, max(0.01, next_job_s - self.sim.now)))
+
+    def _job(self, *, number: int) -> None:
+        """Hand in the next job of the mix; some are cancelled soon after."""
+        rng = self.sim.rng
+        mix: list[list[dict[str, Any]]] = [
+            [task(n=4), task(n=2, depends_on=[0])],
+            [task(n=3, cpus=2000, gang=True, checkpoints=number % 2 == 0, same_rack=number % 3 == 0)],
+            [task(n=2, cpus=1500, checkpoints=True, weight=4)],
+            [task(n=3, cpus=500, anti_affinity=1)],
+            [task(n=3, cpus=500, affinity=f"r{number % 3}")],
+            [task(n=2, cpus=500)]]
+        stages = mix[number % len(mix)]
+        queue = rng.choice(["fast", "slow"])
+        if number % 7 == 0:
+            self.day.timed(task(n=2), first=rng.uniform(0.5, 3.0), period=1.5, count=3, queue=queue)
+            return
+        jid = self.day.job(*stages, queue=queue)
+        if rng.random() < CANCEL_SHARE:
+            self.sim.at(delay=rng.uniform(0.1, 2.0), fn=lambda: self.day.client.drop(jid=jid))
+
+    def _rest(self) -> None:
+        """The load is over: what was accepted ends, what was confirmed is there."""
+        self.operator.working = False
+        left = self.day.settle(limit=SETTLE_S)
+        if left and not self.breaches():
+            states = ", ".join(f"{jid} {self.judge.shows.get(jid, 'never shown')}" for jid in left[:4])
+            self.problems.append(f"UNFINISHED {states}; {len(left)} jobs {SETTLE_S:g} s after the load")
+        if not self.breaches():
+            self.operator.read_back()
+
+
+def play(*, settings: Settings, checks: tuple[Check, ...] = ()) -> Report:
+    """Play one run."""
+    return Run(settings=settings, checks=checks).play()
--- /dev/null
+++ b/yarrowloom/sim/shrink.py
@@ -0,0 +1,47 @@
+"""Makes a list of faults smaller while a rule stays broken."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+from .faults import Fault
+from .play import Report, play
+
+MOST_RUNS = 80
+SHORTEST_S = 0.05
+
+Faults = tuple[Fault, ...]
+
+
+def shrink(*, report: Report, runs: int = MOST_RUNS, told: Callable[[Report], None] = lambda report: None) -> Report:
+    """A run with fewer and shorter faults that breaks one of the rules that the first one broke. `told` hears of each
+    run that was smaller and still broke it."""
+    best = report
+    for _ in range(runs):
+        smaller = _next(best=best, rules=report.rules, candidates=_candidates(faults=best.faults))
+        if smaller is None:
+            break
+        best = smaller
+        told(best)
+    return best
+
+
+def _next(*, best: Report, rules: frozenset[str], candidates: Iterator[Faults]) -> Report | None:
+    """The first candidate that still breaks a rule; None: the list is as small as it gets."""
+    for faults in candidates:
+        tried = play(settings=replace(best.settings, faults=faults))
+        if tried.rules & rules:
+            return tried
+    return None
+
+
+def _candidates(*, faults: Faults) -> Iterator[Faults]:
+    """Smaller lists, the smallest first: halves left out, then single entries, then entries that last half as long."""
+    many = len(faults)
+    if many > 3:
+        yield faults[many // 2:]
+        yield faults[:many // 2]
+    for i in range(many):
+        yield faults[:i] + faults[i + 1:]
+    for i, fault in enumerate(faults):
+        if fault.for_s > 2 * SHORTEST_S:
+            yield (*faults[:i], replace(fault, for_s=round(fault.for_s / 2, 3)), *faults[i + 1:])
--- /dev/null
+++ b/yarrowloom/sim/troubled.py
@@ -0,0 +1,190 @@
+"""The cluster with what faults need: links that stand still, slow disks, clocks that drift, processes that end by
+themselves, and events for whoever watches."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from ..wire.frame import LANES, Kind, Lane
+from ..wire.http import Response
+from .cluster import Sim
+from .errors import SimError
+from .events import Answer, Check, Event, Invocation
+from .network import Cut, Cuts, Hold
+from .process import Proc
+
+RESTART_S = 1.0       # a process that ended by itself is started again after this long
+
+
+@dataclass(slots=True, kw_only=True)
+class SteadyClock:
+    """A steady clock: `value` at the true time `since`, and how much faster than true time it runs."""
+
+    since: float
+    value: float
+    drift: float = 0.0
+
+    def read(self, *, now: float) -> float:
+        """What it shows."""
+        return self.value + (now - self.since) * (1.0 + self.drift)
+
+
+class TroubledSim(Sim):
+    """Invariants: held frames keep their order and overtake none that were sent before them; a machine's steady clock
+    never goes back, whatever its drift."""
+
+    def __init__(self, *, seed: int, checks: tuple[Check, ...] = (), **kw: Any) -> None:
+        self.checks = checks
+        self.started_s = 100.0          # simulated time that counts as 0 in events
+        self.clocks: dict[str, SteadyClock] = {}
+        self.holds: list[Hold] = []
+        self.link_delay: dict[str, float] = {}
+        self.disk_factor: dict[str, float] = {}
+        self.refusing: set[str] = set()
+        self.stand_still: dict[str, float] = {}     # seconds to stop after the next step, before its output
+        self.ended: list[str] = []                  # processes that ended by themselves, and why
+        super().__init__(seed=seed, **kw)
+        self.cuts = Cuts()
+
+    # -- events
+
+    def tell(self, event: Event) -> None:
+        """Show an event to all checks."""
+        for check in self.checks:
+            check.observe(event)
+
+    def note(self, *, who: str, text: str) -> None:
+        """Something happened now."""
+        self.tell(Event(at_s=self.now - self.started_s, who=who, text=text))
+
+    # -- clocks
+
+    def clock(self, ip: str) -> float:
+        """A machine's steady clock."""
+        clock = self.clocks.get(ip)
+        return self.now if clock is None else clock.read(now=self.now)
+
+    def drift(self, *, ip: str, rate: float) -> None:
+        """From now on a machine's steady clock runs faster or slower."""
+        self.clocks[ip] = SteadyClock(since=self.now, value=self.clock(ip), drift=rate)
+
+    # -- processes
+
+    def step(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
+        """One input; a process that raises has ended by itself."""
+        live = proc.up and self.procs.get(ip) is proc and self.now >= proc.frozen_till
+        if live and ip in self.stand_still:
+            self._stand_still(ip, proc, fn)
+            return
+        try:
+            super().step(ip, proc, fn)
+        except Exception as err:     # the product's fault, whatever it is
+            self._ended(ip, proc, err)
+
+    def _stand_still(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
+        """The step is taken now, what it wants done is done when the process goes on."""
+        seconds = self.stand_still.pop(ip)
+        node = proc.node
+        node.now, node.wall = self.clock(ip), self.wall0 + self.now + self.skew.get(ip, 0.0)
+        try:
+            fn()
+        except Exception as err:
+            self._ended(ip, proc, err)
+            return
+        self.freeze(ip=ip, seconds=seconds)
+        super().step(ip, proc, lambda: None)     # frozen: the first thing to be done afterwards
+
+    def _ended(self, ip: str, proc: Proc, err: Exception) -> None:
+        trace = err.__traceback__
+        while trace is not None and trace.tb_next is not None:
+            trace = trace.tb_next
+        place = "" if trace is None else f" in {trace.tb_frame.f_code.co_name} (line {trace.tb_lineno})"
+        self.ended.append(f"ENDED {ip} by itself: {type(err).__name__} {err}{place}")
+        self.note(who=ip, text=self.ended[-1])
+        proc.node.out.sends.clear()
+        self.kill(ip=ip)
+        self.at(delay=RESTART_S, fn=lambda: self.start(ip=ip))
+
+    def start(self, *, ip: str) -> None:
+        """Start a machine's process, unless it runs or the machine is gone."""
+        if ip in (*self.core_ips, *self.edge_ips) and not self.procs[ip].up:
+            try:
+                self.boot(ip=ip)
+            except Exception as err:
+                self.ended.append(f"ENDED {ip} at its start: {type(err).__name__} {err}")
+                self.note(who=ip, text=self.ended[-1])
+                return
+            self.note(who=ip, text="process started")
+
+    def kill(self, *, ip: str, power: bool = False) -> None:
+        """End a process; a disk that refuses writes holds nothing of what was not synced."""
+        if ip in self.refusing and ip in self.disks:
+            self.disks[ip].pending = []
+        super().kill(ip=ip, power=power)
+
+    # -- disks
+
+    def _sync(self, ip: str, proc: Proc) -> None:
+        usual = self.sync_s
+        self.sync_s = usual * self.disk_factor.get(ip, 1.0)
+        super()._sync(ip, proc)
+        self.sync_s = usual
+
+    # -- links
+
+    def _send(self, ip: str, proc: Proc, dst: str, kind: Kind | None, body: bytes) -> None:
+        for hold in self.holds:
+            if ip != dst and hold.cut.covers(src=ip, dst=dst):
+                hold.sends.append(lambda: self._send(ip, proc, dst, kind, body))
+                return
+        delay = max(self.link_delay.get(ip, 0.0), self.link_delay.get(dst, 0.0)) if ip != dst else 0.0
+        if delay:
+            lane = LANES[kind] if kind is not None else Lane.WORK
+            self.last[ip, dst, lane] = max(self.last.get((ip, dst, lane), 0.0), self.now + delay)
+        super()._send(ip, proc, dst, kind, body)
+
+    def isolate(self, *, cut: Cut) -> Callable[[], None]:
+        """Begin a cut; call the answer to end it."""
+        whole = self._cuts().whole
+        whole.append(cut)
+        return lambda: whole.remove(cut)
+
+    def hold(self, *, cut: Cut, deliver: bool) -> Callable[[], None]:
+        """Frames stand still on links; call the answer to end it, when they arrive late or are lost."""
+        hold = Hold(cut=cut)
+        self.holds.append(hold)
+
+        def release() -> None:
+            self.holds.remove(hold)
+            self._cuts().everything = not deliver
+            try:
+                for send in hold.sends:
+                    send()
+            finally:
+                self._cuts().everything = False
+        return release
+
+    def _cuts(self) -> Cuts:
+        if not isinstance(self.cuts, Cuts):
+            raise SimError(text="the cluster's cuts were replaced")
+        return self.cuts
+
+    # -- calls
+
+    def http(self, *, ip: str, src: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
+             headers: dict[str, str] | None = None, back: Callable[[Response], None]) -> None:
+        """An HTTP call, shown to all checks with its answer."""
+        number = self.ncall + 1
+        if not src.startswith("i-"):
+            raw = body if body is not None else b"" if doc is None else orjson.dumps(doc)
+            self.tell(Invocation(at_s=self.now - self.started_s, who=src, text=f"{method} {path} to {ip}",
+                                 number=number, to=ip, method=method, path=path, headers=headers or {}, body=raw))
+
+        def answered(res: Response) -> None:
+            if not src.startswith("i-"):
+                self.tell(Answer(at_s=self.now - self.started_s, who=src, text=f"{method} {path}: {res.status}",
+                                 number=number, response=res))
+            back(res)
+        super().http(ip=ip, src=src, method=method, path=path, doc=doc, body=body, headers=headers, back=answered)
--- /dev/null
+++ b/yarrowloom/sim/watch.py
@@ -0,0 +1,146 @@
+"""What a run is watched by beside the judge of jobs: its story of jobs, who serves, and the configuration's changes."""
+
+from typing import Any
+
+import orjson
+
+from ..node.base import JOB_GROUPS
+from ..wire.http import Response
+from .events import JobEvent
+from .judge import Judge
+from .minions import HOST, SimMinion
+from .troubled import TroubledSim
+
+LOOK_S = 0.1
+CHANGE_S = (0.5, 3.0)     # an operator rests this long between changes
+RETRY_S = 1.5             # an order without an answer is sent again, as it was
+FIRST_VERSION = 3
+
+
+class TellingJudge(Judge):
+    """The judge, telling what it sees."""
+
+    def __init__(self, *, sim: TroubledSim, tries: int = 3) -> None:
+        self.shown_last: dict[str, str] = {}
+        self.teller = sim
+        super().__init__(sim=sim, tries=tries)
+
+    def _tell(self, *, who: str, job: str, text: str) -> None:
+        self.teller.tell(JobEvent(at_s=self.teller.now - self.teller.started_s, who=who, text=text, job=job))
+
+    def breach(self, *, rule: str, what: str) -> None:
+        """Note a broken rule."""
+        self.teller.note(who="judge", text=f"BREACH {rule} {what}")
+        super().breach(rule=rule, what=what)
+
+    def started(self, *, m: SimMinion, task: str, run: int, spec: str, saved: str) -> None:
+        """A minion begins a task."""
+        more = f" from checkpoint {saved}" if saved else ""
+        self._tell(who=m.mid, job=task.split(".")[0], text=f"starts {task} run {run}{more}, fence {m.fence}")
+        super().started(m=m, task=task, run=run, spec=spec, saved=saved)
+
+    def ended(self, *, m: SimMinion, task: str, run: int, how: str) -> None:
+        """A minion's run of a task ended."""
+        self._tell(who=m.mid, job=task.split(".")[0], text=f"ends {task} run {run}: {how}")
+        super().ended(m=m, task=task, run=run, how=how)
+
+    def seen(self, *, m: SimMinion, num: int, task: str, run: int, how: str, lapsed: bool) -> None:
+        """An end's number was reached by `last-seen`."""
+        late = ", after its hold had lapsed" if lapsed else ""
+        self._tell(who=m.mid, job=task.split(".")[0], text=f"end of {task} run {run} ({how}) acknowledged{late}")
+        super().seen(m=m, num=num, task=task, run=run, how=how, lapsed=lapsed)
+
+    def shown(self, *, jid: str, status: int, state: str, sent: float) -> None:
+        """An answer on a job's state."""
+        text = f"{jid} is {state}" if status == 200 else f"{jid}: status {status}"
+        if self.shown_last.get(jid) != text:
+            self.shown_last[jid] = text
+            self._tell(who="caller", job=jid, text=text)
+        super().shown(jid=jid, status=status, state=state, sent=sent)
+
+
+class ServingCheck:
+    """Notes who serves each group; two at a time are a breach. Looks every `LOOK_S`."""
+
+    def __init__(self, *, sim: TroubledSim) -> None:
+        self.sim = sim
+        self.groups = 1 + JOB_GROUPS
+        self.last: dict[int, str] = {}
+        self.elections = 0
+        self.broken: list[str] = []
+        self._look()
+
+    def _look(self) -> None:
+        self.sim.at(delay=LOOK_S, fn=self._look)
+        for g in range(self.groups):
+            serving = self.sim.serving(g=g)
+            if len(serving) > 1:
+                self.broken.append(f"PRIMARY group {g} is served by {serving} at {self.sim.now:.2f}")
+            if serving and serving[0] != self.last.get(g):
+                self.elections += g in self.last
+                self.last[g] = serving[0]
+                self.sim.note(who=serving[0], text=f"serves group {g} in epoch {self._epoch(ip=serving[0], g=g)}")
+
+    def _epoch(self, *, ip: str, g: int) -> Any:
+        epoch = self.sim.core(ip).reps[g].epoch
+        return "?" if epoch is None else epoch["n"]
+
+
+class Operator:
+    """Changes the configuration again and again; an order without a clear answer is sent again as it was."""
+
+    def __init__(self, *, sim: TroubledSim) -> None:
+        self.sim = sim
+        self.version = FIRST_VERSION
+        self.changes = 0
+        self.working = True
+        self.broken: list[str] = []
+        sim.at(delay=sim.rng.uniform(*CHANGE_S), fn=self._change)
+
+    def _change(self) -> None:
+        if self.working:
+            self._send(doc=self._doc(version=self.version + 1))
+
+    def _doc(self, *, version: int) -> dict[str, Any]:
+        route = {"name": "extra", "host-name": HOST, "path-prefix": "/extra/", "route-kind": "mutating",
+                 "deadline-ms": 3000, "target-ms": 2000 + version, "rank": 2, "backend": "svc", "max-tries": 3,
+                 "stretch": 2.0}
+        return {"config-version": version, "upserts": {"route-table": [route]}}
+
+    def _send(self, *, doc: dict[str, Any]) -> None:
+        version = doc["config-version"]
+        answered: list[int] = []
+
+        def back(res: Response) -> None:
+            if answered:
+                return
+            answered.append(res.status)
+            if res.status == 200:
+                self.version, self.changes = version, self.changes + 1
+                self.sim.note(who="op", text=f"configuration {version} confirmed")
+                self.sim.at(delay=self.sim.rng.uniform(*CHANGE_S), fn=self._change)
+            elif res.status == 412:
+                self.broken.append(f"CONFIG {version}, sent by the only operator on {version - 1}, refused at "
+                                   f"{self.sim.now:.2f}: {res.body.decode()[:200]}")
+
+        def late() -> None:
+            if not answered or answered[0] not in (200, 412):
+                answered.append(0)
+                self._send(doc=doc)
+        self.sim.http(ip=self.sim.rng.choice(self.sim.core_ips), src="op", method="PATCH", path="/config", doc=doc,
+                      headers={"if-match": str(version - 1)}, back=back)
+        self.sim.at(delay=RETRY_S, fn=late)
+
+    def read_back(self) -> None:
+        """At the end the configuration holds what was confirmed."""
+        for _ in range(20):
+            status, doc = self.sim.ask(ip=self.sim.rng.choice(self.sim.core_ips), method="GET", path="/config",
+                                       limit=1.0)
+            if status == 200:
+                self._compare(doc=orjson.loads(orjson.dumps(doc)))
+                return
+        self.broken.append(f"CONFIG no answer to GET /config at {self.sim.now:.2f}")
+
+    def _compare(self, *, doc: dict[str, Any]) -> None:
+        if doc["config-version"] < self.version:
+            self.broken.append(f"CONFIG {doc['config-version']} at the end, {self.version} was confirmed")
--- a/yarrowloom/sim/workload.py
+++ b/yarrowloom/sim/workload.py
@@ -66,9 +66,11 @@
     """A configured cluster with workers, of which the last `aux` belong to another service."""
 
     def __init__(self, *, seed: int, minions: int = 8, aux: int = 0, work: float = 0.5, guards: bool = False,
-                 tries: int = 3, cap: tuple[int, int, int] = (4000, 8000, 0), racks: int = 3, **kw: Any) -> None:
-        self.sim = sim = Sim(seed=seed, **kw)
-        self.judge = judge = Judge(sim=sim, tries=tries)
+                 tries: int = 3, cap: tuple[int, int, int] = (4000, 8000, 0), racks: int = 3, sim: Sim | None = None,
+                 judge: Judge | None = None, **kw: Any) -> None:
+        """`sim`, `judge`: to be used in place of the usual ones, which further arguments are for."""
+        self.sim = sim = sim or Sim(seed=seed, **kw)
+        self.judge = judge = judge or Judge(sim=sim, tries=tries)
         self.world = World(work=work)
         judge.services = {"fast": {"svc"}, "slow": {"svc"}, "side": {"aux"}}
         self.fleet: list[Worker] = []
