--- a/yarrowloom/cli.py
+++ b/yarrowloom/cli.py
@@ -6,8 +6,9 @@
 
 from .base.errs import YarrowError
 
-EXITS = """Exit codes: 0 done, 1 something was lost or a rule broken, 2 flags that cannot be read, 64 wrong use, unreachable
-target, port in use or missing dependency, 70 internal, 74 disk unusable, 78 settings or experiment unusable, 130 interrupted."""
+EXITS = """Exit codes: 0 done, 1 something was lost or a rule broken, 2 flags that cannot be read, 64 wrong use,
+unreachable target, port in use or missing dependency, 70 internal, 74 disk unusable, 78 settings, experiment or faults
+unusable, 130 interrupted."""
 
 
 class Commands:
