--- /dev/null
+++ b/tests/replica_cell.py
@@ -0,0 +1,213 @@
+"""A closed cell of real replicas: links, disks and processes that a test moves one step at a time."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from yarrowloom.record.epoch import Epoch
+from yarrowloom.record.parts import Role
+from yarrowloom.record.replica import Replica
+from yarrowloom.wire.frame import Kind
+
+Effect = tuple[Any, ...]
+Built = Callable[..., Replica]
+STEP_S = 0.05
+END = {"k": "none", "end": True}
+
+
+class Rows:
+    """A reducer that keeps its events in order; one that says so is refused half-way."""
+
+    def __init__(self) -> None:
+        self.rows: list[int] = []
+
+    def apply(self, ev: dict[str, Any]) -> list[Any]:
+        self.rows.append(ev["x"])
+        assert not ev.get("poison"), "refused by the reducer"
+        return []
+
+    def dump(self) -> Any:
+        return {"rows": self.rows}
+
+    def load(self, doc: Any) -> None:
+        self.rows = list(doc["rows"])
+
+
+class Member:
+    """One process and its disk. Invariant: `journal` is what the disk has, in order; `unsynced` may get lost, but for a
+    prefix; an effect runs only once its record is in `journal`."""
+
+    def __init__(self, *, cell: "Cell", uid: str) -> None:
+        self.cell = cell
+        self.uid = uid
+        self.journal: list[bytes] = []
+        self.unsynced: list[tuple[bytes, Effect]] = []
+        self.notes: list[tuple[str, dict[str, object]]] = []
+        self.state = Rows()
+        self.rep: Replica
+
+    # -- what a replica asks of its node
+
+    @property
+    def now(self) -> float:
+        return self.cell.now
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        self.cell.wire.append((self.uid, uid, kind, orjson.dumps(body)))
+
+    def write(self, *, rec: dict[str, Any], done: Effect) -> None:
+        self.unsynced.append((orjson.dumps(rec), done))
+
+    def effect(self, *, eff: Effect) -> None:
+        if eff[0] == "near":
+            self.rep.near(n=eff[2], **{self.cell.near_key: eff[3]})
+        elif eff[0] == "copied":
+            if self.rep.camp is not None:
+                self.rep.camp.copied(tag=eff[2], uid="")
+        elif eff[0] == "send":
+            self.send(uid=eff[1], kind=Kind(eff[2]), body=eff[3])
+        elif eff[0] == "confirmed":
+            self.cell.confirmed.append(eff[1])
+
+    def partners(self, *, first: list[str]) -> list[str]:
+        return sorted((u for u in self.cell.members if u != self.uid), key=lambda u: (u not in first, u))
+
+    def up(self, *, uid: str) -> bool:
+        return True
+
+    def losses(self) -> int:
+        return self.cell.losses
+
+    def witnesses(self, *, have: list[str]) -> list[str]:
+        return have
+
+    def everyone(self) -> list[str]:
+        return sorted(self.cell.members)
+
+    def jitter(self) -> float:
+        return self.cell.rng.random()
+
+    def note(self, *, event: str, **fields: object) -> None:
+        self.notes.append((event, fields))
+
+    def installed(self, *, g: int, epoch: Epoch) -> None:
+        self.cell.decided[epoch["n"]] = epoch
+
+    def elected(self, *, g: int) -> None:
+        self.cell.elections += 1
+
+    def deposed(self, *, g: int) -> None:
+        pass
+
+    # -- its disk
+
+    def sync(self, *, count: int) -> None:
+        """The next records are synced; their effects follow."""
+        batch, self.unsynced = self.unsynced[:count], self.unsynced[count:]
+        self.journal += [body for body, _ in batch]
+        self.ran(batch=batch)
+
+    def ran(self, *, batch: list[tuple[bytes, Effect]]) -> None:
+        for _, done in batch:
+            self.effect(eff=done)
+        self.rep.flush()
+
+    def snapshot(self) -> list[bytes]:
+        """The head of a ring file."""
+        head = [{"k": "id", "uid": self.uid}, *self.rep.checkpoint(), END]
+        return [orjson.dumps(rec) for rec in head]
+
+    def rotate(self, *, count: int) -> None:
+        """As the writer does: a snapshot of what is now, then records that waited all along."""
+        head = self.snapshot()
+        batch, self.unsynced = self.unsynced[:count], self.unsynced[count:]
+        self.journal += head + [body for body, _ in batch]
+        self.ran(batch=batch)
+
+    def replayed(self, *, journal: list[bytes], built: Built = Replica) -> tuple[Replica, Rows]:
+        """A replica that has what a journal tells, from its last whole snapshot on."""
+        recs = [orjson.loads(raw) for raw in journal]
+        ends = [i for i, rec in enumerate(recs) if rec == END]
+        if ends:
+            recs = recs[max(i for i, rec in enumerate(recs[:ends[-1]]) if rec["k"] == "id"):]
+            again = [i for i, rec in enumerate(recs) if rec["k"] == "id"]
+            recs = recs[:again[1]] if len(again) > 1 else recs
+        state = Rows()
+        rep = built(g=0, hub=self, state=state, epoch=None)
+        for rec in recs:
+            if rec["k"] not in ("id", "none"):
+                rep.restore(rec)
+        rep.settle()
+        return rep, state
+
+    def restart(self, *, journal: list[bytes]) -> None:
+        """End and start again with what the disk has."""
+        self.unsynced = []
+        self.rep, self.state = self.replayed(journal=journal, built=self.cell.built)
+        self.journal = self.snapshot()
+
+
+class Cell:
+    """Members a, b, c ... of one group; a is the first primary, those after it are its backups."""
+
+    def __init__(self, *, size: int = 3, losses: int = 1, seed: int = 1, built: Built = Replica,
+                 near_key: str = "last") -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.losses = losses
+        self.built = built
+        self.near_key = near_key
+        self.wire: list[tuple[str, str, Kind, bytes]] = []
+        self.confirmed: list[int] = []
+        self.decided: dict[int, Epoch] = {}
+        self.elections = 0
+        uids = [f"{name}:1#0" for name in "abcdefg"[:size]]
+        first: Epoch = {"n": 0, "p": uids[0], "b": uids[1:1 + losses], "w": uids, "t": ""}
+        self.members = {uid: Member(cell=self, uid=uid) for uid in uids}
+        for member in self.members.values():
+            member.rep = built(g=0, hub=member, state=member.state, epoch=first)
+            member.journal = member.snapshot()
+
+    def deliver(self, *, at: int = 0) -> None:
+        """One message arrives."""
+        _src, dst, kind, body = self.wire.pop(at)
+        if dst in self.members:
+            member = self.members[dst]
+            member.rep.on(uid=_src, kind=kind, m=orjson.loads(body))
+            member.rep.flush()
+
+    def settle(self, *, seconds: float, until: Callable[[], bool] = lambda: False) -> bool:
+        """Time goes on, with nothing lost."""
+        end = self.now + seconds
+        while self.now < end and not until():
+            self.now += STEP_S
+            for member in self.members.values():
+                member.rep.tick()
+                member.rep.flush()
+            while self.wire or any(m.unsynced for m in self.members.values()):
+                for member in self.members.values():
+                    member.sync(count=len(member.unsynced))
+                while self.wire:
+                    self.deliver()
+        return until()
+
+    def primary(self) -> Member:
+        """Who serves; time goes on until somebody does."""
+        assert self.settle(seconds=30.0, until=lambda: bool(self.serving()))
+        return self.serving()[0]
+
+    def serving(self) -> list[Member]:
+        return [m for m in self.members.values() if m.rep.serving()]
+
+    def backup(self) -> Member:
+        epoch = self.primary().rep.epoch
+        assert epoch is not None
+        return self.members[epoch["b"][0]]
+
+    def commit(self, *, x: int, member: Member | None = None) -> None:
+        (member or self.primary()).rep.commit(ev={"x": x}, then=("confirmed", x))
+
+
+__all__ = ["END", "Cell", "Member", "Role", "Rows"]
--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -14,8 +14,10 @@
 from yarrowloom.base.startup import Startup
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.edge import EdgeNode
+from yarrowloom.node.recovery import recover
 from yarrowloom.node.shell import TICK_CORE_S
 from yarrowloom.node.turns import Input, Rank, Repeats, Turns, rank_of
+from yarrowloom.store import END
 from yarrowloom.wire.frame import LANES, Kind, Lane
 from yarrowloom.wire.http import Request, Response
 from yarrowloom.wire.peer import MARK_S, OWED, Seen
@@ -135,14 +137,10 @@
         node: CoreNode | EdgeNode
         if core:
             disk = self.disks.setdefault(ip, Disk())
-            known = [r["uid"] for r in map(orjson.loads, disk.synced) if r.get("k") == "id"]
-            fresh = not known and first
-            uid = known[-1] if known else f"{ip}:7000#0" if fresh else f"{ip}:7000#{self.lives:x}x"
-            node = CoreNode(startup=st, uid=uid, boot=boot, log=log, first=fresh, now=self.now,
-                            rand=self.rng.random())
-            if known:
-                node.restore(recs=list(disk.synced))
-            disk.synced = node.checkpoint()
+            node = recover(startup=st, records=disk.synced, boot=boot, log=log, now=self.now,
+                           rand=self.rng.random(), token=f"{self.lives:x}x")
+            uid = node.uid
+            disk.synced = [*node.checkpoint(), END]
         else:
             uid = f"{ip}:7001#{self.lives:x}"
             node = EdgeNode(startup=st, uid=uid, boot=boot, log=log)
--- a/tests/test_chief.py
+++ b/tests/test_chief.py
@@ -106,10 +106,10 @@
             seen.append("own" in body)
             return body
         node.heart = heart  # type: ignore[method-assign]
-    seq = primary.reps[0].seq
+    applied = primary.reps[0].applied
     sim.run(seconds=5.0)
     assert len(seen) >= 5 * 18 and not any(seen)
-    assert primary.reps[0].seq == seq
+    assert primary.reps[0].applied == applied
 
 
 @pytest.mark.parametrize("lost", [0, 2])
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -100,13 +100,13 @@
     jid = call(sim, got, n=7)
     sim.run(seconds=1.0)
     primary = sim.core(sim.serving(g=1)[0])
-    seq, rid = primary.reps[1].seq, node.calls.rid
+    applied, rid = primary.reps[1].applied, node.calls.rid
     for _ in range(50):
         got.clear()
         call(sim, got, n=7, method="GET")
         sim.run(seconds=0.02)
         assert got[jid][1].status == 200
-    assert primary.reps[1].seq == seq and node.calls.rid == rid + 50
+    assert primary.reps[1].applied == applied and node.calls.rid == rid + 50
 
 
 def test_an_edge_stays_ready_while_cores_are_busy_and_says_so_when_it_is_cut_off() -> None:
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -7,6 +7,7 @@
 from ..base.log import Log
 from ..base.startup import Startup
 from ..fleet.owners import total
+from ..record.replay import ReplayError
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
@@ -18,6 +19,7 @@
 
 REC = frozenset({Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED, Kind.INSTALL, Kind.INSTALLED, Kind.CKPT,
                  Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG, Kind.YIELD})
+NODE_RECORDS = frozenset({"id", "none"})     # the kinds of records that are of no group
 THAW_S = 0.3
 
 
@@ -43,8 +45,8 @@
     def _none(self) -> None:
         pass
 
-    def _near(self, g: int, n: int, seq: int) -> None:
-        self.reps[g].near(n=n, seq=seq)
+    def _near(self, g: int, n: int, last: int) -> None:
+        self.reps[g].near(n=n, last=last)
 
     def _copied(self, g: int, tag: str) -> None:
         camp = self.reps[g].camp
@@ -306,16 +308,21 @@
     # -- disk
 
     def restore(self, *, recs: list[bytes]) -> None:
-        """Replay the journal."""
-        for raw in recs:
-            rec = self.load(body=raw)
-            if "g" in rec and rec["g"] in self.reps and rec["k"] != "none":
-                self.reps[rec["g"]].restore(rec)
+        """Replay the journal from a whole snapshot on. Where that raises, the node is of no use any more."""
+        for number, raw in enumerate(recs):
+            try:
+                self._replay(rec=self.load(body=raw))
+            except Exception as err:      # a reducer may raise anything
+                raise ReplayError(text=f"{type(err).__name__}: {err}", number=number) from err
         for g, rep in self.reps.items():
             rep.settle()
             if rep.epoch is not None:
                 NodeBase.learn(self, eps=[[g, rep.epoch]])
 
+    def _replay(self, *, rec: dict[str, Any]) -> None:
+        if rec["k"] not in NODE_RECORDS:
+            self.reps[rec["g"]].restore(rec)
+
     def checkpoint(self) -> list[bytes]:
         """Records that stand for all that this node keeps."""
         out = [dump(body={"k": "id", "uid": self.uid})]
--- /dev/null
+++ b/yarrowloom/node/recovery.py
@@ -0,0 +1,74 @@
+"""How a core node starts: its identity and state from the journal, or a new identity and no state.
+
+The journal counts from its last whole snapshot on, which names the node. If there is none, nothing was ever said in
+the node's name: it is one of the first members where the settings say so, else a new one. If it cannot be replayed,
+the node abstains: what it promised under its old identity is void, as after the loss of the disk, and the members
+that are left admit and refill it under the new one.
+"""
+
+import orjson
+
+from ..base.defaults import Defaults
+from ..base.log import Log
+from ..base.startup import Startup
+from ..record.replay import ReplayError
+from ..store import END
+from .core import CoreNode
+
+_IDENTITY = b'{"k":"id",'      # how the first record of each snapshot begins
+
+
+def last_snapshot(*, records: list[bytes]) -> int:
+    """Where the last whole snapshot begins; -1 if there is none.
+
+    >>> last_snapshot(records=[b'{"k":"id","uid":"a"}', b"state", END, b"batch"])
+    0
+    >>> last_snapshot(records=[b'{"k":"id","uid":"a"}', b"state"])
+    -1
+    """
+    ends = [number for number, raw in enumerate(records) if raw == END]
+    if not ends:
+        return -1
+    begins = [number for number in range(ends[-1]) if records[number].startswith(_IDENTITY)]
+    if not begins:
+        raise ReplayError(text="a snapshot without an identity", number=ends[-1])
+    return begins[-1]
+
+
+def counted(*, records: list[bytes], begin: int) -> list[bytes]:
+    """The records from a whole snapshot on; another one that was cut off ends them, as nothing was said after it."""
+    for number in range(begin + 1, len(records)):
+        if records[number].startswith(_IDENTITY):
+            return records[begin:number]
+    return records[begin:]
+
+
+def identity(*, raw: bytes) -> str:
+    """The node's uid, from the record that begins a snapshot."""
+    uid = orjson.loads(raw).get("uid")
+    if not isinstance(uid, str) or "#" not in uid:
+        raise ReplayError(text=f"not the identity of a node: {uid!r}", number=0)
+    return uid
+
+
+def recover(*, startup: Startup, records: list[bytes], log: Log, boot: int, now: float, rand: float, token: str,
+            defaults: Defaults | None = None) -> CoreNode:
+    """A core node with what its journal tells. `token` is random: it makes a new identity unlike all before it."""
+    def build(*, uid: str, first: bool) -> CoreNode:
+        return CoreNode(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand,
+                        defaults=defaults)
+
+    address = f"{startup.ip}:{startup.ports[0]}"
+    begin = 0
+    try:
+        begin = last_snapshot(records=records)
+        if begin >= 0:
+            node = build(uid=identity(raw=records[begin]), first=False)
+            node.restore(recs=counted(records=records, begin=begin))
+            return node
+    except (ReplayError, ValueError) as err:
+        number = begin + err.number if isinstance(err, ReplayError) else begin
+        log.warn("journal-unusable", cause=str(err), record=number, records=len(records))
+        return build(uid=f"{address}#{token}", first=False)
+    first = startup.bootstrap
+    return build(uid=f"{address}#0" if first else f"{address}#{token}", first=first)
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -11,7 +11,6 @@
 from functools import partial
 from typing import Any
 
-import orjson
 import trio
 
 from ..base.defaults import load as load_defaults
@@ -24,6 +23,7 @@
 from ..wire.peer import Peers, Rows
 from .core import CoreNode
 from .edge import EdgeNode
+from .recovery import recover
 from .tally import Tally
 from .turns import Input, Rank, Repeats, Turns, rank_of
 
@@ -310,15 +310,8 @@
     ring = Ring(folder=startup.data_dir, size=size, most=max(size, startup.disk_mb * (1 << 20) // 6))
     recs = ring.load()
     port = startup.ports[0]
-    addr = f"{startup.ip}:{port}"
-    known = [r["uid"] for r in (orjson.loads(raw) for raw in recs) if r.get("k") == "id"]
-    first = not known and startup.bootstrap
-    uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
-    node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
-                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30),
-                    defaults=load_defaults())
-    if known:
-        node.restore(recs=recs)
+    node = recover(startup=startup, records=recs, boot=time.time_ns() // 1000, log=log, now=time.monotonic(),
+                   rand=secrets.randbelow(1 << 30) / (1 << 30), token=secrets.token_hex(4), defaults=load_defaults())
     head = [*node.checkpoint(), END]
     ring.rotate(need=ring.room(bodies=head))
     ring.append(bodies=head)
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -121,13 +121,14 @@
         if fresh:
             self.inst, self.near = e["n"] + 1, False
             self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
-        rec = {"k": "ck", "g": rep.g, "inst": self.inst, "tag": self.tag, "seq": rep.seq, "st": self.text}
+        rec = {"k": "ck", "g": rep.g, "inst": self.inst, "tag": self.tag, "applied": rep.applied,
+               "st": self.text}
         rep.keep(rec=rec)
         if fresh:
             hub.write(rec=rec, done=("copied", rep.g, self.tag))
         for uid in want:
             if uid not in self.have:
-                hub.send(uid=uid, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
+                hub.send(uid=uid, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "applied", "st")})
         self._copied()
 
     def copied(self, *, tag: str, uid: str) -> None:
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -86,7 +86,7 @@
 
     IDLE = "idle"
     BACKUP = "backup"
-    LAPSED = "lapsed"      # named primary, has the state, but not serving
+    LAPSED = "lapsed"      # has the state of an epoch that it must not go on with: it is to campaign for the next
     TAKING = "taking"      # campaigning for the next epoch
     PRIMARY = "primary"
 
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -4,29 +4,29 @@
 
 from ..wire.frame import Kind
 from .ballot import Campaign
-from .epoch import Epoch, Witness
-from .parts import MOVES, Hub, Reducer, Role, decode
-from .timing import DOUBT_S, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S, WANT_S
+from .epoch import Epoch
+from .parts import MOVES, Hub, Reducer, Role
+from .replay import ReplayError, unapplied
+from .stored import StoredCopy
+from .timing import DOUBT_S, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SUSPECT_S, TURN_S, WANT_S
 
 
-class Replica:
-    """Invariants: `state` holds all events up to `seq` of epoch `base`; effects leave only when their events are on
-    the disks of the primary and of all backups; a primary serves only until `until`, which the oldest of its backups'
-    last words (`words`) bounds; a backup that has begun to take over never again answers the epoch it leaves."""
+class Replica(StoredCopy):
+    """Invariants: `state` holds exactly the events up to number `applied` of epoch `base`, each once; the newest of
+    them may wait in `queue` or `fly`, and no effect, answer or read leaves for them before they are on the disks of
+    the primary and of all backups; a primary serves only until `until`, which the oldest of its backups' last words
+    (`words`) bounds; a backup that has begun to take over never again answers the epoch it leaves, also not after a
+    restart. What a restarted member has is a beginning of its epoch's events with all confirmed ones: never more than
+    a proposal, which counts once the backups of a new epoch have copied it."""
 
     def __init__(self, *, g: int, hub: Hub, state: Reducer, epoch: Epoch | None) -> None:
-        self.g = g
+        super().__init__(g=g, uid=hub.uid, state=state, epoch=epoch)
         self.hub = hub
-        self.state = state
-        self.wit = Witness(uid=hub.uid, seen=epoch)
         self.role = Role.IDLE
-        self.base = -1
-        self.seq = 0
         self.until = 0.0
         self.words: dict[str, float] = {}
         self.heard = 0.0
         self.rest = 0.0
-        self.spares: dict[str, dict[str, Any]] = {}   # by tag: checkpoints for epochs not yet decided
         self.camp: Campaign | None = None
         self.queue: list[tuple[dict[str, Any] | None, tuple[Any, ...] | None]] = []
         self.fly: dict[str, Any] | None = None
@@ -52,9 +52,22 @@
 
     def commit(self, *, ev: dict[str, Any], then: tuple[Any, ...] | None = None) -> Any:
         """Apply an event; `then` is carried out once it is durable. Only while serving."""
-        res = self.state.apply(ev)
+        result = self._apply(event=ev)
         self.queue.append((ev, then))
-        return res
+        return result
+
+    def _apply(self, *, event: dict[str, Any]) -> Any:
+        """Apply the next event. A reducer that raises may have changed a part of the state: the copy is void, so this
+        member neither leads nor answers until it is sent another."""
+        try:
+            result = self.state.apply(event)
+        except Exception as err:
+            self.hub.note(event="copy-void", group=self.g, epoch=self.base, number=self.applied + 1, cause=repr(err))
+            self.base = -1
+            self._become(Role.IDLE)
+            raise
+        self.applied += 1
+        return result
 
     def barrier(self, *, then: tuple[Any, ...]) -> None:
         """Carry out an effect once all that was applied so far is durable."""
@@ -89,7 +102,7 @@
             self._become(Role.LAPSED)
             self.rest = max(self.rest, self.hub.now + 0.05)
         elif mine and self.hub.uid in e["b"]:
-            self._become(Role.BACKUP)
+            self._become(Role.LAPSED if self._campaigned(epoch=e) else Role.BACKUP)
             self.heard = self.hub.now
         elif self.role is not Role.IDLE:
             self._become(Role.IDLE)
@@ -113,26 +126,9 @@
 
     # -- disk
 
-    def restore(self, rec: dict[str, Any]) -> None:
-        """Replay one record; `settle` follows the last."""
-        kind = rec["k"]
-        if kind == "w":
-            old = self.wit.seen
-            self.wit.load(rec)
-            e = self.wit.seen
-            if e is not None and (old is None or e["n"] > old["n"]):
-                self._unpack(epoch=e)
-                self._prune(n=e["n"])
-        elif kind == "ck":
-            if self.wit.seen is None or rec["inst"] > self.wit.seen["n"]:
-                self.keep(rec=rec)
-        elif kind == "st":
-            self.state.load(decode(text=rec["st"]))
-            self.base, self.seq = rec["n"], rec["seq"]
-        elif kind == "lg" and rec["n"] == self.base and rec["seq"] == self.seq + 1:
-            for ev in rec["evs"]:
-                self.state.apply(ev)
-            self.seq += 1
+    def checkpoint(self) -> list[dict[str, Any]]:
+        """Records that stand for all that is kept."""
+        return self.records(whole=self.role is not Role.IDLE)
 
     def settle(self) -> None:
         """All is replayed: take the part that the disk tells."""
@@ -141,31 +137,6 @@
         if e is not None and self.base == e["n"] and self.hub.uid in (e["p"], *e["b"]):
             self._place()
 
-    def checkpoint(self) -> list[dict[str, Any]]:
-        """Records that stand for all that is kept."""
-        out: list[dict[str, Any]] = []
-        if self.base >= 0 and self.role is not Role.IDLE:
-            out.append({"k": "st", "g": self.g, "n": self.base, "seq": self.seq, "st": self.state.dump()})
-        out.append({"k": "w", "g": self.g, **self.wit.dump()})
-        return out + list(self.spares.values())
-
-    def keep(self, *, rec: dict[str, Any]) -> None:
-        """Hold on to a checkpoint until its epoch is decided; the oldest make room."""
-        self.spares[rec["tag"]] = rec
-        while len(self.spares) > SPARES:
-            del self.spares[next(iter(self.spares))]
-
-    def _unpack(self, *, epoch: Epoch) -> bool:
-        rec = self.spares.get(epoch["t"])
-        if rec is None or rec["inst"] != epoch["n"] or self.hub.uid not in (epoch["p"], *epoch["b"]):
-            return False
-        self.state.load(decode(text=rec["st"]))
-        self.base, self.seq = epoch["n"], rec["seq"]
-        return True
-
-    def _prune(self, *, n: int) -> None:
-        self.spares = {t: r for t, r in self.spares.items() if r["inst"] > n}
-
     # -- time
 
     def tick(self) -> None:
@@ -270,16 +241,17 @@
         """Send the next batch, one at a time."""
         if self.fly is not None or not self.queue or not self.serving():
             return
-        evs = [ev for ev, _ in self.queue if ev is not None]
-        effs = [eff for _, eff in self.queue if eff is not None]
+        events = [ev for ev, _ in self.queue if ev is not None]
+        effects = [eff for _, eff in self.queue if eff is not None]
         self.queue = []
-        self.seq += 1
+        last = self.applied                    # what waits here is the newest of what is applied
+        first = last - len(events) + 1
         e = self.wit.seen
         assert e is not None
-        self.fly = {"seq": self.seq, "evs": evs, "effs": effs, "t0": self.hub.now, "t": 0.0, "near": False,
-                    "far": set()}
-        self.hub.write(rec={"k": "lg", "g": self.g, "n": e["n"], "seq": self.seq, "evs": evs},
-                       done=("near", self.g, e["n"], self.seq))
+        self.fly = {"first": first, "last": last, "evs": events, "effs": effects, "t0": self.hub.now, "t": 0.0,
+                    "near": False, "far": set()}
+        self.hub.write(rec={"k": "lg", "g": self.g, "n": e["n"], "first": first, "evs": events},
+                       done=("near", self.g, e["n"], last))
         if e["b"]:
             self._fire()
 
@@ -289,12 +261,12 @@
         fly["t"] = self.hub.now
         for uid in e["b"]:
             if uid not in fly["far"]:
-                self.hub.send(uid=uid, kind=Kind.LOG, body={"g": self.g, "n": e["n"], "seq": fly["seq"],
+                self.hub.send(uid=uid, kind=Kind.LOG, body={"g": self.g, "n": e["n"], "first": fly["first"],
                                                             "evs": fly["evs"], "t": self.hub.now})
 
-    def near(self, *, n: int, seq: int) -> None:
-        """The own disk has a batch."""
-        if self.fly is not None and self.fly["seq"] == seq and self.wit.seen and self.wit.seen["n"] == n:
+    def near(self, *, n: int, last: int) -> None:
+        """The own disk has the batch that ends with an event."""
+        if self.fly is not None and self.fly["last"] == last and self.wit.seen and self.wit.seen["n"] == n:
             self.fly["near"] = True
             self._landed()
 
@@ -333,7 +305,8 @@
             self._save(done=("send", uid, int(Kind.INSTALLED), {"g": self.g, "n": m["e"]["n"]}))
         elif kind is Kind.CKPT:
             if self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
-                rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "seq": m["seq"], "st": m["st"]}
+                rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "applied": int(m["applied"]),
+                       "st": m["st"]}
                 self.keep(rec=rec)
                 self.hub.write(rec=rec, done=("send", uid, int(Kind.CKPTOK), {"g": self.g, "tag": m["tag"]}))
         elif kind is Kind.LOG:
@@ -349,7 +322,7 @@
             e = self.wit.seen
             if self.role is Role.PRIMARY and e is not None and m["n"] == e["n"] and uid in e["b"]:
                 self._word(uid=uid, sent=m["t"])
-                if kind is Kind.LOGOK and self.fly is not None and m["seq"] == self.fly["seq"]:
+                if kind is Kind.LOGOK and self.fly is not None and m["last"] == self.fly["last"]:
                     self.fly["far"].add(uid)
                     self._landed()
         elif self.camp is not None:
@@ -376,13 +349,19 @@
         if self.role is not Role.BACKUP or self.base != m["n"]:
             return
         self.heard = self.hub.now
-        ok = {"g": self.g, "n": m["n"], "seq": m["seq"], "t": m["t"]}
-        if m["seq"] == self.seq + 1:
-            for ev in m["evs"]:
-                self.state.apply(ev)
-            self.seq += 1
-            self.hub.write(rec={"k": "lg", "g": self.g, "n": m["n"], "seq": m["seq"], "evs": m["evs"]},
-                           done=("send", uid, int(Kind.LOGOK), ok))
-        elif m["seq"] == self.seq:
-            self.hub.write(rec={"k": "none", "g": self.g}, done=("send", uid, int(Kind.LOGOK), ok))
-
+        last = m["first"] + len(m["evs"]) - 1
+        try:
+            fresh = unapplied(first=m["first"], events=m["evs"], applied=self.applied)
+        except ReplayError as err:
+            self.hub.note(event="log-gap", group=self.g, epoch=self.base, cause=err.text)
+            return
+        rec: dict[str, Any] = {"k": "none", "g": self.g}
+        if fresh:
+            rec = {"k": "lg", "g": self.g, "n": m["n"], "first": self.applied + 1, "evs": fresh}
+        try:
+            for event in fresh:
+                self._apply(event=event)
+        except Exception:      # noted, and the copy is void; the primary replaces a backup that does not answer
+            return
+        self.hub.write(rec=rec, done=("send", uid, int(Kind.LOGOK), {
+            "g": self.g, "n": m["n"], "last": last, "t": m["t"]}))
--- /dev/null
+++ b/yarrowloom/record/stored.py
@@ -0,0 +1,95 @@
+"""What a member has of one group on its disk: its vote, a copy of the state, and copies for epochs yet undecided."""
+
+from typing import Any
+
+from .epoch import Epoch, Witness
+from .parts import Reducer, decode
+from .replay import ReplayError, unapplied, witness_rank
+from .timing import SPARES
+
+
+class StoredCopy:
+    """Invariants: `state` holds exactly the events up to number `applied` of epoch `base`, each once; a journal that
+    is replayed from its last whole snapshot on gives a beginning of these that has all that was synced."""
+
+    def __init__(self, *, g: int, uid: str, state: Reducer, epoch: Epoch | None) -> None:
+        self.g = g
+        self.uid = uid
+        self.state = state
+        self.wit = Witness(uid=uid, seen=epoch)
+        self.base = -1
+        self.applied = 0
+        self.spares: dict[str, dict[str, Any]] = {}   # by tag: checkpoints for epochs not yet decided
+
+    def restore(self, rec: dict[str, Any]) -> None:
+        """Replay one record; `settle` follows the last."""
+        kind = rec["k"]
+        if kind == "w":
+            self._restore_witness(rec=rec)
+        elif kind == "ck":
+            if self.wit.seen is None or rec["inst"] > self.wit.seen["n"]:
+                self.keep(rec=rec)
+        elif kind == "st":
+            self._load(epoch=rec["n"], rec=rec)
+        elif kind == "lg":
+            self._restore_batch(rec=rec)
+        else:
+            raise ReplayError(text=f"unknown kind of record: {kind!r}")
+
+    def _restore_witness(self, *, rec: dict[str, Any]) -> None:
+        """Records that waited while a snapshot was taken come after it and are older."""
+        if witness_rank(doc=rec) < witness_rank(doc=self.wit.dump()):
+            return
+        self.wit.load(rec)
+        epoch = self.wit.seen
+        if epoch is not None:
+            if self.base < epoch["n"]:
+                self._unpack(epoch=epoch)
+            self._prune(n=epoch["n"])
+
+    def _restore_batch(self, *, rec: dict[str, Any]) -> None:
+        first, events, epoch = rec["first"], rec["evs"], rec["n"]
+        if epoch == self.base:
+            for event in unapplied(first=first, events=events, applied=self.applied):
+                self.state.apply(event)
+                self.applied += 1
+        elif self.wit.seen is None or epoch > self.wit.seen["n"]:
+            raise ReplayError(text=f"events of epoch {epoch}, which was never installed")
+
+    def records(self, *, whole: bool) -> list[dict[str, Any]]:
+        """What a snapshot consists of; `whole`: with the state itself."""
+        out: list[dict[str, Any]] = []
+        if whole and self.base >= 0:
+            out.append({"k": "st", "g": self.g, "n": self.base, "applied": self.applied, "st": self.state.dump()})
+        out.append({"k": "w", "g": self.g, **self.wit.dump()})
+        return out + list(self.spares.values())
+
+    def keep(self, *, rec: dict[str, Any]) -> None:
+        """Hold on to a checkpoint until its epoch is decided; the oldest make room, but for the newest own one."""
+        self.spares[rec["tag"]] = rec
+        own = [tag for tag in self.spares if self._own(tag=tag)][-1:]
+        while len(self.spares) > SPARES:
+            del self.spares[next(tag for tag in self.spares if tag not in own)]
+
+    def _own(self, *, tag: str) -> bool:
+        return tag.startswith(f"{self.uid}/")
+
+    def _campaigned(self, *, epoch: Epoch) -> bool:
+        """Whether this member began to take over from an epoch: witnesses may have voted for its copy, or will, so
+        that it must not confirm anything more to the primary that it wanted to follow."""
+        return any(self._own(tag=tag) and rec["inst"] == epoch["n"] + 1 for tag, rec in self.spares.items())
+
+    def _unpack(self, *, epoch: Epoch) -> bool:
+        rec = self.spares.get(epoch["t"])
+        if rec is None or rec["inst"] != epoch["n"] or self.uid not in (epoch["p"], *epoch["b"]):
+            return False
+        self._load(epoch=epoch["n"], rec=rec)
+        return True
+
+    def _load(self, *, epoch: int, rec: dict[str, Any]) -> None:
+        applied = int(rec["applied"])
+        self.state.load(decode(text=rec["st"]))
+        self.base, self.applied = epoch, applied
+
+    def _prune(self, *, n: int) -> None:
+        self.spares = {t: r for t, r in self.spares.items() if r["inst"] > n}
