--- a/yarrowloom/sim/cluster.py
+++ b/yarrowloom/sim/cluster.py
@@ -13,8 +13,10 @@
 from ..base.startup import Startup
 from ..node.core import CoreNode
 from ..node.edge import EdgeNode
+from ..node.recovery import recover
 from ..node.shell import TICK_CORE_S
 from ..node.turns import Input, Rank, Turns, rank_of
+from ..store import END
 from ..wire.frame import LANES, Kind, Lane
 from ..wire.http import Request, Response
 from ..wire.peer import MARK_S, OWED
@@ -117,14 +119,10 @@
         node: CoreNode | EdgeNode
         if core:
             disk = self.disks.setdefault(ip, Disk())
-            known = [r["uid"] for r in map(orjson.loads, disk.synced) if r.get("k") == "id"]
-            fresh = not known and first
-            uid = known[-1] if known else f"{ip}:7000#0" if fresh else f"{ip}:7000#{self.lives:x}x"
-            node = CoreNode(startup=st, uid=uid, boot=boot, log=log, first=fresh, now=self.clock(ip),
-                            rand=self.rng.random())
-            if known:
-                node.restore(recs=list(disk.synced))
-            disk.synced = node.checkpoint()
+            node = recover(startup=st, records=disk.synced, boot=boot, log=log, now=self.clock(ip),
+                           rand=self.rng.random(), token=f"{self.lives:x}x")
+            uid = node.uid
+            disk.synced = [*node.checkpoint(), END]
         else:
             uid = f"{ip}:7001#{self.lives:x}"
             node = EdgeNode(startup=st, uid=uid, boot=boot, log=log)
--- a/yarrowloom/sim/troubled.py
+++ b/yarrowloom/sim/troubled.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from ..store import END
 from ..wire.frame import LANES, Kind, Lane
 from ..wire.http import Response
 from .cluster import Sim
@@ -141,7 +142,7 @@
         written = self.journal.get((ip, proc.life), 0) + len(proc.disk)
         if written > JOURNAL_RECORDS:
             written = 0
-            head = self.core(ip).checkpoint()
+            head = [*self.core(ip).checkpoint(), END]
             proc.disk = [(body, ("none",)) for body in head] + proc.disk
             self.disks[ip].pending[:0] = head
         self.journal[ip, proc.life] = written
