--- /dev/null
+++ b/tests/test_install.py
@@ -0,0 +1,65 @@
+"""The first lease of an epoch: it counts from the INSTALL that each backup answered."""
+
+import pytest
+
+from tests.simfleet import cluster
+from tests.simnet import Proc
+from yarrowloom.record.parts import Role
+from yarrowloom.record.timing import PROMISE_S
+from yarrowloom.wire.frame import Kind
+
+LATE_S = 0.76        # the witnesses' answers come after the fourth INSTALL
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lease_does_not_outlast_what_the_backup_answered(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The backup answers the first INSTALL at once, the other witnesses only a later one; then all links of the
+    primary are cut: the backup takes over before a lease counted from the last INSTALL would end."""
+    sim, _, _, _ = cluster(seed=seed, cores=5)
+    sim.run(seconds=6.0)
+    primary = sim.serving(g=0)[0]
+    rep = sim.core(primary).reps[0]
+    others = sorted(u for u in rep.epoch["w"] if u != sim.core(primary).uid) if rep.epoch else []
+    backup = others[0].split(":")[0]
+    begun: list[float] = []
+    whole = sim._send
+
+    def send(ip: str, proc: Proc, dst: str, kind: Kind, body: bytes) -> None:
+        if kind is Kind.INSTALL and ip == primary and not begun and b'"g":0' in body:
+            begun.append(sim.now)
+        late = begun and sim.now - begun[0] < LATE_S
+        if kind is Kind.INSTALLED and late and ip not in (primary, backup):
+            return
+        whole(ip, proc, dst, kind, body)
+    monkeypatch.setattr(sim, "_send", send)
+    sim.core(primary).now = sim.now
+    rep.take(why="test", avoid=others[1:])
+    assert sim.until(cond=lambda: rep.role is Role.PRIMARY and bool(begun), limit=3.0)
+    assert sim.now - begun[0] >= LATE_S
+    other = sim.core(backup).reps[0]
+    for ip in sim.core_ips:
+        if ip != primary:
+            sim.cut(a=primary, b=ip)
+    assert rep.lease.until <= other.heard + PROMISE_S
+    for _ in range(120):
+        sim.run(seconds=0.02)
+        assert len(sim.serving(g=0)) <= 1
+    assert sim.serving(g=0) == [backup]
+
+
+@pytest.mark.parametrize("seed", [4, 5])
+def test_a_backup_without_the_checkpoint_does_not_confirm_the_epoch(seed: int) -> None:
+    """It would be counted as a holder, with a lease, though it holds nothing."""
+    sim, _, _, _ = cluster(seed=seed, cores=5)
+    sim.run(seconds=6.0)
+    primary = sim.serving(g=0)[0]
+    rep = sim.core(primary).reps[0]
+    assert rep.epoch is not None
+    for ip in sim.core_ips:
+        if ip != primary:
+            sim.core(ip).reps[0]._unpack = lambda *, epoch: False  # type: ignore[method-assign]
+    sim.core(primary).now = sim.now
+    rep.take(why="test")
+    for _ in range(60):
+        sim.run(seconds=0.05)
+        assert sim.serving(g=0) == [] or rep.epoch["b"] == []
--- a/yarrowloom/node/chief.py
+++ b/yarrowloom/node/chief.py
@@ -19,6 +19,7 @@
 FRESH_S = 1.0                       # nor a core been enrolled for this long
 EASE_S = 0.5                        # how often up to EASE of them, of one rack, do
 EASE = 16
+PAUSE_S = 0.3                       # a primary that did not serve for longer discounts that time
 SHED_S = 2.0                        # an agent that has not let go of minions by then keeps them
 
 
@@ -40,7 +41,7 @@
         self.stale: dict[str, list[str]] = {}    # by agent: minions whose fence is from before its process began anew
         self.shed: dict[str, tuple[str, str]] = {}      # minions that should change hands: from whom, to whom
         self.asked: set[str] = set()             # of these, those that their agent held when it was asked
-        self.eased = now
+        self.eased = self.served = now
         self.stirred = now if node.reg.minions else now - CALM_S + FRESH_S
 
     def live(self, *, uid: str) -> bool:
@@ -181,6 +182,14 @@
         self.eased = now
         self.shed = {mid: (node.reg.minions[mid]["o"], new) for mid, new in rows}
 
+    def resumed(self) -> None:
+        """This primary serves. Hearts that came while it did not, without a lease or contact, were not counted: that
+        time is no silence of the agents."""
+        paused = self.node.now - self.served
+        self.served = self.node.now
+        if paused > PAUSE_S:
+            self.last = {uid: min(at + paused, self.node.now) for uid, at in self.last.items()}
+
     def tick(self) -> None:
         """Look for agents whose word has run out; one batch of each kind of work."""
         node = self.node
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -7,6 +7,7 @@
 from ..base.log import Log
 from ..base.startup import Startup
 from ..fleet.owners import total
+from ..record.relief import copied_elsewhere, may_end
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
@@ -270,6 +271,7 @@
         self.ticked = self.now
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
+            self.chief.resumed()
             if self.hearted == self.now:
                 self._self_heart()
             self.chief.tick()
@@ -299,10 +301,18 @@
             self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
 
     def leave(self) -> None:
-        """The process is to end: hand the groups served here to their backups."""
+        """The process is to end: hand what it holds to others, and the groups served here to their backups."""
         for rep in self.reps.values():
             rep.hand_over()
 
+    def may_end(self) -> bool:
+        """Others hold all that this process holds, as far as there are others."""
+        return all(may_end(hub=self, epoch=rep.epoch) for rep in self.reps.values())
+
+    def only_copies(self) -> list[int]:
+        """Groups of which this node knows no other live holder."""
+        return [g for g, rep in self.reps.items() if not copied_elsewhere(hub=self, epoch=rep.epoch)]
+
     # -- disk
 
     def restore(self, *, recs: list[bytes]) -> None:
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -22,6 +22,24 @@
 WITNESSES = 9
 
 
+def spread(*, order: list[str], zones: dict[str, str], size: int, most: int) -> list[str]:
+    """The first `size` of `order`, sorted, of which no zone has more than `most`; empty if there are none.
+
+    >>> zones = {"a": "x", "b": "x", "c": "x", "d": "y", "e": "z"}
+    >>> spread(order=list(zones), zones=zones, size=3, most=1)
+    ['a', 'd', 'e']
+    >>> spread(order=list(zones), zones=zones, size=5, most=2)
+    []
+    """
+    taken: dict[str, int] = {}
+    found: list[str] = []
+    for uid in order:
+        if len(found) < size and taken.get(zones[uid], 0) < most:
+            taken[zones[uid]] = taken.get(zones[uid], 0) + 1
+            found.append(uid)
+    return sorted(found) if len(found) == size else []
+
+
 class CoreHub(NodeBase):
     """Invariants: a replica's effects leave in the order of their events; a placer lives exactly while its group is
     served here; the agent acts only while `trusted`."""
@@ -75,15 +93,30 @@
         self.out.writes.append((dump(body=rec), done))
 
     def partners(self, *, first: list[str]) -> list[str]:
-        """Members that may be a backup: alive ones first, other sites before the own, the least loaded first."""
+        """Members that may be a backup: alive ones first, then one zone after another, beginning with those that are
+        not this node's; within a zone those in `first`, then the least loaded."""
         load: dict[str, int] = {}
         for e in self.eps.values():
-            load[e["p"]] = load.get(e["p"], 0) + 1
-            for b in e["b"]:
-                load[b] = load.get(b, 0) + 1
-        rows = [(not self.up(uid=u), site == self.startup.site, u not in first, load.get(u, 0), u)
-                for u, site in self.peers().items() if u != self.uid]
-        return [u for *_, u in sorted(rows)]
+            for holder in (e["p"], *e["b"]):
+                load[holder] = load.get(holder, 0) + 1
+        zones = self.peers()
+        rank = {u: (not self.up(uid=u), u not in first, load.get(u, 0), u) for u in zones if u != self.uid}
+        taken = {self.startup.site: 1, "": 1}
+        order: list[str] = []
+        while rank:
+            best = min(rank, key=lambda u: (rank[u][0], taken.get(zones[u], 0), rank[u][1:]))
+            del rank[best]
+            order.append(best)
+            taken[zones[best]] = taken.get(zones[best], 0) + 1
+        return order
+
+    def other_zones(self, *, holders: list[str]) -> list[str]:
+        """If all of `holders` stand in one zone: live members of other zones. A zone not known yet proves nothing."""
+        zones = self.peers()
+        held = {zones.get(u, "") for u in holders}
+        if len(held) != 1 or "" in held:
+            return []
+        return [u for u, zone in zones.items() if zone and zone not in held and self.up(uid=u)]
 
     def peers(self) -> dict[str, str]:
         """Core nodes and their sites as far as known. After a restart of all there are no members yet, only what
@@ -107,11 +140,20 @@
         return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
 
     def witnesses(self, *, have: list[str]) -> list[str]:
-        """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer."""
-        up = [u for u in have if u in self.members and self.up(uid=u)]
-        up += [u for u in sorted(self.members) if u not in have and self.up(uid=u)]
-        size = min(len(up) - 1 + len(up) % 2, WITNESSES)
-        return sorted(up[:size]) if size >= max(len(have), 3) else have
+        """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer, but for
+        a set of which one zone holds the majority while a smaller one, still enough for the budget, would not."""
+        zones = {u: str(row.get("site", "")) for u, row in self.members.items() if self.up(uid=u)}
+        order = [u for u in have if u in zones] + [u for u in sorted(zones) if u not in have]
+        size = min(len(order) - 1 + len(order) % 2, WITNESSES)
+        least = max(2 * self.losses() + 1, 3)
+        for fewer in range(size, least - 1, -2):
+            found = spread(order=order, zones=zones, size=fewer, most=fewer // 2)
+            if found and (fewer >= len(have) or all(u in zones for u in have)):
+                return found
+        if size < max(len(have), 3):
+            return have
+        rows = (spread(order=order, zones=zones, size=size, most=most) for most in range(size // 2, size + 1))
+        return next(found for found in rows if found)
 
     def everyone(self) -> list[str]:
         """All core members known."""
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -33,6 +33,8 @@
 SLICE_S = 0.004
 LONG_S = 0.02         # after a slice this long all sockets are read before the next tick
 WAIT_S = 30.0         # an HTTP call that the node has not answered by then gets 504
+DRAIN_LEAST_S = 0.6   # what a core has to say leaves within this time
+GRACE_SPARE_S = 1.0   # of `grace-s`: left for the end itself
 Node = CoreNode | EdgeNode
 
 
@@ -272,8 +274,22 @@
                     break
                 await trio.sleep(0.1)
         else:
-            self.step(node.leave)
-            await trio.sleep(0.6)
+            await self.drain_core(node=node)
+
+    async def drain_core(self, *, node: CoreNode) -> None:
+        """Hand over and stay until others hold what this node holds, within `grace-s`."""
+        begun = time.monotonic()
+        most = max(node.startup.bound(name="grace-s", default=6.0) - GRACE_SPARE_S, DRAIN_LEAST_S)
+        self.step(node.leave)
+        while True:
+            await trio.sleep(0.05)
+            spent = time.monotonic() - begun
+            if spent >= most or spent >= DRAIN_LEAST_S and node.may_end():
+                break
+        alone = node.only_copies()
+        if alone:
+            self.log.warn("leaves-only-copy", groups=",".join(map(str, alone)))
+        self.log.info("drained", s=round(spent, 2), relieved=node.may_end())
 
     async def run(self) -> None:
         """Serve until told to end."""
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -6,7 +6,6 @@
 from ..wire.frame import Kind
 from .epoch import Ballot, Epoch, majority
 from .parts import encode
-from .timing import PROMISE_S
 
 if TYPE_CHECKING:
     from .replica import Replica
@@ -64,6 +63,7 @@
         self.ballot: Ballot = [0, rep.hub.uid]
         self.value: Epoch | None = None
         self.sent = 0.0
+        self.installed: dict[str, float] = {}     # by member: when the oldest INSTALL that it may have answered left
         self.patience = 0.0
 
     def _go(self, phase: Phase) -> None:
@@ -170,7 +170,7 @@
             self.copied(tag=m["tag"], uid=uid)
             return
         if kind is Kind.INSTALLED:
-            self._installed(uid=uid, n=m["n"])
+            self._installed(uid=uid, n=m["n"], sent=m.get("t"))
             return
         if m.get("cur"):
             self.rep.learn(m["cur"])
@@ -208,6 +208,7 @@
         if self.phase is Phase.COPY:
             self._go(Phase.PREPARE)
         self._go(Phase.INSTALL)
+        self.installed = {}
         self.value = epoch
         self._install()
 
@@ -215,14 +216,14 @@
         assert self.value is not None
         self.sent = self.rep.hub.now
         for peer in sorted({*self.value["w"], *self.value["b"], *self.rep.hub.everyone()} - {"", *self.ok}):
-            self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": self.value})
+            self.rep.hub.send(uid=peer, kind=Kind.INSTALL, body={"g": self.rep.g, "e": self.value, "t": self.sent})
 
-    def _installed(self, *, uid: str, n: int) -> None:
+    def _installed(self, *, uid: str, n: int, sent: float | None) -> None:
         val = self.value
         if self.phase is not Phase.INSTALL or val is None or n != val["n"]:
             return
         self.ok.add(uid)
+        self.installed.setdefault(uid, self.since if sent is None else sent)
         if majority(votes=self.ok, among=val["w"]) and self.ok.issuperset(val["b"]):
-            self.rep.words = dict.fromkeys(val["b"], self.sent)
-            self.rep.until = self.sent + PROMISE_S
+            self.rep.lease.start(epoch=val, answers=self.installed)
             self.rep.activate()
--- /dev/null
+++ b/yarrowloom/record/lease.py
@@ -0,0 +1,112 @@
+"""What lets a primary serve: the lease of its backups, and contact with a majority of its epoch's witnesses."""
+
+from typing import Any
+
+from ..wire.frame import Kind
+from .contact import Contact
+from .epoch import Epoch
+from .parts import Hub
+from .timing import CONTACT_PING_S, CONTACT_WAIT_S, DOUBT_S, PING_S, PROMISE_S
+
+NEVER_S = -9.0        # steady clocks start at 0, so this is before anything
+
+
+class Lease:
+    """Invariants: `until` is at most PROMISE_S after the time at which the question was sent that the backup longest
+    silent has answered; a primary without `contact` stays one, asks on, and serves again once it is back."""
+
+    def __init__(self, *, hub: Hub, g: int) -> None:
+        self.until = 0.0
+        self.contact = Contact()
+        self._hub = hub
+        self._group = g
+        self._answers: dict[str, float] = {}     # by backup: when the last question that it answered was sent
+        self._pinged = 0.0
+        self._probed = 0.0
+        self._apart: float | None = None         # since when contact is lost
+
+    def valid(self) -> bool:
+        """A primary may serve now."""
+        return self._hub.now < self.until and self._hub.now < self.contact.until
+
+    def in_contact(self) -> bool:
+        """Contact with the witnesses was there when it was last looked at."""
+        return self._apart is None
+
+    def start(self, *, epoch: Epoch, answers: dict[str, float]) -> None:
+        """An epoch is installed; `answers`: by member, when the INSTALL was sent that it answered."""
+        self._answers = {backup: answers[backup] for backup in epoch["b"]}
+        self.until = min(self._answers.values(), default=self._hub.now) + PROMISE_S
+        self._apart = None
+        self.contact.begin(epoch=epoch, uid=self._hub.uid)
+        for uid, sent in answers.items():
+            self.contact.heard(uid=uid, sent=sent)
+
+    def end(self) -> None:
+        """Serve no more."""
+        self.until = 0.0
+
+    def answered(self, *, epoch: Epoch, uid: str, sent: float) -> None:
+        """A backup answered what was sent at `sent`: it will not take over for a while from then."""
+        self._answers[uid] = max(self._answers.get(uid, NEVER_S), sent)
+        oldest = min(self._answers.get(backup, NEVER_S) for backup in epoch["b"])
+        self.until = max(self.until, oldest + PROMISE_S)
+
+    def silent(self, *, epoch: Epoch, awake: float, patience: float = DOUBT_S) -> list[str]:
+        """Backups that have not answered for longer than `patience`; this process last stood still at `awake`."""
+        return [u for u in epoch["b"] if self._hub.now > max(self._answers.get(u, NEVER_S), awake) + patience]
+
+    def watch(self) -> None:
+        """Note when contact is lost and when it is back."""
+        now = self._hub.now
+        lost = now >= self.contact.until
+        if lost and self._apart is None:
+            self._apart = now
+            self._hub.note(event="contact-lost", group=self._group)
+        elif not lost and self._apart is not None:
+            self._hub.note(event="contact-back", group=self._group, s=round(now - self._apart, 2))
+            self._apart = None
+
+    def ask(self, *, epoch: Epoch) -> None:
+        """Ask the backups for their lease and the other witnesses, less often, for contact."""
+        now = self._hub.now
+        if not epoch["b"]:
+            self.until = now + PROMISE_S
+        question: dict[str, Any] = {"g": self._group, "n": epoch["n"], "t": now}
+        if self._apart is not None:
+            question["apart"] = True
+        if now - self._pinged >= PING_S:
+            self._pinged = now
+            for uid in epoch["b"]:
+                self._hub.send(uid=uid, kind=Kind.PING, body=question)
+        self._probe(question=question, witnesses=[u for u in epoch["w"] if u not in epoch["b"]])
+
+    def _probe(self, *, question: dict[str, Any], witnesses: list[str]) -> None:
+        if self._hub.now - self._probed >= CONTACT_PING_S:
+            self._probed = self._hub.now
+            for uid in witnesses:
+                if uid != self._hub.uid:
+                    self._hub.send(uid=uid, kind=Kind.PING, body=question)
+
+    def answer(self, *, epoch: Epoch | None, asker: str, question: dict[str, Any],
+               renews: bool) -> dict[str, Any] | None:
+        """What to answer a holder of the epoch; None: nothing. `renews`: this member is a backup and stays one for a
+        while, which is what its answer means. A witness answers also if it has promised a ballot: whoever may campaign
+        has ended the lease before. To a primary that lost contact a backup tells whether it has it, and looks."""
+        if epoch is None or epoch["n"] != question["n"]:
+            return None
+        if self._hub.uid not in epoch["b"]:
+            return question if self._hub.uid in epoch["w"] else None
+        if not renews:
+            return None
+        if asker != epoch["p"] or not question.get("apart"):
+            return question
+        self.contact.begin(epoch=epoch, uid=self._hub.uid)
+        own = {"g": self._group, "n": epoch["n"], "t": self._hub.now}
+        self._probe(question=own, witnesses=epoch["w"])
+        return {**question, "contact": self._hub.now < self.contact.until}
+
+    def better_off(self, *, answer: dict[str, Any]) -> bool:
+        """Contact has been lost here for a while, and the backup that answered so has it."""
+        return (bool(answer.get("contact")) and self._apart is not None
+                and self._hub.now - self._apart >= CONTACT_WAIT_S)
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -56,6 +56,9 @@
     def up(self, *, uid: str) -> bool:
         """Heard of lately."""
 
+    def other_zones(self, *, holders: list[str]) -> list[str]:
+        """If all of `holders` stand in one zone: live members of other zones."""
+
     def losses(self) -> int:
         """How many disks may be lost at once: the number of backups."""
 
--- /dev/null
+++ b/yarrowloom/record/relief.py
@@ -0,0 +1,100 @@
+"""When a member that holds a group's state may end: others must hold it first."""
+
+from typing import Protocol
+
+from ..wire.frame import Kind
+from .epoch import Epoch, Witness
+from .lease import Lease
+from .parts import Hub, Role
+from .timing import LEAVE_S
+
+
+class Member(Protocol):
+    """What relief needs of the replica that it belongs to."""
+
+    g: int
+    hub: Hub
+    wit: Witness
+    role: Role
+    base: int
+    awake: float
+    lease: Lease
+
+    @property
+    def electing(self) -> bool:
+        """A campaign of this member is under way."""
+
+    def take(self, *, why: str, avoid: list[str] | None = None) -> None:
+        """Campaign to be the primary of the next epoch."""
+
+    def give_up(self, *, to: str = "") -> None:
+        """Have a backup take over at once."""
+
+
+def substitutes(*, hub: Hub, epoch: Epoch) -> list[str]:
+    """Live members that hold nothing of the epoch yet."""
+    holders = (epoch["p"], *epoch["b"])
+    return [u for u in hub.partners(first=[]) if u not in holders and hub.up(uid=u)]
+
+
+def copied_elsewhere(*, hub: Hub, epoch: Epoch | None) -> bool:
+    """Another live member holds all that was confirmed, or this one holds nothing."""
+    if epoch is None or hub.uid not in (epoch["p"], *epoch["b"]):
+        return True
+    return any(u != hub.uid and hub.up(uid=u) for u in (epoch["p"], *epoch["b"]))
+
+
+def may_end(*, hub: Hub, epoch: Epoch | None) -> bool:
+    """No epoch needs this member any more, or another holder is there and no further one to be had by waiting."""
+    if epoch is None or hub.uid not in (epoch["p"], *epoch["b"]):
+        return True
+    return copied_elsewhere(hub=hub, epoch=epoch) and not substitutes(hub=hub, epoch=epoch)
+
+
+class Relief:
+    """Of a member that is about to end, and of backups of this primary that are. Invariant: a leaving member asks
+    until no decided epoch names it as holder, and takes no further copies meanwhile."""
+
+    def __init__(self, *, member: Member) -> None:
+        self.leaving = False
+        self._member = member
+        self._asked = 0.0
+
+    def begin(self) -> None:
+        """This process is about to end."""
+        self.leaving = True
+        self._asked = -LEAVE_S
+        if not self._member.electing:
+            self.tick()
+
+    def tick(self) -> None:
+        """Called a few times a second while there is no campaign."""
+        member = self._member
+        epoch = member.wit.seen
+        if not self.leaving or epoch is None or member.hub.now - self._asked < LEAVE_S:
+            return
+        self._asked = member.hub.now
+        if member.role is Role.BACKUP:
+            member.hub.send(uid=epoch["p"], kind=Kind.YIELD, body={"g": member.g, "n": epoch["n"]})
+        elif member.role is Role.PRIMARY:
+            self._hand_over(epoch=epoch)
+
+    def _hand_over(self, *, epoch: Epoch) -> None:
+        """Yield to a backup that answers; without one, another copy comes first."""
+        member = self._member
+        silent = member.lease.silent(epoch=epoch, awake=member.awake, patience=2 * LEAVE_S)
+        answering = [uid for uid in epoch["b"] if uid not in silent]
+        if answering:
+            member.give_up(to=answering[0])
+        elif substitutes(hub=member.hub, epoch=epoch):
+            member.take(why="leaving", avoid=silent)
+
+    def asked(self, *, uid: str, number: int) -> None:
+        """The primary gives up to this backup, or a backup of this primary is about to end."""
+        member = self._member
+        epoch = member.wit.seen
+        if member.role is Role.BACKUP and member.base == number:
+            member.take(why="yielded", avoid=[uid])
+        elif member.role is Role.PRIMARY and epoch is not None and epoch["n"] == number and uid in epoch["b"]:
+            if substitutes(hub=member.hub, epoch=epoch):
+                member.take(why="backup-leaves", avoid=[uid])
--- /dev/null
+++ b/yarrowloom/record/renewal.py
@@ -0,0 +1,54 @@
+"""When a primary asks for another set of witnesses or backups although all that it has answer."""
+
+from .epoch import Epoch
+from .parts import Hub
+from .timing import WANT_S
+
+
+class _Wish:
+    """A set of members that has been wished for since some time."""
+
+    def __init__(self) -> None:
+        self.members: frozenset[str] = frozenset()
+        self.since = 0.0
+
+    def same(self, *, members: frozenset[str], now: float) -> float:
+        """Seconds for which exactly these members have been wished for."""
+        if members != self.members:
+            self.members, self.since = members, now
+        return now - self.since
+
+    def some(self, *, members: frozenset[str], now: float) -> float:
+        """Seconds for which there has been a member to wish for, one or another of the last set staying."""
+        if not members & self.members:
+            self.since = now
+        self.members = members
+        return now - self.since
+
+
+class Renewal:
+    """Invariant: an election costs service, so a better set must have been there for WANT_S; only a witness set of
+    which the budget's losses could take the majority grows at once."""
+
+    def __init__(self) -> None:
+        self._witnesses = _Wish()
+        self._backups = _Wish()
+        self._zones = _Wish()
+
+    def reason(self, *, hub: Hub, epoch: Epoch) -> str:
+        """Why an election is due; empty: it is not."""
+        now, have = hub.now, epoch["w"]
+        witnesses = frozenset(hub.witnesses(have=have))
+        waited = self._witnesses.same(members=witnesses, now=now)
+        urgent = len(have) < 2 * hub.losses() + 1 and len(witnesses) > len(have)
+        if witnesses != frozenset(have) and (urgent or waited >= WANT_S):
+            return "witnesses"
+        holders = [epoch["p"], *epoch["b"]]
+        if len(epoch["b"]) < hub.losses():
+            spare = frozenset(u for u in hub.partners(first=epoch["b"]) if u not in holders and hub.up(uid=u))
+            if spare and self._backups.some(members=spare, now=now) >= WANT_S:
+                return "backups"
+        elsewhere = frozenset(hub.other_zones(holders=holders)) if epoch["b"] else frozenset()
+        if elsewhere and self._zones.some(members=elsewhere, now=now) >= WANT_S:
+            return "zones"
+        return ""
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -5,14 +5,17 @@
 from ..wire.frame import Kind
 from .ballot import Campaign
 from .epoch import Epoch, Witness
+from .lease import Lease
 from .parts import MOVES, Hub, Reducer, Role, decode
-from .timing import DOUBT_S, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S, WANT_S
+from .relief import Relief
+from .renewal import Renewal
+from .timing import DOUBT_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S
 
 
 class Replica:
     """Invariants: `state` holds all events up to `seq` of epoch `base`; effects leave only when their events are on
-    the disks of the primary and of all backups; a primary serves only until `until`, which the oldest of its backups'
-    last words (`words`) bounds; a backup that has begun to take over never again answers the epoch it leaves."""
+    the disks of the primary and of all backups; a primary serves only while its `lease` is valid; a backup that has
+    begun to take over never again answers the epoch it leaves."""
 
     def __init__(self, *, g: int, hub: Hub, state: Reducer, epoch: Epoch | None) -> None:
         self.g = g
@@ -22,19 +25,17 @@
         self.role = Role.IDLE
         self.base = -1
         self.seq = 0
-        self.until = 0.0
-        self.words: dict[str, float] = {}
+        self.lease = Lease(hub=hub, g=g)
         self.heard = 0.0
         self.rest = 0.0
         self.spares: dict[str, dict[str, Any]] = {}   # by tag: checkpoints for epochs not yet decided
         self.camp: Campaign | None = None
         self.queue: list[tuple[dict[str, Any] | None, tuple[Any, ...] | None]] = []
         self.fly: dict[str, Any] | None = None
-        self.pinged = 0.0
         self.reset = 0.0
         self.awake = 0.0      # when this process last stood still: silence counts from then
-        self.want: tuple[frozenset[str], float] = (frozenset(), 0.0)     # other witnesses, wished for since
-        self.spare: tuple[frozenset[str], float] = (frozenset(), 0.0)    # members that could be one more backup
+        self.renewal = Renewal()
+        self.relief = Relief(member=self)
         if epoch is not None and epoch["n"] == 0 and hub.uid in (epoch["p"], *epoch["b"]):
             self.base = 0
             self._place()
@@ -46,9 +47,14 @@
         """The newest decided epoch known."""
         return self.wit.seen
 
+    @property
+    def electing(self) -> bool:
+        """A campaign of this member is under way."""
+        return self.camp is not None
+
     def serving(self) -> bool:
         """May act as the primary right now."""
-        return self.role is Role.PRIMARY and self.hub.now < self.until
+        return self.role is Role.PRIMARY and self.lease.valid()
 
     def commit(self, *, ev: dict[str, Any], then: tuple[Any, ...] | None = None) -> Any:
         """Apply an event; `then` is carried out once it is durable. Only while serving."""
@@ -174,11 +180,13 @@
         if self.camp is not None:
             self.camp.tick()
             return
+        self.relief.tick()
         if self.role is Role.PRIMARY:
             self._serve()
         elif self.role is Role.BACKUP:
             if now - self.heard > SILENCE_S + self._turn() and now >= self.rest:
-                self.take(why="silence")
+                assert self.wit.seen is not None
+                self.take(why="silence", avoid=[self.wit.seen["p"]])
         elif self.role is Role.LAPSED and now >= self.rest:
             self.take(why="restart")
 
@@ -187,19 +195,12 @@
         e = self.wit.seen
         return TURN_S * e["b"].index(self.hub.uid) if e is not None and self.hub.uid in e["b"] else 0.0
 
-    def _word(self, *, uid: str, sent: float) -> None:
-        """A backup answered what was sent at `sent`: it will not take over for a while from then."""
-        e = self.wit.seen
-        assert e is not None
-        self.words[uid] = max(self.words.get(uid, -9.0), sent)
-        self.until = max(self.until, min(self.words.get(b, -9.0) for b in e["b"]) + PROMISE_S)
-
-    def _yield(self) -> None:
-        """Have a backup take over at once."""
+    def give_up(self, *, to: str = "") -> None:
+        """Have a backup take over at once; `to` names the one that should."""
         e = self.wit.seen
         assert e is not None
-        self.until = 0.0
-        order = [u for u in self.hub.partners(first=e["b"]) if u in e["b"]]
+        self.lease.end()
+        order = [to] if to else [u for u in self.hub.partners(first=e["b"]) if u in e["b"]]
         for uid in (order or e["b"])[:1]:
             self.hub.send(uid=uid, kind=Kind.YIELD, body={"g": self.g, "n": e["n"]})
         self._become(Role.LAPSED)
@@ -214,47 +215,48 @@
     def _serve(self) -> None:
         now, e = self.hub.now, self.wit.seen
         assert e is not None
-        if not e["b"]:
-            self.until = now + PROMISE_S
-        elif now - self.pinged >= PING_S:
-            self.pinged = now
-            for uid in e["b"]:
-                self.hub.send(uid=uid, kind=Kind.PING, body={"g": self.g, "n": e["n"], "t": now})
+        self.lease.watch()
+        self.lease.ask(epoch=e)
         if self.fly is not None:
             age = now - max(self.fly["t0"], self.awake)
             if age > SUSPECT_S and not self.fly["near"]:
-                self._yield()
+                self.give_up()
                 return
             if age > DOUBT_S:
                 self.take(why="backup-slow", avoid=[u for u in e["b"] if u not in self.fly["far"]])
                 return
             if len(self.fly["far"]) < len(e["b"]) and now - self.fly["t"] > RESEND_S:
                 self._fire()
-        elif self.queue and now < self.until:
+        elif self.queue:
             self.flush()
-        silent = [u for u in e["b"] if now > max(self.words.get(u, -9.0), self.awake) + DOUBT_S]
+        silent = self.lease.silent(epoch=e, awake=self.awake)
         if silent:
             self.take(why="backup-silent", avoid=silent)
-        elif now >= self.reset:
+        elif now >= self.reset and self.lease.in_contact():
             self.reset = now + 1.0
-            want = frozenset(self.hub.witnesses(have=e["w"]))
-            if want != self.want[0]:
-                self.want = (want, now)
-            few = len(e["w"]) < 2 * self.hub.losses() + 1 and len(want) > len(e["w"])     # no majority outlives that
-            if want != frozenset(e["w"]) and (few or now - self.want[1] >= WANT_S):
-                self.take(why="witnesses")
-            elif len(e["b"]) < self.hub.losses():
-                spare = frozenset(u for u in self.hub.partners(first=e["b"]) if u not in e["b"] and self.hub.up(uid=u))
-                if not spare & self.spare[0]:
-                    self.spare = (spare, now)
-                elif now - self.spare[1] >= WANT_S:
-                    self.take(why="backups")
+            why = self.renewal.reason(hub=self.hub, epoch=e)
+            if why:
+                self.take(why=why)
 
-    def hand_over(self) -> None:
-        """Planned end: the backup is to take over at once."""
+    def _answered(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
+        """A backup or witness of this epoch answered a holder."""
         e = self.wit.seen
-        if self.role is Role.PRIMARY and e is not None and e["b"]:
-            self._yield()
+        if e is None or m["n"] != e["n"] or self.role not in (Role.PRIMARY, Role.BACKUP):
+            return
+        self.lease.contact.heard(uid=uid, sent=m["t"])
+        if self.role is not Role.PRIMARY or uid not in e["b"]:
+            return
+        self.lease.answered(epoch=e, uid=uid, sent=m["t"])
+        if kind is Kind.LOGOK and self.fly is not None and m["seq"] == self.fly["seq"]:
+            self.fly["far"].add(uid)
+            self._landed()
+        elif self.lease.better_off(answer=m):
+            self.hub.note(event="yield-for-contact", group=self.g, to=uid)
+            self.give_up(to=uid)
+
+    def hand_over(self) -> None:
+        """The process is about to end: others are to take over."""
+        self.relief.begin()
 
     def take(self, *, why: str, avoid: list[str] | None = None) -> None:
         """Campaign to be the primary of the next epoch."""
@@ -316,7 +318,6 @@
         effs = (self.fly["effs"] if self.fly else []) + [eff for _, eff in self.queue if eff is not None]
         self.queue, self.fly, self.camp = [], None, None
         self._become(Role.PRIMARY)
-        self.until = max(self.until, self.hub.now + PROMISE_S / 2) if not e["b"] else self.until
         self.reset = self.hub.now + 1.0
         self.hub.elected(g=self.g)
         for eff in effs:
@@ -329,32 +330,42 @@
         if kind is Kind.PREP or kind is Kind.ACCEPT:
             self._vote(uid=uid, kind=kind, m=m)
         elif kind is Kind.INSTALL:
-            self.learn(m["e"])
-            self._save(done=("send", uid, int(Kind.INSTALLED), {"g": self.g, "n": m["e"]["n"]}))
+            self._install(uid=uid, m=m)
         elif kind is Kind.CKPT:
-            if self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
+            if self.relief.leaving:
+                pass      # whoever asks tries the next member
+            elif self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
                 rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "seq": m["seq"], "st": m["st"]}
                 self.keep(rec=rec)
                 self.hub.write(rec=rec, done=("send", uid, int(Kind.CKPTOK), {"g": self.g, "tag": m["tag"]}))
         elif kind is Kind.LOG:
             self._log(uid=uid, m=m)
         elif kind is Kind.PING:
-            if self.role is Role.BACKUP and self.base == m["n"]:
-                self.heard = self.hub.now
-                self.hub.send(uid=uid, kind=Kind.PONG, body=m)
+            renews = self.role is Role.BACKUP and self.base == m["n"]
+            answer = self.lease.answer(epoch=self.wit.seen, asker=uid, question=m, renews=renews)
+            if answer is not None and self.wit.seen is not None:
+                if renews and uid == self.wit.seen["p"]:
+                    self.heard = self.hub.now
+                self.hub.send(uid=uid, kind=Kind.PONG, body=answer)
         elif kind is Kind.YIELD:
-            if self.role is Role.BACKUP and self.base == m["n"]:
-                self.take(why="yielded", avoid=[uid])
-        elif kind in (Kind.PONG, Kind.LOGOK):
-            e = self.wit.seen
-            if self.role is Role.PRIMARY and e is not None and m["n"] == e["n"] and uid in e["b"]:
-                self._word(uid=uid, sent=m["t"])
-                if kind is Kind.LOGOK and self.fly is not None and m["seq"] == self.fly["seq"]:
-                    self.fly["far"].add(uid)
-                    self._landed()
+            self.relief.asked(uid=uid, number=m["n"])
+        elif kind is Kind.PONG or kind is Kind.LOGOK:
+            self._answered(uid=uid, kind=kind, m=m)
         elif self.camp is not None:
             self.camp.on(uid=uid, kind=kind, m=m)
 
+    def _install(self, *, uid: str, m: dict[str, Any]) -> None:
+        """A decided epoch. Whom it names as backup answers only as one: the answer is a lease from when it left."""
+        self.learn(m["e"])
+        e = self.wit.seen
+        if e is None or e["n"] != m["e"]["n"]:
+            return
+        if self.hub.uid in e["b"]:
+            if self.role is not Role.BACKUP or self.base != e["n"]:
+                return
+            self.heard = self.hub.now
+        self._save(done=("send", uid, int(Kind.INSTALLED), {"g": self.g, "n": e["n"], "t": m.get("t")}))
+
     def _vote(self, *, uid: str, kind: Kind, m: dict[str, Any]) -> None:
         if m.get("cert"):
             self.learn(m["cert"])
