--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -31,6 +31,10 @@
 GATHER_S = 0.5        # how long members that may be coming up are waited for
 COPY_S = 0.6          # doubles with each member tried, up to
 COPY_MOST_S = 2.4
+COPY_ENOUGH_S = 2.4   # after this time an epoch makes do with the backups that have synced the checkpoint; doubles
+                      # with each epoch in a row that had to
+COPY_AGAIN_S = 4.8    # after this time without any, all are asked anew
+COPY_LOOK_S = 0.2     # how often is looked again while nobody else can be asked
 VOTE_S = 0.5          # grows with each round, up to
 VOTE_MOST_S = 2.0
 INSTALL_S = 1.0
@@ -57,6 +61,9 @@
         self.votes = 0
         self.asked: list[str] = []      # members that were sent the checkpoint in this round
         self.have: list[str] = []       # members that have synced it
+        self.goal = 0                   # as many backups are wanted
+        self.fewer = False              # live members were given up on
+        self.copying = self.begun       # when the first of them was sent the checkpoint
         self.near = False
         self.ok: set[str] = set()
         self.best: tuple[Ballot, Epoch] | None = None
@@ -100,38 +107,57 @@
         fresh = self.inst != e["n"] + 1
         if fresh:
             self.have = []
-        rows = [u for u in hub.partners(first=self.first) if u not in self.tried and u not in self.avoid]
-        n, up = hub.losses(), [u for u in rows if hub.up(uid=u)]
-        if len(up) < min(n, len(rows)) and hub.now - self.begun < GATHER_S:
+        rows = [u for u in hub.partners(first=self.first) if u not in self.avoid]
+        copies = [u for u in rows if u in self.have]
+        pending = [u for u in rows if u in self.tried and u not in self.have and hub.up(uid=u)]
+        untried = [u for u in rows if u not in self.tried and u not in self.have]
+        live = [u for u in untried if hub.up(uid=u)]
+        most = hub.losses()
+        if len(copies) + len(pending) + len(live) < min(most, len(rows)) and hub.now - self.begun < GATHER_S:
             return      # others may be coming up too
-        want = ([u for u in self.have if u in rows] + [u for u in up if u not in self.have])[:n] or rows[:1]
-        solo = not want and not self.tried and hub.everyone() in ([hub.uid], []) and len(e["w"]) <= 1
-        if not want and not solo:
+        ask = live[:most - len(copies)]
+        if not ask and not copies and not pending:
+            ask = untried[:1]
+        self.goal = min(most, len(copies) + len(pending) + len(ask))
+        if copies and hub.now - self.copying > COPY_ENOUGH_S * 2 ** rep.renewal.short:
+            self.fewer = len(copies) < self.goal      # makes do with these: another epoch follows later
+            self.goal = len(copies)
+        solo = not rows and hub.everyone() in ([hub.uid], []) and len(e["w"]) <= 1
+        over = not ask and not copies and hub.now - self.copying > COPY_AGAIN_S
+        if (self.goal == 0 or over) and not solo:
             self.tried, self.avoid = set(), set()
             rep.rest = hub.now + 0.2 * (1 + hub.jitter())
             return
-        self.asked = want
-        if self.copies:
-            hub.note(event="campaign-goes-on", group=rep.g, round=self.copies, asked=",".join(want),
+        self._copy(ask=ask, fresh=fresh, number=e["n"] + 1)
+
+    def _copy(self, *, ask: list[str], fresh: bool, number: int) -> None:
+        """Send the checkpoint to the members in `ask` and wait until as many as are wanted have synced it."""
+        rep, hub = self.rep, self.rep.hub
+        self.asked = ask
+        if self.copies and ask:
+            hub.note(event="campaign-goes-on", group=rep.g, round=self.copies, asked=",".join(ask),
                      have=",".join(self.have))
-        self.patience = min(COPY_S * 2 ** self.copies, COPY_MOST_S) * (1 + hub.jitter() / 2)
-        self.copies += 1
+        if ask:
+            self.patience = min(COPY_S * 2 ** self.copies, COPY_MOST_S) * (1 + hub.jitter() / 2)
+            self.copies += 1
+            self.copying = hub.now if fresh or not self.tried else self.copying
+        else:
+            self.patience = COPY_LOOK_S
         self._go(Phase.COPY)
         self.text = self.text or encode(state=rep.state)
         if fresh:
-            self.inst, self.near = e["n"] + 1, False
+            self.inst, self.near = number, False
             self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
         rec = {"k": "ck", "g": rep.g, "inst": self.inst, "tag": self.tag, "seq": rep.seq, "st": self.text}
         rep.keep(rec=rec)
         if fresh:
             hub.write(rec=rec, done=("copied", rep.g, self.tag))
-        for uid in want:
-            if uid not in self.have:
-                hub.send(uid=uid, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
+        for uid in ask:
+            hub.send(uid=uid, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "seq", "st")})
         self._copied()
 
     def copied(self, *, tag: str, uid: str) -> None:
-        """A checkpoint is synced, here (`uid` empty) or at a member."""
+        """A checkpoint is synced, here (`uid` empty) or at a member; one that was given up on may only be slow."""
         if tag != self.tag:
             return
         if not uid:
@@ -141,10 +167,11 @@
         self._copied()
 
     def _copied(self) -> None:
-        if self.phase is Phase.COPY and self.near and all(u in self.have for u in self.asked):
+        copies = [u for u in self.have if u not in self.avoid]
+        if self.phase is Phase.COPY and self.near and len(copies) >= self.goal:
             e = self.rep.wit.seen
             assert e is not None
-            self.value = {"n": e["n"] + 1, "p": self.rep.hub.uid, "b": list(self.asked), "t": self.tag,
+            self.value = {"n": e["n"] + 1, "p": self.rep.hub.uid, "b": copies[:self.goal], "t": self.tag,
                           "w": self.rep.hub.witnesses(have=e["w"])}
             self._prepare()
 
@@ -225,5 +252,6 @@
         self.ok.add(uid)
         self.installed.setdefault(uid, self.since if sent is None else sent)
         if majority(votes=self.ok, among=val["w"]) and self.ok.issuperset(val["b"]):
+            self.rep.renewal.formed(fewer=self.fewer)
             self.rep.lease.start(epoch=val, answers=self.installed)
             self.rep.activate()
--- a/yarrowloom/record/relief.py
+++ b/yarrowloom/record/relief.py
@@ -45,8 +45,9 @@
 
 
 def may_end(*, hub: Hub, epoch: Epoch | None) -> bool:
-    """No epoch needs this member any more, or another holder is there and no further one to be had by waiting."""
-    if epoch is None or hub.uid not in (epoch["p"], *epoch["b"]):
+    """No epoch needs this member any more, or another holder is there and no further one to be had by waiting, or no
+    other member is known at all."""
+    if epoch is None or hub.uid not in (epoch["p"], *epoch["b"]) or not hub.partners(first=[]):
         return True
     return copied_elsewhere(hub=hub, epoch=epoch) and not substitutes(hub=hub, epoch=epoch)
 
--- a/yarrowloom/record/renewal.py
+++ b/yarrowloom/record/renewal.py
@@ -4,6 +4,8 @@
 from .parts import Hub
 from .timing import WANT_S
 
+SHORT_MOST = 3
+
 
 class _Wish:
     """A set of members that has been wished for since some time."""
@@ -31,10 +33,15 @@
     which the budget's losses could take the majority grows at once."""
 
     def __init__(self) -> None:
+        self.short = 0        # epochs in a row that had to give up on live members: each makes the next try rarer
         self._witnesses = _Wish()
         self._backups = _Wish()
         self._zones = _Wish()
 
+    def formed(self, *, fewer: bool) -> None:
+        """An epoch of this primary is installed; `fewer`: without backups that were slow to copy the state."""
+        self.short = min(self.short + 1, SHORT_MOST) if fewer else 0
+
     def reason(self, *, hub: Hub, epoch: Epoch) -> str:
         """Why an election is due; empty: it is not."""
         now, have = hub.now, epoch["w"]
@@ -46,7 +53,7 @@
         holders = [epoch["p"], *epoch["b"]]
         if len(epoch["b"]) < hub.losses():
             spare = frozenset(u for u in hub.partners(first=epoch["b"]) if u not in holders and hub.up(uid=u))
-            if spare and self._backups.some(members=spare, now=now) >= WANT_S:
+            if spare and self._backups.some(members=spare, now=now) >= WANT_S * 2 ** self.short:
                 return "backups"
         elsewhere = frozenset(hub.other_zones(holders=holders)) if epoch["b"] else frozenset()
         if elsewhere and self._zones.some(members=elsewhere, now=now) >= WANT_S:
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -9,7 +9,7 @@
 from .parts import MOVES, Hub, Reducer, Role, decode
 from .relief import Relief
 from .renewal import Renewal
-from .timing import DOUBT_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S
+from .timing import DOUBT_S, RENEW_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S
 
 
 class Replica:
@@ -233,7 +233,7 @@
         if silent:
             self.take(why="backup-silent", avoid=silent)
         elif now >= self.reset and self.lease.in_contact():
-            self.reset = now + 1.0
+            self.reset = now + RENEW_S
             why = self.renewal.reason(hub=self.hub, epoch=e)
             if why:
                 self.take(why=why)
