Lives are told apart without a clock, answers belong to one call of one life

Cause: each process took its life's number from the wall clock, so one that restarted after its clock went back was deaf to all for that life; an answer was matched by its number alone, and numbers of two lives could coincide. Change: cores count their lives on disk (`inc` in the id record, synced before any frame), edges have a uid per life; connections are numbered at accept and opened by a challenge that is sent back, so that their order is that of lives; call numbers hold the incarnation, answers name the caller and must come from a node that was asked; a minion's leave is no longer answered by a third node.

--- /dev/null
+++ b/tests/simframe.py
@@ -0,0 +1,22 @@
+"""The envelope of a simulated frame, judged by the rule that real ones are judged by."""
+
+from dataclasses import dataclass
+
+from yarrowloom.wire.frame import Lane
+from yarrowloom.wire.peer import Seen
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Header:
+    """What a frame's envelope says. A life's connections have its number: no life opens one after its successor."""
+
+    ip: str
+    uid: str
+    boot: int
+    connection: int
+    lane: Lane
+    seq: int
+
+    def taken(self, *, seen: Seen) -> tuple[bool, bool]:
+        return seen.take(src=self.ip, lane=self.lane, uid=self.uid, boot=self.boot, seq=self.seq,
+                         connection=self.connection)
--- a/tests/simnet.py
+++ b/tests/simnet.py
@@ -10,10 +10,12 @@
 import orjson
 
 from tests.simcpu import Meter, cost
+from tests.simframe import Header
 from yarrowloom.base.log import Log
 from yarrowloom.base.startup import Startup
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.edge import EdgeNode
+from yarrowloom.node.identity import FIRST, last_life
 from yarrowloom.node.shell import TICK_CORE_S
 from yarrowloom.node.turns import Input, Rank, Repeats, Turns, rank_of
 from yarrowloom.wire.frame import LANES, Kind, Lane
@@ -131,21 +133,20 @@
         core = ip.split(".")[2] != "1"
         st = self.startup(ip=ip, first=first)
         log = Log(name="sim", level="error")
-        boot = int(self.now * 1e6) + self.lives
         node: CoreNode | EdgeNode
         if core:
             disk = self.disks.setdefault(ip, Disk())
-            known = [r["uid"] for r in map(orjson.loads, disk.synced) if r.get("k") == "id"]
-            fresh = not known and first
-            uid = known[-1] if known else f"{ip}:7000#0" if fresh else f"{ip}:7000#{self.lives:x}x"
-            node = CoreNode(startup=st, uid=uid, boot=boot, log=log, first=fresh, now=self.now,
-                            rand=self.rng.random())
-            if known:
+            known = last_life(records=disk.synced)
+            fresh = known is None and first
+            uid = known.uid if known is not None else f"{ip}:7000#0" if fresh else f"{ip}:7000#{self.lives:x}x"
+            node = CoreNode(startup=st, uid=uid, boot=known.next if known is not None else FIRST, log=log, first=fresh,
+                            now=self.now, rand=self.rng.random())
+            if known is not None:
                 node.restore(recs=list(disk.synced))
             disk.synced = node.checkpoint()
         else:
             uid = f"{ip}:7001#{self.lives:x}"
-            node = EdgeNode(startup=st, uid=uid, boot=boot, log=log)
+            node = EdgeNode(startup=st, uid=uid, boot=FIRST, log=log)
         self.uids[ip] = uid
         proc = Proc(node=node, life=self.lives)
         self.procs[ip] = proc
@@ -294,7 +295,8 @@
         lane = LANES[kind] if kind is not None else Lane.WORK
         key = (ip, dst, proc.life, lane)
         seq = self.seq[key] = self.seq.get(key, 0) + 1
-        boot, uid = proc.node.boot, proc.node.uid
+        head = Header(ip=ip, uid=proc.node.uid, boot=proc.node.boot, connection=proc.life, lane=lane, seq=seq)
+        uid = head.uid
         if ip != dst and ((ip, dst) in self.cuts or self.rng.random() < self.loss):
             if lane is Lane.WORK and dst not in proc.owing:
                 proc.owing.add(dst)
@@ -309,7 +311,7 @@
                 return
 
             def take() -> None:
-                fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+                fresh, lost = head.taken(seen=to.seen)
                 if not fresh:
                     return
                 if lost and lane is Lane.WORK and ip != dst:
@@ -321,13 +323,13 @@
             if to.turns is None:
                 self.step(dst, to, take)
             else:
-                self._queue(dst, to, (ip, uid, boot, seq, lane, kind, body))
+                self._queue(dst, to, head, kind, body)
         self.at(delay=due - self.now, fn=arrive)
 
-    def _queue(self, dst: str, to: Proc, frame: tuple[str, str, int, int, Lane, Kind | None, bytes]) -> None:
+    def _queue(self, dst: str, to: Proc, head: Header, kind: Kind | None, body: bytes) -> None:
         """A frame for a process that charges its time: as the shell takes it."""
-        ip, uid, boot, seq, lane, kind, body = frame
-        fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+        ip, uid, lane = head.ip, head.uid, head.lane
+        fresh, lost = head.taken(seen=to.seen)
         if lost and lane is Lane.WORK and ip != dst:
             node = self.core(dst)
             self.post(dst, to, lambda: node.gap_agent(uid=uid), rank=Rank.AGENT)
--- /dev/null
+++ b/tests/test_call_identity.py
@@ -0,0 +1,101 @@
+"""An answer belongs to one call of one life of one node, and comes from a node that was asked."""
+
+from typing import Any
+
+import orjson
+
+from tests.simfleet import cluster
+from tests.simnet import Sim
+from yarrowloom.base.log import Log
+from yarrowloom.node.core import CoreNode
+from yarrowloom.wire.frame import Kind
+
+ADDR = "10.9.0.9:7000"
+
+
+def caller(*, sim: Sim, boot: int, uid: str = ADDR + "#0") -> CoreNode:
+    """A core process beside the cluster that knows its epochs."""
+    node = CoreNode(startup=sim.startup(ip="10.9.0.9", first=False), uid=uid, boot=boot, first=False, now=sim.now,
+                    log=Log(name="t", level="error"))
+    node.learn(eps=[[g, e] for g, e in sim.core(sim.serving(g=0)[0]).eps.items()])
+    node.now = sim.now
+    return node
+
+
+def asked(node: CoreNode) -> tuple[str, dict[str, Any]]:
+    """The call that a node has just sent: the address and the message."""
+    rows = [(addr, orjson.loads(body)) for addr, kind, body in node.out.sends if kind is Kind.CALL]
+    node.out.sends.clear()
+    assert len(rows) == 1
+    return rows[0]
+
+
+def answered(sim: Sim, *, uid: str, m: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+    """What the primary of group 0 answers a call: who and what."""
+    primary = sim.core(sim.serving(g=0)[0])
+    got: list[dict[str, Any]] = []
+    real = primary.send
+
+    def send(*, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        if kind is Kind.REPLY:
+            got.append(orjson.loads(orjson.dumps(body)))
+        real(uid=uid, kind=kind, body=body)
+
+    primary.send = send  # type: ignore[method-assign]
+    primary.on(uid=uid, kind=Kind.CALL, m=m)
+    assert sim.until(cond=lambda: bool(got), limit=2.0)
+    primary.send = real  # type: ignore[method-assign]
+    return primary.uid, got[0]
+
+
+def ends(node: CoreNode) -> list[int]:
+    """The statuses that the node's HTTP calls were answered with."""
+    return [res.status for _, res in node.out.answers]
+
+
+def ask(node: CoreNode) -> dict[str, Any]:
+    node.calls.start(g=0, op="getconf", b={}, done=("http", 1), ttl=3.0)
+    return asked(node)[1]
+
+
+def test_an_answer_to_an_earlier_life_is_not_taken_by_the_next_one() -> None:
+    sim, _, _, _ = cluster(seed=5)
+    old = caller(sim=sim, boot=1_000_000)
+    by, late = answered(sim, uid=old.uid, m=ask(old))
+    new = caller(sim=sim, boot=2_000_000)       # the numbers of both began alike: boot modulo a million
+    ask(new)
+    new.on(uid=by, kind=Kind.REPLY, m=late)
+    assert ends(new) == [] and len(new.calls.open) == 1
+
+
+def test_an_answer_to_a_node_that_lost_its_disk_is_not_taken_by_its_successor() -> None:
+    sim, _, _, _ = cluster(seed=6)
+    old = caller(sim=sim, boot=1)
+    by, late = answered(sim, uid=old.uid, m=ask(old))
+    new = caller(sim=sim, boot=1, uid=ADDR + "#77")
+    ask(new)
+    new.on(uid=by, kind=Kind.REPLY, m=late)
+    assert ends(new) == [] and len(new.calls.open) == 1
+
+
+def test_an_answer_of_a_node_that_was_not_asked_is_refused() -> None:
+    sim, _, _, _ = cluster(seed=7)
+    node = caller(sim=sim, boot=1)
+    by, right = answered(sim, uid=node.uid, m=ask(node))
+    other = next(sim.core(ip).uid for ip in sim.core_ips if sim.core(ip).uid != by)
+    node.on(uid=other, kind=Kind.REPLY, m=dict(right))
+    assert ends(node) == [] and len(node.calls.open) == 1
+    node.on(uid=by, kind=Kind.REPLY, m=right)
+    assert ends(node) == [200] and not node.calls.open
+
+
+def test_an_answer_after_its_call_was_given_up_is_dropped() -> None:
+    sim, _, _, _ = cluster(seed=8)
+    node = caller(sim=sim, boot=1)
+    by, late = answered(sim, uid=node.uid, m=ask(node))
+    node.now += 3.1
+    node.calls.tick()
+    assert ends(node) == [503]
+    ask(node)
+    node.on(uid=by, kind=Kind.REPLY, m=late)
+    assert ends(node) == [503] and len(node.calls.open) == 1
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -17,6 +17,10 @@
 from yarrowloom.wire.peer import FRAME_BYTES, OWED, QUEUE_MOST, TRAIL, Line, Peers, Seen
 
 
+def take(seen: Seen, *, boot: int, seq: int) -> tuple[bool, bool]:
+    return seen.take(src="a", lane=2, uid="a#0", boot=boot, seq=seq, connection=1)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_what_is_lost_shows_as_a_gap_and_nothing_goes_back(seed: int) -> None:
     rng = random.Random(seed)
@@ -35,25 +39,25 @@
             lost_after = sent
             continue
         line.sent(real=True)
-        fresh, gap = seen.take(src="a", lane=2, boot=7, seq=seq)
+        fresh, gap = take(seen, boot=7, seq=seq)
         rows = [m for _, m in unbundle(body=body)]
         assert fresh and rows
         if got and rows[0] != got[-1] + 1:
             assert gap and lost_after >= 0
         assert not got or rows[0] > got[-1]
         got += rows
-        assert seen.take(src="a", lane=2, boot=7, seq=seq) == (False, False)
-        assert seen.take(src="a", lane=2, boot=6, seq=seq + 9) == (False, False)
+        assert take(seen, boot=7, seq=seq) == (False, False)
+        assert take(seen, boot=6, seq=seq + 9) == (False, False)
     assert got == sorted(set(got))
 
 
 def test_a_full_queue_drops_and_the_next_frame_tells() -> None:
     line, seen = Line(), Seen()
-    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0])[0]
+    assert take(seen, boot=1, seq=line.take()[0])[0]
     kept = [line.put(kind=Kind.ORDER, body=b"%d" % i) for i in range(QUEUE_MOST + 5)]
     assert kept.count(False) == 5 and len(line.rows) == QUEUE_MOST
-    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0]) == (True, True)
-    assert seen.take(src="a", lane=2, boot=1, seq=line.take()[0]) == (True, False)
+    assert take(seen, boot=1, seq=line.take()[0]) == (True, True)
+    assert take(seen, boot=1, seq=line.take()[0]) == (True, False)
 
 
 def test_frames_are_bounded_and_one_message_may_be_larger() -> None:
@@ -120,8 +124,8 @@
                 a.send(addr=there, kind=Kind.CKPT, body=b'"st"')
                 while len(got) < 601:
                     await trio.lowlevel.checkpoint()
-                b._deliver(Frame(lane=2, src=here, uid=here + "#0", boot=1, seq=999, body=b"[[46"))
-                b._deliver(Frame(lane=1, src=here, uid=here + "#0", boot=1, seq=999, body=b"[]"))
+                b._deliver(Frame(lane=2, src=here, uid=here + "#0", boot=1, seq=999, body=b"[[46"), connection=9)
+                b._deliver(Frame(lane=1, src=here, uid=here + "#0", boot=1, seq=999, body=b"[]"), connection=9)
                 await full.wait()
                 nursery.cancel_scope.cancel()
 
@@ -142,12 +146,16 @@
     async def main() -> None:
         node = Peers(addr="10.0.0.1:7000", uid="10.0.0.1:7000#0", boot=1, sink=sink, log=Log(name="t", level="error"))
         ours, theirs = trio.testing.memory_stream_pair()
-        await ours.send_all(pack(frame=Frame(lane=1, src="b", uid="b#0", boot=1, seq=1, body=b"[[20,{}]]")))
-        with pytest.raises(ValueError, match="fault"):
-            await node._take(cast(trio.SocketStream, theirs))
+        with pytest.raises(ExceptionGroup) as raised:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node._take, cast(trio.SocketStream, theirs))
+                await ours.send_all(await Peers._challenge(stream=cast(trio.SocketStream, ours)))
+                await ours.send_all(pack(frame=Frame(lane=1, src="b", uid="b#0", boot=1, seq=1, body=b"[[20,{}]]")))
+        assert [repr(err) for err in raised.value.exceptions] == ["ValueError('fault')"]
         ours, theirs = trio.testing.memory_stream_pair()
-        await ours.send_all(b"\xff" * 9)
-        await node._take(cast(trio.SocketStream, theirs))     # what the peer did wrong ends the connection
+        async with trio.open_nursery() as nursery:     # what the peer did wrong ends the connection
+            nursery.start_soon(node._take, cast(trio.SocketStream, theirs))
+            await ours.send_all(await Peers._challenge(stream=cast(trio.SocketStream, ours)) + b"\xff" * 9)
 
     trio.run(main)
 
@@ -197,6 +205,8 @@
 class Node:
     """What calls need of their node."""
 
+    uid = "me"
+
     def __init__(self) -> None:
         self.now = 0.0
         self.at: tuple[str, int] | None = ("p1", 1)
@@ -233,9 +243,9 @@
     assert len(node.sent) == before + 1
     calls.lost(uid="p2")
     assert len(node.sent) == before + 2
-    calls.reply(m={"rid": 1, "s": 421, "d": [("p3", 3)]})
+    calls.reply(uid="p2", m={"rid": 1, "to": "me", "s": 421, "d": [("p3", 3)]})
     assert node.sent[-1][1] == "p3" and node.ended == []
-    calls.reply(m={"rid": 1, "s": 200, "d": {}})
+    calls.reply(uid="p3", m={"rid": 1, "to": "me", "s": 200, "d": {}})
     assert node.ended == [200]
 
 
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -13,7 +13,7 @@
 from ..record.epoch import Epoch, addr_of
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
-from .calls import Calls
+from .calls import Calls, first_number
 
 JOB_GROUPS = 1
 HEART_S = 0.25
@@ -65,7 +65,8 @@
 class NodeBase:
     """Invariants: `now` is the steady clock and rises; `table` never goes back to an older stamp; an epoch known
     is never replaced by one with a lower number; `table` is that of the newest document in `past`; `have` is what
-    nodes said in their last hearts, `sent` what left for them since."""
+    nodes said in their last hearts, `sent` what left for them since. `boot` is this life's incarnation: with `uid` it
+    tells the life from all others; nothing but its equality means anything outside `wire`."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, kind: str, log: Log) -> None:
         self.startup = startup
@@ -94,7 +95,7 @@
         self.behind = -1.0                   # since when others tell of a newer configuration; below 0: they do not
         self.hearted = -9.0
         self.contact = -9.0
-        self.calls = Calls(hub=self, base=boot % 1_000_000 * 1_000_000)
+        self.calls = Calls(hub=self, base=first_number(incarnation=boot))
 
     # -- outputs
 
--- a/yarrowloom/node/calls.py
+++ b/yarrowloom/node/calls.py
@@ -1,9 +1,12 @@
 """Calls from one node to whoever serves a group: sent again until answered, given up at a horizon.
 
 What a call rests on may take longer than a repeat at its receiver, which therefore knows those it has in hand.
+
+A call's identity is the caller's uid and a number that holds the caller's incarnation: no two calls of any lives share
+one. A CALL names the node it is meant for (`to`), as frames go to an address; its REPLY names the caller (`to`).
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ..wire.frame import Kind
@@ -13,12 +16,14 @@
 HAND_S = 35.0         # longer than any call lives
 RETRY_S = 0.12
 NOT_PRIMARY = 421
+CALLS_PER_LIFE = 1 << 32
 
 
 class CallHub(Protocol):
     """What calls need of their node."""
 
     now: float
+    uid: str
 
     def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
         """To another node."""
@@ -48,10 +53,21 @@
     sent: bool = False
     wait: float = RESEND_S
     asked: tuple[str, int] | None = None     # the primary, with its epoch, that it was last sent to
+    nodes: set[str] = field(default_factory=set)     # all that it was sent to: only they may answer
+
+
+def first_number(*, incarnation: int) -> int:
+    """What a life's calls are numbered from.
+
+    >>> first_number(incarnation=2) - first_number(incarnation=1) == CALLS_PER_LIFE
+    True
+    """
+    return incarnation * CALLS_PER_LIFE
 
 
 class Calls:
-    """Invariant: each call ends exactly once, by its answer or at its horizon."""
+    """Invariants: each call ends exactly once, by its answer or at its horizon; an answer is taken only if it names
+    this caller and an open call of this life, and comes from a node that was asked."""
 
     def __init__(self, *, hub: CallHub, base: int) -> None:
         self.hub = hub
@@ -73,8 +89,9 @@
         if uid:
             pend.sent = True
             pend.wait = min(2 * pend.wait, RESEND_MOST_S)
-            self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "g": pend.g, "op": pend.op, "b": pend.b,
-                                                         "ttl": round(pend.horizon - self.hub.now, 3)})
+            pend.nodes.add(uid)
+            self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "to": uid, "g": pend.g, "op": pend.op,
+                                                         "b": pend.b, "ttl": round(pend.horizon - self.hub.now, 3)})
 
     def _anew(self, pend: Pending) -> None:
         pend.wait = RESEND_S
@@ -86,10 +103,10 @@
             if uid == (pend.to or (pend.asked[0] if pend.asked else "")):
                 self._anew(pend)
 
-    def reply(self, *, m: dict[str, Any]) -> None:
-        """An answer came."""
+    def reply(self, *, uid: str, m: dict[str, Any]) -> None:
+        """An answer came from a node; what fits no open call of this life is dropped."""
         pend = self.open.get(m["rid"])
-        if pend is None:
+        if pend is None or m["to"] != self.hub.uid or uid not in pend.nodes:
             return
         if m["s"] == NOT_PRIMARY and not pend.to:
             before = self.hub.primary(g=pend.g)
@@ -116,8 +133,8 @@
 
 
 class InHand:
-    """Calls taken and not yet answered here, by caller and number. Invariant: a call is taken again only once its
-    answer has left, or this node no longer serves its group; so an answer that got lost is made again."""
+    """Calls taken and not yet answered here, by their identity: caller and number. Invariant: a call is taken again
+    only once its answer has left, or this node no longer serves its group; so an answer that got lost is made again."""
 
     def __init__(self) -> None:
         self._at: dict[tuple[str, int], tuple[int, float]] = {}
--- a/yarrowloom/node/control.py
+++ b/yarrowloom/node/control.py
@@ -69,7 +69,7 @@
     if mid in node.agent.minions and node.trusted():
         node.agent.leave(mid=mid, call=call)
     else:
-        node.calls.start(g=0, op="leave", b={"m": mid}, done=("http", call), ttl=BEAT_TTL)
+        node.calls.start(g=0, op="leave", b={"m": mid}, done=("leave", call, mid, node.now + BEAT_TTL), ttl=BEAT_TTL)
 
 
 @declare("PUT", r"/config")
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -114,9 +114,9 @@
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.CALL:
-            self._call(uid=m.get("for") or uid, m=m)
+            self._call(uid=uid, m=m)
         elif kind is Kind.REPLY:
-            self.calls.reply(m=m)
+            self.calls.reply(uid=uid, m=m)
         elif kind is Kind.ROOM:
             self._room(m=m)
         else:
@@ -135,14 +135,14 @@
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
         if not self.hand.take(uid=uid, rid=rid, g=g, now=self.now):
             return
-        if g < 0:
+        if g < 0 and m["to"] != self.uid:     # for the agent of a node that is no more; groups know who serves them
+            self.reply(uid=uid, rid=rid, status=503, doc={})
+        elif g < 0:
             self._handed(uid=uid, rid=rid, op=op, b=b)
         elif not self.reps[g].serving():
             self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
         elif g == 0:
             self._serve0(uid=uid, rid=rid, op=op, b=b)
-            if op == "leave":     # the minion's agent answers
-                self.hand.drop(uid=uid, rid=rid)
         else:
             self.placers[g].call(uid=uid, rid=rid, op=op, b=b)
 
@@ -318,7 +318,7 @@
 
     def checkpoint(self) -> list[bytes]:
         """Records that stand for all that this node keeps."""
-        out = [dump(body={"k": "id", "uid": self.uid})]
+        out = [dump(body={"k": "id", "uid": self.uid, "inc": self.boot})]
         for rep in self.reps.values():
             out += [dump(body=rec) for rec in rep.checkpoint()]
         return out
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -200,7 +200,7 @@
             self.take_news(doc=m)
         elif kind is Kind.REPLY:
             self.reached = self.now
-            self.calls.reply(m=m)
+            self.calls.reply(uid=uid, m=m)
 
     def children(self) -> int:
         """How many edges this one may feed: at 2 Mbit/s four, whose hearts and changes take a tenth of the link."""
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -175,7 +175,7 @@
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call of another node."""
-        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "s": status, "d": doc})
+        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "to": uid, "s": status, "d": doc})
 
     def learn(self, *, eps: list[Any]) -> None:
         """Epochs go to the replicas first, which report what is news."""
@@ -238,10 +238,7 @@
             rep.commit(ev={"t": "gone", "m": b["m"], "f": b["f"]}, then=("reply", uid, rid, 200, {}))
         elif op == "leave":
             row = self.reg.minions.get(b["m"])
-            if row is None:
-                self.reply(uid=uid, rid=rid, status=200, doc={})
-            else:
-                self.send(uid=row["o"], kind=Kind.CALL, body={"rid": rid, "g": -1, "op": "leave", "b": b, "for": uid})
+            rep.barrier(then=("reply", uid, rid, 200, {} if row is None else {"o": row["o"]}))
 
     # -- beats
 
@@ -270,6 +267,8 @@
         if kind == "http":
             self.respond(call=done[1], res=Response.of(status, doc) if status else Response.of(
                 503, {"error": "no primary in reach"}))
+        elif kind == "leave":
+            self._leave_found(call=done[1], mid=done[2], until=done[3], status=status, doc=doc)
         elif kind == "who":
             _, call, mid, beat = done
             if status != 200:
@@ -296,6 +295,18 @@
                 doc = {**doc, "beat-target": ctl}
             self.respond(call=call, res=Response.of(200, doc))
 
+    def _leave_found(self, *, call: Any, mid: str, until: float, status: int, doc: Any) -> None:
+        """Group 0 told which agent a minion that ends is with: none (it has left before), this one or another."""
+        owner = doc.get("o") if status == 200 else ""
+        if status == 200 and owner is None:
+            self.respond(call=call, res=Response.of(200, {}))
+        elif owner == self.uid and mid in self.agent.minions and self.trusted():
+            self.agent.leave(mid=mid, call=call)
+        elif owner and owner != self.uid and until > self.now:
+            self.calls.start(g=-1, to=owner, op="leave", b={"m": mid}, done=("http", call), ttl=until - self.now)
+        else:
+            self.respond(call=call, res=Response(status=503))
+
     def respond(self, *, call: Any, res: Response) -> None:
         """Answer a call: over HTTP, or to the node that handed the beat over."""
         if isinstance(call, tuple) and call[0] == "far":
@@ -304,15 +315,12 @@
             super().respond(call=call, res=res)
 
     def _handed(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
-        if op == "leave":
-            if b["m"] in self.agent.minions:
-                self.agent.leave(mid=b["m"], call=("far", uid, rid))
-            else:
-                self.reply(uid=uid, rid=rid, status=200, doc={})
-        elif b["m"] in self.agent.minions and self.trusted():
-            self.agent_beat(mid=b["m"], doc=b["d"], call=("far", uid, rid))
-        else:
+        if b["m"] not in self.agent.minions or not self.trusted():
             self.reply(uid=uid, rid=rid, status=503, doc={})
+        elif op == "leave":
+            self.agent.leave(mid=b["m"], call=("far", uid, rid))
+        else:
+            self.agent_beat(mid=b["m"], doc=b["d"], call=("far", uid, rid))
 
     def effect(self, *, eff: tuple[Any, ...]) -> None:
         """Carry out an effect that is now durable."""
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -11,7 +11,6 @@
 from functools import partial
 from typing import Any
 
-import orjson
 import trio
 
 from ..base.defaults import load as load_defaults
@@ -24,6 +23,7 @@
 from ..wire.peer import Peers, Rows
 from .core import CoreNode
 from .edge import EdgeNode
+from .identity import FIRST, last_life
 from .tally import Tally
 from .turns import Input, Rank, Repeats, Turns, rank_of
 
@@ -311,13 +311,13 @@
     recs = ring.load()
     port = startup.ports[0]
     addr = f"{startup.ip}:{port}"
-    known = [r["uid"] for r in (orjson.loads(raw) for raw in recs) if r.get("k") == "id"]
-    first = not known and startup.bootstrap
-    uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
-    node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
+    known = last_life(records=recs)
+    first = known is None and startup.bootstrap
+    uid = known.uid if known is not None else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
+    node = CoreNode(startup=startup, uid=uid, boot=known.next if known is not None else FIRST, log=log, first=first,
                     now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30),
                     defaults=load_defaults())
-    if known:
+    if known is not None:
         node.restore(recs=recs)
     head = [*node.checkpoint(), END]
     ring.rotate(need=ring.room(bodies=head))
@@ -329,7 +329,7 @@
     """An edge process."""
     port = startup.ports[0] + 1
     uid = f"{startup.ip}:{port}#{secrets.token_hex(4)}"
-    node = EdgeNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log)
+    node = EdgeNode(startup=startup, uid=uid, boot=FIRST, log=log)     # the uid is of this life alone
     return Shell(node=node, log=log, ring=None, port=port)
 
 
--- a/yarrowloom/rig/bed.py
+++ b/yarrowloom/rig/bed.py
@@ -96,14 +96,13 @@
                           ports=PORTS, seeds=tuple(f"{s}:8000" for s in self.core_ips[:3]), bootstrap=True,
                           data_dir="/" if core else None, disk_mb=64, memory_mb=256, beat_ms=beat_ms, bounds={})
         log = Log(name="bed", level="error")
-        boot = int(self.now * 1e6) + len(self.seats)
         node: CoreNode | EdgeNode
         if core:
             uid = f"{ip}:{PORTS[0]}#0" if ip in self.core_ips[:3] else f"{ip}:{PORTS[0]}#{secrets.token_hex(4)}"
-            node = CoreNode(startup=startup, uid=uid, boot=boot, log=log, first=ip in self.core_ips[:3], now=self.now,
+            node = CoreNode(startup=startup, uid=uid, boot=1, log=log, first=ip in self.core_ips[:3], now=self.now,
                             rand=self.rng.random())
         else:
-            node = EdgeNode(startup=startup, uid=f"{ip}:{PORTS[0] + 1}#e", boot=boot, log=log)
+            node = EdgeNode(startup=startup, uid=f"{ip}:{PORTS[0] + 1}#e", boot=1, log=log)
         seat = self.seats[ip] = Seat(ip=ip, node=node)
         self.at(delay=self.rng.random() * 0.05, fn=partial(self._tick, seat, TICK_S[kind]))
 
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -66,6 +66,7 @@
     COPY = 3
 
 
+_LANE_NUMBERS = frozenset(int(lane) for lane in Lane)
 _URGENT = frozenset({Kind.HEART, Kind.HEARTOK, Kind.NEWS, Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED,
                      Kind.INSTALL, Kind.INSTALLED, Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG,
                      Kind.YIELD})
@@ -75,8 +76,8 @@
 
 @dataclass
 class Frame(betterproto.Message):  # type: ignore[misc]
-    """Invariant: `seq` rises per sender life (`boot`), receiver and lane; a receiver drops what does not rise.
-    `body` is a JSON array of [kind, message]; an empty one only carries the sequence."""
+    """Invariant: `seq` rises per sender life (`uid` and `boot`, its incarnation), receiver and lane; a receiver drops
+    what does not rise. `body` is a JSON array of [kind, message]; an empty one only carries the sequence."""
 
     lane: int = betterproto.uint32_field(1)
     src: str = betterproto.string_field(2)
@@ -86,6 +87,23 @@
     body: bytes = betterproto.bytes_field(6)
 
 
+def envelope_fault(*, lane: int, src: str, uid: str, boot: int, seq: int) -> str:
+    """What is wrong with a frame's envelope; empty: nothing.
+
+    >>> envelope_fault(lane=1, src="a:1", uid="a:1#0", boot=1, seq=1)
+    ''
+    >>> envelope_fault(lane=9, src="a:1", uid="a:1#0", boot=1, seq=1)
+    'lane 9 is unknown'
+    """
+    if lane not in _LANE_NUMBERS:
+        return f"lane {lane} is unknown"
+    if not src or not uid.startswith(src + "#"):
+        return f"uid {uid!r} is not one of address {src!r}"
+    if boot < 1:
+        return "incarnation 0"
+    return "" if seq > 0 else "sequence 0"
+
+
 def pack(*, frame: Frame) -> bytes:
     """Length-prefixed bytes."""
     raw = bytes(frame)
@@ -143,8 +161,9 @@
     return b"[" + b",".join([b"[%d,%b]" % row for row in rows]) + b"]"
 
 
-def unbundle(*, body: bytes) -> list[tuple[Kind, Any]]:
-    """Messages of a frame, parsed at once; kinds that are not known are left out. Raises ValueError.
+def unbundle(*, body: bytes, unknown: set[int] | None = None) -> list[tuple[Kind, Any]]:
+    """Messages of a frame, parsed at once; kinds that are not known are left out and noted in `unknown`. Raises
+    ValueError or TypeError.
 
     >>> unbundle(body=b'[[20,{"g":1}],[9999,{}]]')
     [(<Kind.PING: 20>, {'g': 1})]
@@ -154,9 +173,13 @@
     for row in orjson.loads(body):
         if not isinstance(row, list) or len(row) != 2:
             raise ValueError("not a message")
-        kind = known.get(row[0]) if isinstance(row[0], int) else None
+        kind = known.get(row[0]) if type(row[0]) is int else None
         if isinstance(kind, Kind):
             out.append((kind, row[1]))
+        elif type(row[0]) is not int:
+            raise ValueError("not a kind")
+        elif unknown is not None:
+            unknown.add(row[0])
     return out
 
 
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -1,18 +1,21 @@
 """Frames between nodes over TCP: per peer and lane one sending task; one receiving task per connection.
 
-Frames may be lost (a connection that breaks drops what it held); they never repeat and never go back.
+Frames may be lost (a connection that breaks drops what it held); they never repeat and never go back, also not from
+one life of a process to an earlier one at the same address. Lives are told apart without a clock: see `Seen`.
 """
 
+import secrets
 import socket
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
 
 import orjson
 import trio
 
 from ..base.log import Log
-from .frame import LANES, Frame, Kind, Lane, Sealer, Splitter, bundle, unbundle
+from .frame import LANES, Frame, Kind, Lane, Sealer, Splitter, bundle, envelope_fault, unbundle
 
 _USER_TIMEOUT = 18    # TCP_USER_TIMEOUT, absent from the socket module on some builds
 QUEUE_MOST = 8000     # messages waiting for one peer in one lane; what comes beyond is dropped
@@ -20,6 +23,10 @@
 MARK_S = 0.5
 TRAIL = 4             # marks after the last message: longer than a dead connection stays unnoticed
 OWED = 60             # marks tried after a loss
+DIAL_S = 1.0          # to connect and to answer the challenge
+MAGIC = b"YLPEER02"
+CHALLENGE_BYTES = len(MAGIC) + 8
+RETIRED_MOST = 16     # identities remembered per address
 Rows = list[tuple[Kind, Any]]
 Sink = Callable[[str, Lane, Rows, bool], None]
 
@@ -67,29 +74,91 @@
         self.marks = TRAIL if real else min(self.marks, TRAIL) - 1
 
 
+class Identity(NamedTuple):
+    """One life of a process. A core keeps its uid with its disk and counts its lives there (`incarnation`); an edge
+    has a uid of its own for each life."""
+
+    uid: str
+    incarnation: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Sender:
+    """The life that counts at one address."""
+
+    identity: Identity
+    connection: int       # the newest one that brought a frame of this life
+    sequences: dict[int, int] = field(default_factory=dict)     # by lane: the number of the newest frame taken
+    retired: dict[Identity, None] = field(default_factory=dict)     # lives before this one, the oldest first
+
+
 class Seen:
-    """The newest frame taken from each peer in each lane."""
+    """The newest frame taken from each address in each lane, and of which life of the process there.
+
+    Invariants: sequence numbers belong to one address, lane and life; at an address one life counts at a time, and one
+    that another has taken the place of never counts again. Of two lives with one uid the higher incarnation is the
+    later one; of two with different uids the one whose connection was accepted later, as no connection can be opened
+    (see `Peers`) by a process whose successor has already opened one."""
 
     def __init__(self) -> None:
-        self._at: dict[tuple[str, int], tuple[int, int]] = {}
+        self._senders: dict[str, _Sender] = {}
 
-    def take(self, *, src: str, lane: int, boot: int, seq: int) -> tuple[bool, bool]:
-        """Whether a frame is to be taken, and whether others before it are missing.
+    def take(self, *, src: str, lane: int, uid: str, boot: int, seq: int, connection: int) -> tuple[bool, bool]:
+        """Whether a frame is to be taken, and whether others before it are missing. `boot`: the sender's incarnation;
+        `connection`: connections are numbered as they are accepted.
 
         >>> seen = Seen()
-        >>> [seen.take(src="a", lane=2, boot=1, seq=n) for n in (1, 2, 2, 4)]
+        >>> [seen.take(src="a", lane=2, uid="a#0", boot=1, seq=n, connection=1) for n in (1, 2, 2, 4)]
         [(True, True), (True, False), (False, False), (True, True)]
+        >>> seen.take(src="a", lane=2, uid="a#7", boot=1, seq=1, connection=2)
+        (True, True)
+        >>> seen.take(src="a", lane=2, uid="a#0", boot=1, seq=5, connection=1)
+        (False, False)
         """
-        old = self._at.get((src, lane), (0, 0))
-        if (boot, seq) <= old:
+        sender = self._senders.get(src)
+        if sender is None:
+            sender = self._senders[src] = _Sender(identity=Identity(uid, boot), connection=connection)
+        elif sender.identity != (uid, boot):
+            identity = Identity(uid, boot)
+            if not self._follows(sender=sender, identity=identity, connection=connection):
+                return False, False
+            sender = self._senders[src] = self._succeeded(sender=sender, identity=identity, connection=connection)
+        if connection > sender.connection:
+            sender.connection = connection
+        last = sender.sequences.get(lane, 0)
+        if seq <= last:
             return False, False
-        self._at[src, lane] = (boot, seq)
-        return True, boot != old[0] or seq != old[1] + 1
+        sender.sequences[lane] = seq
+        return True, last == 0 or seq != last + 1
+
+    def current(self, *, src: str) -> Identity | None:
+        """The life that counts at an address."""
+        sender = self._senders.get(src)
+        return sender.identity if sender is not None else None
+
+    @staticmethod
+    def _follows(*, sender: _Sender, identity: Identity, connection: int) -> bool:
+        if identity in sender.retired:
+            return False
+        if identity.uid == sender.identity.uid:
+            return identity.incarnation > sender.identity.incarnation
+        return connection > sender.connection
+
+    @staticmethod
+    def _succeeded(*, sender: _Sender, identity: Identity, connection: int) -> _Sender:
+        retired = {**sender.retired, sender.identity: None}
+        while len(retired) > RETIRED_MOST:
+            del retired[next(iter(retired))]
+        return _Sender(identity=identity, connection=max(connection, sender.connection), retired=retired)
 
 
 class Peers:
     """Owns the sockets to and from other nodes. `sink` takes (uid, lane, messages, whether any before are lost);
-    losses are told for the lane of work only."""
+    losses are told for the lane of work only.
+
+    Who accepts a connection numbers it and then sends a random challenge; the other side sends that back ahead of its
+    first frame. So whoever sent a frame was alive after its connection got its number, and of two processes that
+    followed each other at an address the later one has the higher numbers, whatever a cut or a full backlog held up."""
 
     def __init__(self, *, addr: str, uid: str, boot: int, sink: Sink, log: Log) -> None:
         self.addr = addr
@@ -99,6 +168,8 @@
         self.log = log
         self._out: dict[tuple[str, Lane], tuple[Line, trio.Event]] = {}
         self._seen = Seen()
+        self._accepted = 0     # connections so far
+        self._told: dict[int, None] = {}     # connections with frames of a life that does not count
         self._nursery: trio.Nursery | None = None
 
     def send(self, *, addr: str, kind: Kind, body: bytes) -> None:
@@ -152,7 +223,7 @@
             raw = sealer.seal(seq=seq, body=body)
             try:
                 if stream is None:
-                    with trio.fail_after(1.0):
+                    with trio.fail_after(DIAL_S):
                         stream = await self._dial(host=host, port=int(port))
                 # A dead peer is found by the socket's own time limit; a slow link may take long over a frame.
                 with trio.fail_after(10.0):
@@ -171,38 +242,92 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, _USER_TIMEOUT, 1500)
             await sock.connect((host, port))
+            stream = trio.SocketStream(sock)
+            await stream.send_all(await self._challenge(stream=stream))
         except BaseException:
             sock.close()
             raise
-        return trio.SocketStream(sock)
+        return stream
+
+    @staticmethod
+    async def _challenge(*, stream: trio.SocketStream) -> bytes:
+        """What the other side asks to have sent back; raises OSError if that is nothing of the kind."""
+        got = b""
+        while len(got) < CHALLENGE_BYTES:
+            data = await stream.receive_some(CHALLENGE_BYTES - len(got))
+            if not data:
+                raise OSError("connection closed ahead of its challenge")
+            got += data
+        if not got.startswith(MAGIC):
+            raise OSError("not a challenge")
+        return got
 
     async def _take(self, stream: trio.SocketStream) -> None:
-        cut = Splitter()
+        self._accepted += 1
+        connection = self._accepted
+        challenge = MAGIC + secrets.token_bytes(CHALLENGE_BYTES - len(MAGIC))
         try:
-            while True:
-                try:
-                    data = await stream.receive_some(262144)
-                    if not data:
-                        return
-                    frames = cut.feed(data)
-                except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-                    return
-                except ValueError as err:
-                    self.log.warn("peer-malformed", why=str(err))
-                    return
-                for frm in frames:     # a fault in what takes them is not the peer's
-                    self._deliver(frm)
+            await stream.send_all(challenge)
+            await self._receive(stream=stream, connection=connection, challenge=challenge)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
         finally:
             await trio.aclose_forcefully(stream)
 
-    def _deliver(self, frm: Frame) -> None:
-        fresh, lost = self._seen.take(src=frm.src, lane=frm.lane, boot=frm.boot, seq=frm.seq)
+    async def _receive(self, *, stream: trio.SocketStream, connection: int, challenge: bytes) -> None:
+        """Take what one connection brings until it ends or brings what cannot be read."""
+        cut = Splitter()
+        opening = bytearray()
+        opened = False
+        while True:
+            data = bytes(await stream.receive_some(262144))
+            if not data:
+                return
+            if not opened:
+                opening += data
+                if not challenge.startswith(opening[:CHALLENGE_BYTES]):
+                    self.log.warn("peer-malformed", why="the challenge was not sent back")
+                    return
+                if len(opening) < CHALLENGE_BYTES:
+                    continue
+                opened, data = True, bytes(opening[CHALLENGE_BYTES:])
+            try:
+                frames = cut.feed(data)
+            except ValueError as err:
+                self.log.warn("peer-malformed", why=str(err))
+                return
+            for frm in frames:
+                self._deliver(frm, connection=connection)
+
+    def _deliver(self, frm: Frame, *, connection: int) -> None:
+        number, src, uid, boot, seq = frm.lane, frm.src, frm.uid, frm.boot, frm.seq     # reading a field is not cheap
+        fault = envelope_fault(lane=number, src=src, uid=uid, boot=boot, seq=seq)
+        if fault:
+            self.log.warn("frame-malformed", peer=uid, why=fault)
+            return
+        fresh, lost = self._seen.take(src=src, lane=number, uid=uid, boot=boot, seq=seq, connection=connection)
         if not fresh:
+            self._passed_over(src=src, identity=Identity(uid, boot), connection=connection)
             return
+        lane = Lane(number)
+        unknown: set[int] = set()
         try:
-            lane, rows = Lane(frm.lane), unbundle(body=frm.body)
+            rows = unbundle(body=frm.body, unknown=unknown)
         except (ValueError, TypeError) as err:
-            self.log.warn("frame-malformed", peer=frm.uid, why=repr(err))
+            self.log.warn("frame-malformed", peer=uid, why=repr(err))
             lane, rows, lost = Lane.WORK, [], True
+        if unknown:
+            self.log.warn("frame-kind-unknown", peer=uid, kinds=sorted(unknown)[:8])
         if rows or lost:
-            self.sink(frm.uid, lane, rows, lost)
+            self.sink(uid, lane, rows, lost)
+
+    def _passed_over(self, *, src: str, identity: Identity, connection: int) -> None:
+        """Tell, once for each connection, that its frames are those of a life that does not count (any more)."""
+        now = self._seen.current(src=src)
+        if now is None or now == identity or connection in self._told:
+            return
+        self._told[connection] = None
+        while len(self._told) > RETIRED_MOST:
+            del self._told[next(iter(self._told))]
+        self.log.warn("peer-life-retired", peer=identity.uid, incarnation=identity.incarnation, current=now.uid,
+                      current_incarnation=now.incarnation)
