--- /dev/null
+++ b/tests/test_lives_wire.py
@@ -0,0 +1,201 @@
+"""Which frames a receiver takes: lives, connections and their order; the challenge; the count of lives on disk."""
+
+import pathlib
+import random
+from typing import Any, cast
+
+import orjson
+import pytest
+import trio
+import trio.testing
+
+from tests.test_loopback import ADDR, settings
+from yarrowloom.base.log import Log
+from yarrowloom.base.startup import check
+from yarrowloom.node.identity import last_life
+from yarrowloom.node.shell import open_core, open_edge
+from yarrowloom.store import Ring
+from yarrowloom.wire.frame import Frame, Kind, Lane, bundle, pack
+from yarrowloom.wire.peer import CHALLENGE_BYTES, RETIRED_MOST, Peers, Seen
+
+SRC = "10.0.0.1:7000"
+LOG = Log(name="t", level="error")
+
+
+def take(seen: Seen, *, uid: str = "#0", boot: int = 1, seq: int = 1, connection: int = 1, lane: int = 2) -> bool:
+    return seen.take(src=SRC, lane=lane, uid=SRC + uid, boot=boot, seq=seq, connection=connection)[0]
+
+
+def test_frames_of_an_earlier_life_on_a_connection_that_a_cut_held_up_are_dropped() -> None:
+    seen = Seen()
+    assert take(seen, uid="#a", seq=5, connection=1)
+    assert take(seen, uid="#b", seq=1, connection=2)
+    assert not take(seen, uid="#a", seq=6, connection=1)
+    assert not take(seen, uid="#a", seq=1, connection=1, lane=1)
+    assert take(seen, uid="#b", seq=2, connection=2)
+
+
+def test_a_retired_life_does_not_count_again_whatever_its_connection() -> None:
+    seen = Seen()
+    assert take(seen, uid="#a", connection=1) and take(seen, uid="#b", connection=2)
+    assert not take(seen, uid="#a", seq=9, connection=3)
+    for life in range(3, 3 * RETIRED_MOST):     # the set is bounded; the numbers of connections hold beyond it
+        assert take(seen, uid=f"#{life}", connection=life)
+    assert not take(seen, uid="#a", seq=9, connection=1)
+    sender = seen._senders[SRC]
+    assert len(sender.retired) == RETIRED_MOST
+
+
+def test_a_life_goes_on_over_new_connections_and_whatever_their_order() -> None:
+    seen = Seen()
+    assert take(seen, seq=1, connection=4)
+    assert take(seen, seq=2, connection=9)           # a reconnect
+    assert take(seen, seq=3, connection=4)           # what the old connection still held
+    assert not take(seen, seq=2, connection=9)
+    assert take(seen, seq=1, connection=3, lane=1)   # another lane's older connection is read later
+
+
+def test_of_one_uid_the_higher_incarnation_wins() -> None:
+    seen = Seen()
+    assert take(seen, boot=4, seq=70, connection=1)
+    assert take(seen, boot=5, seq=1, connection=2)
+    assert not take(seen, boot=4, seq=71, connection=1)
+    assert not take(seen, boot=4, seq=71, connection=3)     # its disk went back: what it promised since is forgotten
+    assert take(seen, boot=5, seq=2, connection=2)
+
+
+def test_a_core_that_lost_its_disk_begins_at_one_and_is_heard() -> None:
+    seen = Seen()
+    assert take(seen, boot=40, seq=9, connection=1)
+    assert take(seen, uid="#77", boot=1, seq=1, connection=2)
+    assert not take(seen, boot=40, seq=10, connection=1)
+
+
+def test_a_receiver_that_stood_still_reads_two_lives_in_any_order() -> None:
+    """Both lives' connections were accepted and numbered; their tasks then run in any order."""
+    for order in ([1, 2], [2, 1]):
+        seen = Seen()
+        took = [take(seen, uid=f"#{life}", seq=1, connection=life) for life in order]
+        assert took == ([True, True] if order == [1, 2] else [True, False])
+        assert take(seen, uid="#2", seq=2, connection=2) and not take(seen, uid="#1", seq=2, connection=1)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_no_frame_of_an_earlier_life_follows_one_of_a_later_life(seed: int) -> None:
+    """Connections are accepted in the order of lives; their frames come in any order that each connection allows."""
+    rng = random.Random(seed)
+    lives = [(f"#{rng.randint(0, 2)}x{i if rng.random() < 0.5 else ''}", i + 1) for i in range(5)]
+    queues: list[list[tuple[int, int, int, int]]] = []     # by connection: (life, connection, lane, seq)
+    for life in range(len(lives)):
+        seqs = {1: 0, 2: 0}
+        for _ in range(rng.randint(1, 3)):
+            rows = []
+            lane = rng.choice([1, 2])
+            for _ in range(rng.randint(1, 5)):
+                seqs[lane] += rng.choice([1, 1, 2])
+                rows.append((life, len(queues) + 1, lane, seqs[lane]))
+            queues.append(rows)
+    seen, last, heads = Seen(), 0, dict[tuple[int, int], int]()
+    while any(queues):
+        life, connection, lane, seq = rng.choice([rows for rows in queues if rows]).pop(0)
+        uid, boot = lives[life]
+        if take(seen, uid=uid, boot=boot, seq=seq, connection=connection, lane=lane):
+            assert life >= last and seq > heads.get((life, lane), 0)
+            last, heads[life, lane] = life, seq
+        else:
+            assert life < last or seq <= heads.get((life, lane), 0)
+
+
+class Receiver:
+    """A node's sockets with in-memory streams in place of TCP."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.got: list[tuple[str, Any]] = []
+        self.peers = Peers(addr="10.0.0.9:7000", uid="10.0.0.9:7000#0", boot=1, sink=self.sink, log=LOG)
+        self.nursery = nursery
+
+    def sink(self, uid: str, lane: Lane, rows: list[tuple[Kind, Any]], lost: bool) -> None:
+        self.got += [(uid, m) for _, m in rows]
+
+    async def connect(self) -> trio.StapledStream[Any, Any]:
+        ours, theirs = trio.testing.memory_stream_pair()
+        self.nursery.start_soon(self.peers._take, cast(trio.SocketStream, theirs))
+        await trio.testing.wait_all_tasks_blocked()
+        return ours
+
+
+def frame(*, uid: str, seq: int, m: int, boot: int = 1) -> bytes:
+    body = bundle(rows=[(int(Kind.ORDER), b"%d" % m)])
+    return pack(frame=Frame(lane=2, src=SRC, uid=SRC + uid, boot=boot, seq=seq, body=body))
+
+
+def test_a_dead_life_s_frames_come_late_on_the_connection_it_had() -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            to = Receiver(nursery)
+            old = await to.connect()
+            await old.send_all(await Peers._challenge(stream=cast(trio.SocketStream, old)) + frame(
+                uid="#a", seq=1, m=1))
+            new = await to.connect()
+            await new.send_all(await Peers._challenge(stream=cast(trio.SocketStream, new)) + frame(
+                uid="#b", seq=1, m=2))
+            await trio.testing.wait_all_tasks_blocked()
+            await old.send_all(frame(uid="#a", seq=2, m=3))
+            await trio.testing.wait_all_tasks_blocked()
+            await new.send_all(frame(uid="#b", seq=2, m=4))
+            await trio.testing.wait_all_tasks_blocked()
+            assert to.got == [(SRC + "#a", 1), (SRC + "#b", 2), (SRC + "#b", 4)]
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+
+
+@pytest.mark.parametrize("opening", [b"", b"YLPEER02", b"\xff" * 40, b"YLPEER02" + bytes(8)])
+def test_nothing_counts_on_a_connection_whose_challenge_was_not_sent_back(opening: bytes) -> None:
+    """A connection that a dead process opened and that the receiver came to accept only afterwards."""
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            to = Receiver(nursery)
+            ghost = await to.connect()
+            await ghost.send_all(opening + frame(uid="#a", seq=1, m=1))
+            await trio.testing.wait_all_tasks_blocked()
+            assert to.got == [] and await ghost.receive_some(CHALLENGE_BYTES)
+            assert await ghost.receive_some(1) == b""
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+
+
+def test_the_challenge_may_come_back_in_pieces() -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            to = Receiver(nursery)
+            ours = await to.connect()
+            raw = await Peers._challenge(stream=cast(trio.SocketStream, ours)) + frame(uid="#a", seq=1, m=1)
+            for at in range(0, len(raw), 3):
+                await ours.send_all(raw[at:at + 3])
+                await trio.testing.wait_all_tasks_blocked()
+            assert to.got == [(SRC + "#a", 1)]
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+
+
+def test_a_core_s_incarnation_rises_with_each_start_and_is_on_disk_before_the_first_frame(
+        tmp_path: pathlib.Path) -> None:
+    doc = settings(binds={"control": f"{ADDR}:1"}, inner=7000, seed=f"{ADDR}:1", data=str(tmp_path / "d"))
+    for life in range(1, 5):
+        shell = open_core(startup=check(doc=doc), log=LOG)
+        assert shell.node.boot == life and shell.peers.boot == life
+        known = last_life(records=Ring(folder=str(tmp_path / "d"), size=2 << 20).load())
+        assert known is not None and (known.uid, known.incarnation) == (shell.node.uid, life)
+        assert shell.ring is not None
+        shell.ring.close()
+
+
+def test_a_journal_from_before_lives_were_counted_goes_on_with_the_first(tmp_path: pathlib.Path) -> None:
+    known = last_life(records=[orjson.dumps({"k": "id", "uid": "a:1#0"}), b'{"k":"none","end":true}'])
+    assert known is not None and (known.uid, known.next) == ("a:1#0", 1)
+
+
+def test_no_two_lives_of_an_edge_share_a_uid() -> None:
+    doc = settings(binds={"front": f"{ADDR}:1"}, inner=7000, seed=f"{ADDR}:2", data=None)
+    shells = [open_edge(startup=check(doc={**doc, "role": "edge"}), log=LOG) for _ in range(20)]
+    assert len({shell.node.uid for shell in shells}) == 20 and {shell.node.boot for shell in shells} == {1}
