Frames: a field of the wrong type ended the process, whole frames before a malformed one were lost

Cause: the protobuf parser gives a list for a number sent as a packed field, and the receiving task compared it (TypeError, process ended); Splitter.feed raised without the frames it had read before. Change: types are checked where an envelope is read in full, MalformedFrame carries what came whole.

--- /dev/null
+++ b/tests/test_frames_fuzz.py
@@ -0,0 +1,183 @@
+"""Bad input on the connections between nodes: said in the log, nothing else lost by it, no process ended."""
+
+import contextlib
+import random
+import struct
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+import trio
+import trio.testing
+
+from tests.simfleet import cluster
+from tests.simnet import Sim
+from yarrowloom.base.log import Log
+from yarrowloom.node.shell import Shell
+from yarrowloom.wire.frame import MAX_FRAME, Frame, Kind, Lane, bundle, pack
+from yarrowloom.wire.peer import Peers
+
+SRC = "10.0.0.1:7000"
+BODY = bundle(rows=[(int(Kind.ORDER), b'"bad"')])
+
+
+class Lines(Log):
+    """Keeps what is warned of."""
+
+    def __init__(self) -> None:
+        super().__init__(name="fuzz", level="error")
+        self.rows: list[tuple[str, dict[str, object]]] = []
+
+    def warn(self, event: str, **fields: object) -> None:
+        self.rows.append((event, fields))
+
+
+def field(*, num: int, wire: int, data: bytes) -> bytes:
+    return bytes([num << 3 | wire]) + data
+
+
+def framed(raw: bytes) -> bytes:
+    return struct.pack(">I", len(raw)) + raw
+
+
+def envelope(**changed: Any) -> bytes:
+    good: dict[str, Any] = {"lane": 2, "src": SRC, "uid": SRC + "#0", "boot": 1, "seq": 1, "body": BODY}
+    return pack(frame=Frame(**{**good, **changed}))
+
+
+GOOD = envelope()
+HEAD = GOOD[4:]
+BAD: dict[str, bytes] = {
+    "lane 0": envelope(lane=0),
+    "lane 9": envelope(lane=9),
+    "lane huge": envelope(lane=(1 << 32) - 1),
+    "no source": envelope(src=""),
+    "uid of another address": envelope(uid="10.0.0.2:7000#0"),
+    "uid without a life": envelope(uid=SRC),
+    "incarnation 0": envelope(boot=0),
+    "sequence 0": envelope(seq=0),
+    "uid a number": framed(HEAD + field(num=3, wire=0, data=b"\x07")),
+    "source not text": framed(HEAD + field(num=2, wire=2, data=b"\x02\xff\xfe")),
+    "sequence a text": framed(HEAD + field(num=5, wire=2, data=b"\x01a")),
+    "lane a text": framed(HEAD + field(num=1, wire=2, data=b"\x01a")),
+    "boot a float": framed(HEAD + field(num=4, wire=1, data=bytes(8))),
+    "wire type 7": framed(HEAD + field(num=6, wire=7, data=b"")),
+    "length above the most": struct.pack(">I", MAX_FRAME + 1) + GOOD[4:],
+    "length of all ones": b"\xff" * 4 + GOOD[4:],
+    "empty frame": framed(b""),
+    "cut inside the body": framed(HEAD[:-3]),
+    "varint without end": framed(b"\x08" + b"\xff" * 40),
+    "body not JSON": envelope(body=b"[[46"),
+    "body a map": envelope(body=b'{"a":1}'),
+    "body a number": envelope(body=b"7"),
+    "row too long": envelope(body=b"[[46,1,2]]"),
+    "kind a text": envelope(body=b'[["46",1]]'),
+    "kind true": envelope(body=b"[[true,1]]"),
+    "kind unknown": envelope(body=b"[[999,1]]"),
+    "kind below 0": envelope(body=b"[[-1,1]]"),
+}
+
+
+class Wire:
+    """One receiving node over in-memory streams."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.got: list[Any] = []
+        self.log = Lines()
+        self.peers = Peers(addr="10.0.0.9:7000", uid="10.0.0.9:7000#0", boot=1, sink=self.sink, log=self.log)
+        self.nursery = nursery
+
+    def sink(self, uid: str, lane: Lane, rows: list[tuple[Kind, Any]], lost: bool) -> None:
+        self.got += [m for _, m in rows]
+
+    async def bring(self, *, data: bytes, pieces: random.Random | None = None) -> None:
+        """A connection that brings these bytes and ends."""
+        ours, theirs = trio.testing.memory_stream_pair()
+        self.nursery.start_soon(self.peers._take, cast(trio.SocketStream, theirs))
+        await trio.testing.wait_all_tasks_blocked()
+        data = await Peers._challenge(stream=cast(trio.SocketStream, ours)) + data
+        with contextlib.suppress(trio.BrokenResourceError):     # the receiver has ended it
+            while data:
+                size = pieces.randint(1, 200) if pieces is not None else len(data)
+                await ours.send_all(data[:size])
+                data = data[size:]
+            await ours.send_eof()
+        await trio.testing.wait_all_tasks_blocked()
+
+
+def play(script: Callable[[Wire], Any]) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await script(Wire(nursery))
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+
+
+def good(*, seq: int, m: int) -> bytes:
+    return envelope(seq=seq, body=bundle(rows=[(int(Kind.ORDER), b"%d" % m)]))
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_frame_is_said_in_the_log_and_the_next_connection_goes_on(name: str) -> None:
+    async def script(wire: Wire) -> None:
+        await wire.bring(data=BAD[name])
+        assert wire.got == [] and len(wire.log.rows) == 1, wire.log.rows
+        event, fields = wire.log.rows[0]
+        assert event in ("peer-malformed", "frame-malformed", "frame-kind-unknown") and fields
+        await wire.bring(data=good(seq=2, m=7))
+        assert wire.got == [7]
+    play(script)
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_noise_between_good_frames_loses_only_what_its_own_connection_still_held(seed: int) -> None:
+    rng = random.Random(seed)
+
+    async def script(wire: Wire) -> None:
+        want = []
+        for turn in range(6):
+            raw = bytearray(good(seq=2 * turn + 2, m=turn))
+            for _ in range(rng.randint(1, 4)):
+                raw[rng.randrange(len(raw))] = rng.randrange(256)
+            noise = rng.choice([bytes(raw), rng.randbytes(rng.randint(1, 60)), bytes(raw)[:rng.randint(1, len(raw))],
+                                rng.choice(list(BAD.values()))])
+            want.append(turn)
+            await wire.bring(data=good(seq=2 * turn + 1, m=turn) + noise, pieces=rng if seed % 2 else None)
+            wire.peers._seen._senders.clear()     # noise may have passed for a frame with a number far ahead
+        assert set(want) <= {m for m in wire.got if type(m) is int}
+    play(script)
+
+
+ODD: list[Any] = [None, 0, -1, 1 << 62, 1.5, "", "x", "10.0.0.1:7000#0", True, [], [[]], [1], [None], {}, {"g": 1},
+                  {"n": 10 ** 9}, [["i", 1]], [[1, "i"]], {"u": None}]
+KEYS = ["g", "n", "u", "x", "m", "f", "rid", "to", "b", "op", "s", "d", "t", "news", "have", "kind", "tag", "seq", "r",
+        "e", "pb", "i", "lid", "svc", "cpu", "mem", "gpu", "own", "dis", "up", "age", "via", "reg", "conf", "v", "ttl"]
+
+
+def node_of(sim: Sim) -> Shell:
+    """The shell of a serving core, without sockets."""
+    node = sim.core(sim.serving(g=1)[0])
+    shell = Shell(node=node, log=Lines(), ring=None, port=7000)
+    shell.credit = 1e9
+    shell.peers.send = lambda **_: None  # type: ignore[method-assign]
+    return shell
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_calls_and_answers_with_wrong_types_end_no_process_and_no_call(seed: int) -> None:
+    rng = random.Random(seed)
+    sim, _, _, _ = cluster(seed=90 + seed)
+    shell = node_of(sim)
+    node = shell.node
+    node.calls.start(g=0, op="getconf", b={}, done=("none",), ttl=1e12)
+    rid = node.calls.rid
+    for _ in range(1500):
+        kind = rng.choice([Kind.CALL, Kind.REPLY])
+        m: Any = rng.choice(ODD) if rng.random() < 0.1 else {k: rng.choice(ODD) for k in rng.sample(KEYS, 8)}
+        if isinstance(m, dict) and rng.random() < 0.8:
+            m |= {"rid": rng.choice([rid, *ODD]), "g": rng.choice([-1, 0, 1, 7, *ODD]),
+                  "op": rng.choice(["put", "get", "del", "count", "conf", "getconf", "who", "leave", "gone", "beat",
+                                    *ODD[:8]]), "b": rng.choice([*ODD, {"id": 7}, {"m": []}])}
+        shell._frames(rng.choice(sorted(sim.uids.values())), Lane.WORK, [(kind, m)], False)
+    assert rid in node.calls.open
+    assert any(event == "frame-malformed" for event, _ in cast(Lines, shell.log).rows)
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -86,6 +86,11 @@
     seq: int = betterproto.uint64_field(5)
     body: bytes = betterproto.bytes_field(6)
 
+    def typed(self) -> bool:
+        """Whether each field is of its type: the parser takes what the wire says, as a list of numbers for one."""
+        return (all(type(num) is int for num in (self.lane, self.boot, self.seq))
+                and isinstance(self.src, str) and isinstance(self.uid, str) and isinstance(self.body, bytes))
+
 
 def envelope_fault(*, lane: int, src: str, uid: str, boot: int, seq: int) -> str:
     """What is wrong with a frame's envelope; empty: nothing.
@@ -183,8 +188,16 @@
     return out
 
 
+class MalformedFrame(ValueError):
+    """What cannot be read on a connection, which ends there; `frames` came whole before it."""
+
+    def __init__(self, text: str, *, frames: list[Frame]) -> None:
+        super().__init__(text)
+        self.frames = frames
+
+
 class Splitter:
-    """Cuts a byte stream into frames; raises ValueError on anything malformed."""
+    """Cuts a byte stream into frames; raises MalformedFrame on anything malformed."""
 
     def __init__(self) -> None:
         self._buf = bytearray()
@@ -201,6 +214,8 @@
                 if pos + size == len(raw) and 0 < seq < 1 << 64:
                     return Frame(lane=last.lane, src=last.src, uid=last.uid, boot=last.boot, seq=seq, body=raw[pos:])
         frm: Frame = Frame().parse(raw)
+        if not frm.typed():
+            raise ValueError("a field is of the wrong type")
         head = bytes(Frame(lane=frm.lane, src=frm.src, uid=frm.uid, boot=frm.boot))
         self._head, self._last = (head, frm) if raw.startswith(head) else (b"", frm)
         return frm
@@ -219,13 +234,13 @@
         while len(self._buf) - pos >= 4:
             (size,) = _LEN.unpack_from(self._buf, pos)
             if size > MAX_FRAME:
-                raise ValueError("frame too large")
+                raise MalformedFrame(f"frame of {size} bytes is too large", frames=out)
             if len(self._buf) - pos - 4 < size:
                 break
             try:
                 out.append(self._read(bytes(self._buf[pos + 4:pos + 4 + size])))
             except Exception as err:
-                raise ValueError(f"frame not readable: {err}") from err
+                raise MalformedFrame(f"frame not readable: {err!r}", frames=out) from err
             pos += 4 + size
         del self._buf[:pos]
         return out
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -15,7 +15,7 @@
 import trio
 
 from ..base.log import Log
-from .frame import LANES, Frame, Kind, Lane, Sealer, Splitter, bundle, envelope_fault, unbundle
+from .frame import LANES, Frame, Kind, Lane, MalformedFrame, Sealer, Splitter, bundle, envelope_fault, unbundle
 
 _USER_TIMEOUT = 18    # TCP_USER_TIMEOUT, absent from the socket module on some builds
 QUEUE_MOST = 8000     # messages waiting for one peer in one lane; what comes beyond is dropped
@@ -291,13 +291,16 @@
                 if len(opening) < CHALLENGE_BYTES:
                     continue
                 opened, data = True, bytes(opening[CHALLENGE_BYTES:])
+            malformed = None
             try:
                 frames = cut.feed(data)
-            except ValueError as err:
-                self.log.warn("peer-malformed", why=str(err))
-                return
+            except MalformedFrame as err:
+                frames, malformed = err.frames, str(err)
             for frm in frames:
                 self._deliver(frm, connection=connection)
+            if malformed is not None:
+                self.log.warn("peer-malformed", why=malformed)
+                return
 
     def _deliver(self, frm: Frame, *, connection: int) -> None:
         number, src, uid, boot, seq = frm.lane, frm.src, frm.uid, frm.boot, frm.seq     # reading a field is not cheap
