--- a/tests/test_frames_fuzz.py
+++ b/tests/test_frames_fuzz.py
@@ -163,6 +163,20 @@
     return shell
 
 
+@pytest.mark.parametrize("seed", range(24))
+def test_messages_of_any_kind_with_wrong_types_end_no_process(seed: int) -> None:
+    rng = random.Random(seed)
+    sim, _, _, _ = cluster(seed=90 + seed % 6)
+    shell = node_of(sim)
+    for _ in range(300):
+        kind = rng.choice(list(Kind))
+        m = {key: rng.choice(ODD) for key in rng.sample(KEYS, rng.randint(3, 30))}
+        m["g"] = rng.choice([0, 1])
+        shell._frames(rng.choice(sorted(sim.uids.values())), Lane.WORK, [(kind, m)], False)
+        shell.node.out.sends.clear()
+        shell.step(shell.node.tick)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_calls_and_answers_with_wrong_types_end_no_process_and_no_call(seed: int) -> None:
     rng = random.Random(seed)
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -10,7 +10,7 @@
 from ..base.startup import Startup
 from ..fleet.conf import Table
 from ..fleet.delta import Delta, History
-from ..record.epoch import Epoch, addr_of
+from ..record.epoch import Epoch, addr_of, check_epoch
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
 from .calls import Calls, first_number
@@ -125,6 +125,7 @@
     def learn(self, *, eps: list[Any]) -> None:
         """Take note of epochs: (group, epoch)."""
         for g, e in eps:
+            check_epoch(epoch=e)
             if g not in self.eps or self.eps[g]["n"] < e["n"]:
                 self.eps[g] = e
 
--- a/yarrowloom/record/epoch.py
+++ b/yarrowloom/record/epoch.py
@@ -26,6 +26,23 @@
     return uid.split("#", 1)[0]
 
 
+def check_epoch(*, epoch: Any) -> None:
+    """Raise ValueError for what is no epoch: it would be kept, and end the process once it is looked at.
+
+    >>> check_epoch(epoch={"n": 1, "p": "a", "b": [], "w": ["a"], "t": ""})
+    >>> check_epoch(epoch={"n": 1, "p": "a"})
+    Traceback (most recent call last):
+    ValueError: not an epoch: {'n': 1, 'p': 'a'}
+    """
+    good = isinstance(epoch, dict) and type(epoch.get("n")) is int and epoch["n"] >= 0
+    good = good and isinstance(epoch.get("p"), str) and isinstance(epoch.get("t"), str)
+    for name in ("b", "w"):
+        row = epoch.get(name) if good else None
+        good = good and isinstance(row, list) and all(isinstance(uid, str) for uid in row)
+    if not good:
+        raise ValueError(f"not an epoch: {epoch!r:.80}")
+
+
 def majority(*, votes: set[str], among: list[str]) -> bool:
     """More than half of `among` voted.
 
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -4,7 +4,7 @@
 
 from ..wire.frame import Kind
 from .ballot import Campaign
-from .epoch import Epoch, Witness
+from .epoch import Epoch, Witness, check_epoch
 from .parts import MOVES, Hub, Reducer, Role, decode
 from .timing import DOUBT_S, PING_S, PROMISE_S, RESEND_S, REST_S, SILENCE_S, SPARES, SUSPECT_S, TURN_S, WANT_S
 
@@ -96,6 +96,7 @@
 
     def learn(self, epoch: Epoch) -> None:
         """Take note of a decided epoch."""
+        check_epoch(epoch=epoch)
         if not self.wit.learn(epoch):
             return
         self._save(done=("none",))
