Leases and asks for room are numbered apart by life and epoch, a grant must come from the agent asked

Cause: an agent's leases and a placing node's asks were numbered from 1 in each life and epoch, and a grant was matched by its number alone. Result: tests/test_lease_identity.py, 2 red before, green now. Disproved: that an agent's next life must get new fences after a change of group 0's primary (tried, taken back: test_chief's herd kill rightly asks for none).

--- /dev/null
+++ b/tests/test_lease_identity.py
@@ -0,0 +1,52 @@
+"""A grant answers the ask of one placing node in one epoch, by the agent asked; leases of two lives never mix."""
+
+import pytest
+
+from tests.simfleet import cluster
+from yarrowloom.place.binding import LeaseAsk
+from yarrowloom.place.room import Size
+
+
+def test_a_grant_of_an_agent_that_was_not_asked_leaves_the_ask_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, _, _, _ = cluster(seed=301)
+    sim.run(seconds=3.0)
+    node = sim.core(sim.serving(g=1)[0])
+    placer = node.placers[1]
+    landed: list[int] = []
+    monkeypatch.setattr(placer, "_landed", lambda *, ask: landed.append(ask.rid))
+    monkeypatch.setattr(placer, "_settle", lambda *, att: None)
+    asked, other = (sim.core(ip).uid for ip in sim.core_ips[:2])
+
+    class Nothing:
+        plan: dict[str, list[int]] = {}
+        bad = False
+        group = type("Group", (), {"gang": True, "apart": 0})
+
+    rid = placer.rid + 1
+    placer.asks[rid] = LeaseAsk(rid=rid, agent=asked, at=node.now, size=Size(1, 1, 0), attempt=Nothing(),  # type: ignore[arg-type]
+                                on=[], n=1, been=[])
+    answer = {"g": 1, "rid": rid, "x": [], "to": "", "r": [], "size": [1, 1, 0]}
+    placer.grant(uid=other, b=dict(answer))
+    assert rid in placer.asks and landed == []
+    placer.grant(uid=asked, b=dict(answer))
+    assert rid not in placer.asks and landed == [rid]
+
+
+def test_the_asks_of_two_epochs_and_the_leases_of_two_lives_are_numbered_apart() -> None:
+    sim, oracle, caller, _ = cluster(seed=302)
+    asks, leases = [], []
+    for _ in range(4):
+        assert sim.until(cond=lambda: bool(sim.serving(g=1)), limit=8.0)
+        ip = sim.serving(g=1)[0]
+        jid = caller.submit(stages=[{"task-count": 4, "cpus": 500, "mem-mb": 64, "estimate-ms": 200}])
+        assert sim.until(cond=lambda jid=jid: caller.state(jid=jid)[1] == "complete", limit=10.0)  # type: ignore[misc]
+        placer = sim.core(ip).placers[1]
+        first = placer.rep.base << 32
+        assert first < placer.rid < first + 1000
+        asks.append(placer.rid >> 32)
+        leases.append((sim.core(ip).uid, sim.core(ip).agent.next >> 32))
+        sim.kill(ip=ip)
+        sim.run(seconds=0.3)
+        sim.boot(ip=ip)
+        sim.run(seconds=2.0)
+    assert len(set(asks)) == 4 and len(set(leases)) == 4 and oracle.broken == []
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -53,15 +53,16 @@
 
 class Agent:
     """Invariants: room is granted by this agent alone and only for minions it owns; the leases on a minion never
-    exceed its capacity; an order is taken only from the group's newest epoch, on a lease it holds."""
+    exceed its capacity; an order is taken only from the group's newest epoch, on a lease it holds; no two lives of
+    its process number a lease alike."""
 
-    def __init__(self, *, hub: AgentHub, hold_ms: int, stop_ms: int, lag_ms: int) -> None:
+    def __init__(self, *, hub: AgentHub, hold_ms: int, stop_ms: int, lag_ms: int, first_lease: int = 1) -> None:
         self.hub = hub
         self.hold_ms = hold_ms
         self.stop_ms = stop_ms
         self.lag_ms = lag_ms
         self.minions: dict[str, Minion] = {}
-        self.next = 1
+        self.next = first_lease
         self.share = Share(agent=self)
         self.watch: set[str] = set()             # minions to be looked at each tick
         self.scanned = -9.0
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -15,6 +15,7 @@
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
 from .base import JOB_GROUPS, NodeBase
+from .calls import first_number
 from .chief import Chief
 from .control import BEAT_TTL, refusal
 
@@ -45,7 +46,8 @@
         self.chief: Chief | None = None
         hold = min(startup.bound(name="max-hold-ms", default=6000), max(3.0 * startup.beat_ms, 4000.0))
         self.agent = Agent(hub=self, hold_ms=int(hold), lag_ms=startup.beat_ms,
-                           stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)))
+                           stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)),
+                           first_lease=first_number(incarnation=boot) + 1)
         self.lease = -9.0
         self.listing = False                 # the chief wants to be told all that the agent holds
         self.roster: dict[str, float] = {}
--- a/yarrowloom/place/binding.py
+++ b/yarrowloom/place/binding.py
@@ -12,6 +12,7 @@
 from .room import Size
 
 ASK_S = 0.6
+ASKS_PER_EPOCH = 1 << 32
 MARK_S = 2.0          # an earmark for a gang lapses after this long at the agent
 HOPS = 4
 
@@ -44,13 +45,15 @@
 
 
 class Binding(Desk):
-    """Invariant: an order leaves only after its start is durable, and only if nothing came in between; the room's
+    """A grant answers an ask only if it has its number, which names the epoch too, and comes from the agent asked.
+
+    Invariant: an order leaves only after its start is durable, and only if nothing came in between; the room's
     `fly` of a minion is the sum of the open asks on it."""
 
     def __init__(self, **kw: Any) -> None:
         self.asks: dict[int, LeaseAsk] = {}
-        self.rid = 0
         super().__init__(**kw)
+        self.rid = self.rep.base * ASKS_PER_EPOCH     # whoever places in another epoch numbers its asks otherwise
 
     def bind(self, *, group: Group, decision: Decision) -> None:
         """Cached leases serve at once, agents are asked for the rest, all in parallel: they answer at once, so no
@@ -109,8 +112,11 @@
 
     def grant(self, *, uid: str, b: dict[str, Any]) -> None:
         """An agent's decision, with what it has left on the minions asked for."""
-        ask = self.asks.pop(b["rid"], None)
+        ask = self.asks.get(b["rid"])
+        if ask is not None and ask.agent != uid:
+            ask = None
         if ask is not None:
+            del self.asks[ask.rid]
             self._landed(ask=ask)
         if b.get("r"):
             self.room.report(uid=uid, rows=b["r"], shut=[], now=self.hub.now)
