--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -4,7 +4,7 @@
 
 from ..wire.frame import Kind
 from .ballot import Campaign
-from .epoch import Epoch
+from .epoch import Epoch, check_epoch
 from .lease import Lease
 from .parts import MOVES, Hub, Reducer, Role
 from .relief import Relief
@@ -115,6 +115,7 @@
 
     def learn(self, epoch: Epoch) -> None:
         """Take note of a decided epoch."""
+        check_epoch(epoch=epoch)
         if not self.wit.learn(epoch):
             return
         self._save(done=("none",))
--- a/yarrowloom/wire/frame.py
+++ b/yarrowloom/wire/frame.py
@@ -66,6 +66,7 @@
     COPY = 3
 
 
+_LANE_NUMBERS = frozenset(int(lane) for lane in Lane)
 _URGENT = frozenset({Kind.HEART, Kind.HEARTOK, Kind.NEWS, Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED,
                      Kind.INSTALL, Kind.INSTALLED, Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG,
                      Kind.YIELD})
@@ -75,8 +76,8 @@
 
 @dataclass
 class Frame(betterproto.Message):  # type: ignore[misc]
-    """Invariant: `seq` rises per sender life (`boot`), receiver and lane; a receiver drops what does not rise.
-    `body` is a JSON array of [kind, message]; an empty one only carries the sequence."""
+    """Invariant: `seq` rises per sender life (`uid` and `boot`, its incarnation), receiver and lane; a receiver drops
+    what does not rise. `body` is a JSON array of [kind, message]; an empty one only carries the sequence."""
 
     lane: int = betterproto.uint32_field(1)
     src: str = betterproto.string_field(2)
@@ -85,6 +86,28 @@
     seq: int = betterproto.uint64_field(5)
     body: bytes = betterproto.bytes_field(6)
 
+    def typed(self) -> bool:
+        """Whether each field is of its type: the parser takes what the wire says, as a list of numbers for one."""
+        return (all(type(num) is int for num in (self.lane, self.boot, self.seq))
+                and isinstance(self.src, str) and isinstance(self.uid, str) and isinstance(self.body, bytes))
+
+
+def envelope_fault(*, lane: int, src: str, uid: str, boot: int, seq: int) -> str:
+    """What is wrong with a frame's envelope; empty: nothing.
+
+    >>> envelope_fault(lane=1, src="a:1", uid="a:1#0", boot=1, seq=1)
+    ''
+    >>> envelope_fault(lane=9, src="a:1", uid="a:1#0", boot=1, seq=1)
+    'lane 9 is unknown'
+    """
+    if lane not in _LANE_NUMBERS:
+        return f"lane {lane} is unknown"
+    if not src or not uid.startswith(src + "#"):
+        return f"uid {uid!r} is not one of address {src!r}"
+    if boot < 1:
+        return "incarnation 0"
+    return "" if seq > 0 else "sequence 0"
+
 
 def pack(*, frame: Frame) -> bytes:
     """Length-prefixed bytes."""
@@ -143,8 +166,9 @@
     return b"[" + b",".join([b"[%d,%b]" % row for row in rows]) + b"]"
 
 
-def unbundle(*, body: bytes) -> list[tuple[Kind, Any]]:
-    """Messages of a frame, parsed at once; kinds that are not known are left out. Raises ValueError.
+def unbundle(*, body: bytes, unknown: set[int] | None = None) -> list[tuple[Kind, Any]]:
+    """Messages of a frame, parsed at once; kinds that are not known are left out and noted in `unknown`. Raises
+    ValueError or TypeError.
 
     >>> unbundle(body=b'[[20,{"g":1}],[9999,{}]]')
     [(<Kind.PING: 20>, {'g': 1})]
@@ -154,14 +178,26 @@
     for row in orjson.loads(body):
         if not isinstance(row, list) or len(row) != 2:
             raise ValueError("not a message")
-        kind = known.get(row[0]) if isinstance(row[0], int) else None
+        kind = known.get(row[0]) if type(row[0]) is int else None
         if isinstance(kind, Kind):
             out.append((kind, row[1]))
+        elif type(row[0]) is not int:
+            raise ValueError("not a kind")
+        elif unknown is not None:
+            unknown.add(row[0])
     return out
 
 
+class MalformedFrame(ValueError):
+    """What cannot be read on a connection, which ends there; `frames` came whole before it."""
+
+    def __init__(self, text: str, *, frames: list[Frame]) -> None:
+        super().__init__(text)
+        self.frames = frames
+
+
 class Splitter:
-    """Cuts a byte stream into frames; raises ValueError on anything malformed."""
+    """Cuts a byte stream into frames; raises MalformedFrame on anything malformed."""
 
     def __init__(self) -> None:
         self._buf = bytearray()
@@ -178,6 +214,8 @@
                 if pos + size == len(raw) and 0 < seq < 1 << 64:
                     return Frame(lane=last.lane, src=last.src, uid=last.uid, boot=last.boot, seq=seq, body=raw[pos:])
         frm: Frame = Frame().parse(raw)
+        if not frm.typed():
+            raise ValueError("a field is of the wrong type")
         head = bytes(Frame(lane=frm.lane, src=frm.src, uid=frm.uid, boot=frm.boot))
         self._head, self._last = (head, frm) if raw.startswith(head) else (b"", frm)
         return frm
@@ -196,13 +234,13 @@
         while len(self._buf) - pos >= 4:
             (size,) = _LEN.unpack_from(self._buf, pos)
             if size > MAX_FRAME:
-                raise ValueError("frame too large")
+                raise MalformedFrame(f"frame of {size} bytes is too large", frames=out)
             if len(self._buf) - pos - 4 < size:
                 break
             try:
                 out.append(self._read(bytes(self._buf[pos + 4:pos + 4 + size])))
             except Exception as err:
-                raise ValueError(f"frame not readable: {err}") from err
+                raise MalformedFrame(f"frame not readable: {err!r}", frames=out) from err
             pos += 4 + size
         del self._buf[:pos]
         return out
