Freshness of a node's configuration descends from the primary's proof

Cause: an edge took a heartbeat answer of any core for contact, also of one that was cut off itself, and a call's answer too; it stayed ready and answered by an old configuration for as long as the cut lasted. Change: answers tell the age of their sender's proof, which dates from group 0's primary; edges are ready, and answer by their configuration alone, only on a proof that is young enough; the placing node checks routes of older versions.

--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -14,6 +14,7 @@
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
 from .calls import Calls
+from .fresh import Freshness
 
 JOB_GROUPS = 1
 HEART_S = 0.25
@@ -22,6 +23,7 @@
 FANOUT = 24           # edges that a core feeds itself: 33 of them at 5 cores need no relays, with two cores lost either
 RESEND_S = 0.5        # news that a heart does not confirm within this time, and twice its own on the link, goes again
 ASK_S = 1.5           # a watcher that was asked for the whole configuration and has not sent it by then is passed over
+PROBES = 2            # core nodes asked besides the usual ones, in turn, while no answer proves contact with a primary
 GAP_S = 0.1           # hearts of a node that lacks news which others have are this far apart
 
 
@@ -93,7 +95,8 @@
         self.asked = ""                      # the watcher that is to send the whole configuration if need be
         self.behind = -1.0                   # since when others tell of a newer configuration; below 0: they do not
         self.hearted = -9.0
-        self.contact = -9.0
+        self.contact = -9.0                  # when any node last answered a heart, in touch or not
+        self.freshness = Freshness(apply_ms=startup.bound(name="config-apply-ms", default=2000))
         self.calls = Calls(hub=self, base=boot % 1_000_000 * 1_000_000)
 
     # -- outputs
@@ -235,18 +238,54 @@
 
     def targets(self) -> list[str]:
         """Who gets this node's hearts: its watchers on the ring, group 0's primary; seeds and all that epochs name
-        while nobody answers or no members are known (the address of a primary may answer that lost its disk)."""
+        while nobody answers or no members are known (the address of a primary may answer that lost its disk); some
+        of these in turn while those that answer can't prove contact with a primary."""
         out = ring(uid=self.uid, among=list(self.members), n=WATCHERS if self.kind == "core" else 2)
         prim = self.primary(g=0)
         if self.kind == "core" and prim is not None and prim[0] != self.uid:
             out.append(prim[0])
         if self.now - self.contact > 1.0 or not self.members:
-            known = {addr_of(uid=u) for u in out} | {addr_of(uid=self.uid)}
-            out += [s for s in self.seeds() if addr_of(uid=s) not in known]
-            out += [u for u in self.members if u != self.uid]
-            out += [u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u and u != self.uid]
+            out += self._others(known=out)
+        else:
+            out += self.probes(known=out)
         return list(dict.fromkeys(out))
 
+    def _others(self, *, known: list[str]) -> list[str]:
+        """Whoever else may know of the primary: seeds, members, all that epochs name."""
+        addresses = {addr_of(uid=u) for u in known} | {addr_of(uid=self.uid)}
+        out = [s for s in self.seeds() if addr_of(uid=s) not in addresses]
+        out += [u for u in self.members if u != self.uid]
+        return out + [u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u and u != self.uid]
+
+    def probes(self, *, known: list[str]) -> list[str]:
+        """A few of the others, in turn, while the proof is old: a change of primary ages all proofs at once, and must
+        not have every node ask every other."""
+        if self.freshness.age(now=self.now) < self.freshness.probe_s:
+            return []
+        rest = [u for u in dict.fromkeys(self._others(known=known)) if u not in known]
+        first = int(self.now / HEART_S) * PROBES
+        return [rest[(first + i) % len(rest)] for i in range(min(PROBES, len(rest)))]
+
+    # -- contact with the primary
+
+    def proof(self) -> dict[str, Any]:
+        """What an answer tells of how new the configuration here is; nothing while it is known to be torn."""
+        fields = {} if self.torn else self.freshness.told(now=self.now)
+        return {**fields, "conf": self.mine()["conf"]} if fields else {}
+
+    def confirm(self, *, sent: float, m: dict[str, Any]) -> bool:
+        """Take the proof that an answer carries to what was sent at `sent`, unless it tells of a newer configuration
+        than is here; whether its sender is in touch. Word of an epoch that is over proves nothing."""
+        age, epoch = m.get("age"), m.get("by")
+        if not isinstance(age, (int, float)) or not isinstance(epoch, int) or age < 0 or sent > self.now:
+            return False
+        newest = self.eps.get(0)
+        if newest is not None and epoch < newest["n"]:
+            return False
+        if m.get("conf", 0) <= self.mine()["conf"]:
+            self.freshness.prove(at=sent - age, epoch=epoch)
+        return age < self.freshness.probe_s
+
     def heart(self) -> dict[str, Any]:
         """A heart's body."""
         return {"u": self.uid, "site": self.startup.site, "kind": self.kind, "name": self.startup.name,
@@ -272,26 +311,31 @@
             self.send(uid=uid, kind=Kind.HEART, body={**body, "have": {**body["have"], **more}})
         self.missed.clear()
 
-    def told(self, *, uid: str, m: dict[str, Any]) -> None:
+    def told(self, *, uid: str, m: dict[str, Any]) -> bool:
         """A watcher answered a heart and tells of its versions; its news came before on the same way, or got lost:
-        the next heart says so, and soon."""
-        self.spoke[addr_of(uid=uid)] = self.now
+        the next heart says so, and soon. Whether it is in touch: only such a one is asked for a whole
+        configuration."""
+        in_touch = self.confirm(sent=m["t"], m=m)
+        if in_touch:
+            self.spoke[addr_of(uid=uid)] = self.now
         mine = self.mine()
         late = m.get("conf", 0) > mine["conf"]
         if late and self.behind < 0:
             self.behind = self.now
         if late or m.get("mods", -1) > mine["mods"]:
             self.missed.add(addr_of(uid=uid))
+        return in_touch
 
     def lost_from(self, *, uid: str) -> None:
         """Frames of another node got lost, perhaps news: the next heart tells it."""
         self.missed.add(addr_of(uid=uid))
 
     def answer(self, *, b: dict[str, Any]) -> dict[str, Any]:
-        """What a heart is answered at least: its time, the versions held here, news."""
+        """What a heart is answered at least: its time, the versions held here, how new they are, news."""
         mine = self.mine()
         news = self.newer(uid=b["u"])
-        return {"t": b["t"], "conf": mine["conf"], "mods": mine["mods"], **({"news": news} if news else {})}
+        return {"t": b["t"], "conf": mine["conf"], "mods": mine["mods"], **self.proof(),
+                **({"news": news} if news else {})}
 
     def hear(self, *, b: dict[str, Any]) -> None:
         """Another node's heart."""
--- a/yarrowloom/node/calls.py
+++ b/yarrowloom/node/calls.py
@@ -44,6 +44,7 @@
     b: dict[str, Any]
     done: tuple[Any, ...]
     horizon: float
+    began: float
     again: float = 0.0
     sent: bool = False
     wait: float = RESEND_S
@@ -61,7 +62,7 @@
     def start(self, *, g: int, op: str, b: dict[str, Any], done: tuple[Any, ...], ttl: float, to: str = "") -> None:
         """Begin a call."""
         self.rid += 1
-        pend = Pending(rid=self.rid, g=g, to=to, op=op, b=b, done=done, horizon=self.hub.now + ttl)
+        pend = Pending(rid=self.rid, g=g, to=to, op=op, b=b, done=done, horizon=self.hub.now + ttl, began=self.hub.now)
         self.open[pend.rid] = pend
         self._send(pend)
 
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -207,14 +207,14 @@
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
-            if m.get("lease"):
-                self.lease = max(self.lease, m["t"] + LEASE_S)
         for u in m.get("up", []):
             self.roster[u] = self.now
         if "news" in m:
             self.take_news(doc=m["news"])
         if "t" in m:
             self.told(uid=uid, m=m)
+            if m.get("lease") and m.get("mods", -1) <= self.mods:      # with all evacuations that the primary knew of
+                self.lease = max(self.lease, m["t"] + LEASE_S)
         for mid, fence, info in m.get("own", []):
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
@@ -268,6 +268,7 @@
             self.note(event="stood-still", s=round(self.now - self.ticked, 2))
             self._thawed(slept=self.now - self.ticked)
         self.ticked = self.now
+        self.prove_own()
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
             if self.hearted == self.now:
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -15,9 +15,8 @@
 from .base import ALIVE_S, FANOUT, JOB_GROUPS, NodeBase
 
 MARGIN_S = 0.2        # an answer leaves this long before its caller's deadline, or a third of what is left before
-READY_S = 2.5         # a core that is merely busy answers something within this time
 HAND_MIN, HAND_MAX = 64, 1024
-VIA_S = 1.0           # relays that have been out of contact this long are left for the cores
+VIA_S = 1.0           # relays that have been silent, or alone out of touch, this long are left for the cores
 FULL_S = 10.0         # a relay that had no room is not asked again this long
 RETRY = (("retry-after", "1"),)
 
@@ -49,7 +48,6 @@
         self.via: list[str] = []
         self.via_at = -9.0
         self.shun: dict[str, float] = {}      # relays that have no room, and until when
-        self.reached = -9.0           # when a core last answered a call
         self.hand = 0
         self.hand_most = min(max(2 * startup.memory_mb, HAND_MIN), HAND_MAX)
         self.filters: tuple[Filter, ...] = (self._configured, self._routed, self._named, self._timely, self._roomy,
@@ -65,11 +63,20 @@
         self.limits.idle_ms = int(lim.get("idle-timeout-ms", self.limits.idle_ms))
 
     def ready(self) -> bool:
-        """Can serve: configured, answered by cores lately, and knows who keeps the records."""
-        near = self.now - max(self.contact, self.reached) < READY_S
+        """Can serve: configured, with a proof of contact with a primary that is young enough, and knows who keeps the
+        records."""
+        near = self.freshness.age(now=self.now) < self.freshness.ready_s
         return (near and self.table is not None and not self.closing
                 and all(g in self.eps for g in range(JOB_GROUPS + 1)))
 
+    def sure(self) -> bool:
+        """May answer on the strength of its configuration alone."""
+        return self.freshness.age(now=self.now) < self.freshness.answer_s
+
+    def _by_table(self, *, res: Response) -> Response:
+        """An answer that rests on the configuration alone; 503 while that may be out of date."""
+        return res if self.sure() else Response.of(503, {"error": "out of touch"}, headers=RETRY)
+
     def http(self, *, call: Any, req: Request) -> None:
         """A caller's request."""
         way = Way(call=call, req=req)
@@ -92,18 +99,19 @@
         way.path = urlsplit(way.req.path).path
         way.route = self.table.select(host=way.req.headers.get("host", ""), path=way.path)
         if way.route is None:
-            return Response.of(404, {"error": "no such queue"})
+            return self._by_table(res=Response.of(404, {"error": "no such queue"}))
         way.rest = way.path[len(way.route["path-prefix"]):].strip("/")
         return None
 
     def _named(self, way: Way) -> Response | None:
         method = way.req.method
         if method not in ("POST", "GET", "DELETE"):
-            return Response.of(405, {"error": "method"}, headers=(("allow", "POST, GET, DELETE"),))
+            res = Response.of(405, {"error": "method"}, headers=(("allow", "POST, GET, DELETE"),))
+            return self._by_table(res=res)
         if method == "GET" and not way.rest:
             return None
         if not job_id(text=way.rest):
-            return Response.of(400 if method == "POST" else 410, {"error": "not a job id"})
+            return self._by_table(res=Response.of(400 if method == "POST" else 410, {"error": "not a job id"}))
         return None
 
     def _timely(self, way: Way) -> Response | None:
@@ -139,20 +147,28 @@
         name, method = way.route["name"], way.req.method
         ttl, size = way.ttl, len(way.req.body)
         self.hand += size
+        seen = self._seen(way)
         if method == "GET" and not way.rest:
             count: dict[str, Any] = {"left": JOB_GROUPS, "sum": 0}
             for g in range(1, JOB_GROUPS + 1):
-                self.calls.start(g=g, op="count", b={"q": name}, done=("count", way.call, size if g == 1 else 0, count),
-                                 ttl=ttl)
+                done = ("count", way.call, size if g == 1 else 0, count)
+                self.calls.start(g=g, op="count", b={"q": name, **seen}, done=done, ttl=ttl)
             return
         g = group_of(jid=way.rest, groups=JOB_GROUPS)
-        b: dict[str, Any] = {"id": way.rest, "q": name}
+        b: dict[str, Any] = {"id": way.rest, "q": name, **seen}
         if method == "POST":
             assert way.job is not None
             b["j"] = {**way.job, "svc": way.route["backend"], "mt": int(way.route.get("max-tries", 1))}
         op = {"POST": "put", "GET": "get", "DELETE": "del"}[method]
         self.calls.start(g=g, op=op, b=b, done=(op, way.call, size), ttl=ttl)
 
+    def _seen(self, way: Way) -> dict[str, Any]:
+        """By which configuration a call was routed; and while that may be out of date, whither the caller wrote, so
+        that the placing node can look in its own."""
+        assert self.table is not None
+        at = {} if self.sure() else {"at": [way.req.headers.get("host", ""), way.path]}
+        return {"cv": self.table.stamp, **at}
+
     def called(self, *, done: tuple[Any, ...], status: int, doc: Any, sent: bool) -> None:
         """An answer of the records, or none in time."""
         self.hand -= done[2]
@@ -163,7 +179,9 @@
             box["left"] -= 1
             if status != 200:
                 box["left"] = 0
-                self.respond(call=done[1], res=Response.of(504, {"error": "no answer"}))
+                refused = status in (404, 503)
+                res = Response.of(status, doc) if refused else Response.of(504, {"error": "no answer"})
+                self.respond(call=done[1], res=res)
                 return
             box["sum"] += doc["pending"]
             if box["left"] == 0:
@@ -171,8 +189,8 @@
             return
         if status == 0:
             res = Response.of(504 if sent else 503, {"error": "no answer in time"}, headers=() if sent else RETRY)
-        elif status == 429:
-            res = Response.of(429, doc, headers=RETRY)
+        elif status in (429, 503):
+            res = Response.of(status, doc, headers=RETRY)
         else:
             res = Response.of(status, doc)
         self.respond(call=done[1], res=res)
@@ -182,45 +200,51 @@
     def on(self, *, uid: str, kind: Kind, m: Any) -> None:
         """One message."""
         if kind is Kind.HEARTOK:
-            self.contact = max(self.contact, self.now - m.get("age", 0.0))
-            if m.get("full"):
-                self.shun[uid] = self.now + FULL_S
-                self.via = [u for u in self.via if u != uid]
-            elif m.get("via"):
-                via = [u for u in m["via"] if self.shun.get(u, -9.0) < self.now]
-                if via:
-                    self.via, self.via_at = via, self.now
-            elif uid in self.via and m.get("age", 0.0) < VIA_S:
-                self.via_at = self.now
-            self.take_news(doc=m.get("news", {}))
-            self.told(uid=uid, m=m)
+            self._heartok(uid=uid, m=m)
         elif kind is Kind.HEART:
             self._relay(b=m)
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.REPLY:
-            self.reached = self.now
+            pend = self.calls.open.get(m["rid"])
+            if pend is not None:
+                self.confirm(sent=pend.began, m=m)
             self.calls.reply(m=m)
 
+    def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
+        """A core or a relay answered a heart. A relay that is not in touch is left as soon as another node is."""
+        self.contact = self.now
+        self.take_news(doc=m.get("news", {}))
+        in_touch = self.told(uid=uid, m=m)
+        if m.get("full"):
+            self.shun[uid] = self.now + FULL_S
+            self.via = [u for u in self.via if u != uid]
+        elif m.get("via") and in_touch:
+            via = [u for u in m["via"] if self.shun.get(u, -9.0) < self.now]
+            if via:
+                self.via, self.via_at = via, self.now
+        elif uid in self.via and (in_touch or not self.sure()):
+            self.via_at = self.now
+
     def children(self) -> int:
         """How many edges this one may feed: at 2 Mbit/s four, whose hearts and changes take a tenth of the link."""
         return max(1, min(FANOUT, int(2 * self.startup.link_mbps)))
 
     def _relay(self, *, b: dict[str, Any]) -> None:
-        """Feed news to another edge, telling how old the own contact with the cores is; or turn it away."""
+        """Feed news to another edge; or turn it away."""
         fed = sum(self.now - at < ALIVE_S for u, at in self.heard.items() if u != b["u"])
         if fed >= self.children():
-            self.send(uid=b["u"], kind=Kind.HEARTOK, body={"t": b["t"], "age": self.now - self.contact, "full": True})
+            self.send(uid=b["u"], kind=Kind.HEARTOK, body={
+                "t": b["t"], **self.proof(), "full": True})
             return
         self.hear(b=b)
-        body = {**self.answer(b=b), "age": max(0.0, self.now - self.contact)}
-        self.send(uid=b["u"], kind=Kind.HEARTOK, body=body)
+        self.send(uid=b["u"], kind=Kind.HEARTOK, body=self.answer(b=b))
 
     def targets(self) -> list[str]:
         """Relays named by a core that feeds enough edges, as long as they are in contact; else the ring. The whole
         configuration comes from cores, whose links carry it."""
         if self.via and self.now - self.via_at < VIA_S and self.table is not None and not self.torn:
-            return self.via
+            return self.via + self.probes(known=self.via)
         return super().targets()
 
     def gap(self, *, uid: str) -> None:
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -148,6 +148,31 @@
         """The agent may act: group 0's primary gave its word lately, or is this node."""
         return self.now < self.lease or (self.chief is not None and self.reps[0].serving())
 
+    def prove_own(self) -> None:
+        """While this node serves group 0, it is itself the proof."""
+        epoch = self.reps[0].epoch
+        if self.chief is not None and epoch is not None and self.reps[0].serving():
+            self.freshness.prove(at=self.now, epoch=epoch["n"])
+
+    def proof(self) -> dict[str, Any]:
+        """What an answer tells of how new the configuration here is."""
+        self.prove_own()
+        return super().proof()
+
+    def stamp(self) -> int:
+        """The version of the configuration in force here; 0: none yet."""
+        return self.table.stamp if self.table is not None else 0
+
+    def select(self, *, host: str, path: str) -> str:
+        """The queue that a path belongs to by the configuration in force here; empty: none."""
+        route = self.table.select(host=host, path=path) if self.table is not None else None
+        return str(route["name"]) if route is not None else ""
+
+    def proof_age_ms(self) -> int | None:
+        """How old the proof of contact with group 0's primary is; None: there was none yet."""
+        fields = self.proof()
+        return round(fields["age"] * 1000) if fields else None
+
     def let_go(self, *, mids: list[str]) -> None:
         """The chief wants these given to others. Let go of are those in good order, with none on its way out: the
         next agent would have to find out anew that a minion is silent or about to leave."""
@@ -175,7 +200,7 @@
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call of another node."""
-        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "s": status, "d": doc})
+        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "s": status, "d": doc, **self.proof()})
 
     def learn(self, *, eps: list[Any]) -> None:
         """Epochs go to the replicas first, which report what is news."""
@@ -320,7 +345,7 @@
 
     def describe(self) -> dict[str, Any]:
         """A summary for the operator."""
-        return {"uid": self.uid, "site": self.startup.site, "config": self.table.stamp if self.table else 0,
+        return {"uid": self.uid, "site": self.startup.site, "config": self.stamp(), "proof-age-ms": self.proof_age_ms(),
                 "evacuated": sorted(self.evac), "members": self.members,
                 "groups": {str(g): {"role": r.role.value, "epoch": r.epoch, "serving": r.serving()}
                            for g, r in self.reps.items()},
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -32,6 +32,12 @@
     def route(self, *, name: str) -> dict[str, Any] | None:
         """The queue's route in the newest configuration."""
 
+    def stamp(self) -> int:
+        """The version of the configuration in force here."""
+
+    def select(self, *, host: str, path: str) -> str:
+        """The queue that a path belongs to; empty: none."""
+
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call."""
 
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -53,6 +53,8 @@
         job = self.jobs.jobs.get(jid)
         if op == "put":
             self._put(uid=uid, rid=rid, b=b, jid=jid, job=job)
+        elif op == "count" and self._unrouted(b=b):
+            self._refuse_route(uid=uid, rid=rid, b=b)
         elif op == "count":
             self.rep.barrier(then=("reply", uid, rid, 200, {"pending": self.jobs.pending.get(b["q"], 0)}))
         elif job is None or job["q"] != b["q"]:
@@ -70,6 +72,9 @@
         if job is not None:
             self.rep.barrier(then=("reply", uid, rid, 200 if job["q"] == b["q"] else 409, {}))
             return
+        if self._unrouted(b=b):
+            self._refuse_route(uid=uid, rid=rid, b=b)
+            return
         row = {**b["j"], "q": b["q"], "at": int(self.hub.wall * 1000)}
         why = self._refusal(job=row)
         if why:
@@ -79,6 +84,20 @@
         self.effects(self.rep.commit(ev={"t": "job", "id": jid, "j": row}, then=("reply", uid, rid, 200, {})))
         self.pump()
 
+    def _unrouted(self, *, b: dict[str, Any]) -> bool:
+        """Whether an edge routed a call by an older configuration than this node's, in which the queue is gone, or
+        in which the path (told while the edge's may be out of date) is not the queue's."""
+        if self.hub.stamp() <= b.get("cv", self.hub.stamp()):
+            return False
+        if self.hub.route(name=b["q"]) is None:
+            return True
+        return "at" in b and self.hub.select(host=b["at"][0], path=b["at"][1]) != b["q"]
+
+    def _refuse_route(self, *, uid: str, rid: int, b: dict[str, Any]) -> None:
+        """404 where the path leads nowhere for sure; else the caller is to ask again."""
+        nowhere = "at" in b and not self.hub.select(host=b["at"][0], path=b["at"][1])
+        self.hub.reply(uid=uid, rid=rid, status=404 if nowhere else 503, doc={"error": "no such queue"})
+
     def _refusal(self, *, job: dict[str, Any]) -> str:
         """Why a job can't be taken: too many in hand, or what waits before it would take so long that it could earn
         nothing any more."""
