--- a/tests/test_fresh_core.py
+++ b/tests/test_fresh_core.py
@@ -236,3 +236,33 @@
         true += step
         told = proof.age(now=0.98 * true)
         assert told >= 0.98 * true - 1e-9, n
+
+
+@pytest.mark.parametrize("way", ["both", "mute", "deaf"])
+def test_a_cut_off_placing_node_says_neither_410_nor_409(way: str) -> None:
+    """Of a job that was accepted where it is not heard of."""
+    sim, oracle, _, _ = cluster(seed=328, cores=5, edges=2, minions=2)
+    settled(sim)
+    placing = sim.serving(g=1)[0]
+    away = [placing, sim.edge_ips[0]]
+    island(sim, away, way=way)
+    sim.run(seconds=0.5)
+    jid, head, accepted = "00000000000000c1", {"host": HOST}, False
+    job = {"task-spec": "s", "stages": [{"task-count": 1, "cpus": 10, "mem-mb": 1}]}
+    oracle.jobs[jid] = job
+    for _ in range(12):
+        accepted = sim.ask(ip=sim.edge_ips[1], method="POST", path=f"/fast/{jid}", doc=job, headers=head)[0] == 200
+        if accepted:
+            break
+    assert accepted
+    end = sim.now + CUT_S
+    while sim.now < end:
+        for method, path in (("GET", f"/fast/{jid}"), ("DELETE", f"/fast/{jid}"), ("POST", f"/slow/{jid}")):
+            doc = job if method == "POST" else None
+            status, _ = sim.ask(ip=sim.edge_ips[0], method=method, path=path, doc=doc, headers=head)
+            assert status in (503, 504), (method, status)
+        assert sim.ask(ip=placing, method="GET", path=f"/jobs/{jid}")[0] in (0, 307, 503)
+    sim.heal()
+    sim.run(seconds=APPLY_S)
+    assert sim.ask(ip=sim.edge_ips[0], method="GET", path=f"/fast/{jid}", headers=head)[0] == 200
+    assert sim.ask(ip=sim.edge_ips[0], method="POST", path=f"/slow/{jid}", doc=job, headers=head)[0] == 409
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -47,6 +47,7 @@
         self.closing = False
         self.via: list[str] = []
         self.via_at = -9.0
+        self.in_touch = False         # as last logged
         self.shun: dict[str, float] = {}      # relays that have no room, and until when
         self.hand = 0
         self.hand_most = min(max(2 * startup.memory_mb, HAND_MIN), HAND_MAX)
@@ -256,3 +257,7 @@
         """Several times a second."""
         self.beat_hearts()
         self.calls.tick()
+        if self.in_touch is not self.sure():
+            self.in_touch = not self.in_touch
+            stamp = self.table.stamp if self.table is not None else 0
+            self.note(event="in-touch" if self.in_touch else "out-of-touch", stamp=stamp)
