Orders: repeats known by version, evacuations fenced by version, unwritable bodies refused

Cause: repeats were known by the last 256 digests, so the 257th change made an order that was sent again a refused one (412). A delayed copy of an evacuation order undid a later one that was acknowledged. A body nested deeper than the encoder writes was accepted and could then be neither logged nor sent; a PATCH item that is no object raised TypeError.

Evacuation orders carry the registry's version known where they were taken; older than the zone's last order and for the other state, they get 503. Nesting is at most 64 levels, config-version at most 2^53-1, If-Match plain digits.

--- /dev/null
+++ b/tests/test_orders_cluster.py
@@ -0,0 +1,208 @@
+"""Operators' orders in the simulated cluster: lost answers, takeovers, restarts, nodes that are cut off."""
+
+from typing import Any
+
+import orjson
+import pytest
+
+from tests.simfleet import config
+from tests.simnet import Sim
+from yarrowloom.wire.http import Response
+
+UNCLEAR = (0, 503)
+
+
+def cluster(*, seed: int, cores: int = 3, losses: int = 1) -> Sim:
+    """A cluster with configuration 1 in force."""
+    sim = Sim(seed=seed, cores=cores, losses=losses)
+    assert sim.until(cond=lambda: bool(sim.serving(g=0)), limit=10.0)
+    sim.run(seconds=2.0)
+    assert send(sim, ip=sim.core_ips[0], base=0, body=orjson.dumps(config(version=1)))[0] == 200
+    sim.run(seconds=0.5)
+    return sim
+
+
+def send(sim: Sim, *, ip: str, base: int, body: bytes, method: str = "PUT", limit: float = 6.0) -> tuple[int, Any]:
+    return sim.ask(ip=ip, method=method, path="/config", body=body, headers={"if-match": str(base)}, limit=limit)
+
+
+def begin(sim: Sim, *, ip: str, base: int, body: bytes, method: str = "PUT") -> list[Response]:
+    """An order whose answer is waited for elsewhere."""
+    got: list[Response] = []
+    sim.http(ip=ip, src="op", method=method, path="/config", body=body, headers={"if-match": str(base)},
+             back=got.append)
+    return got
+
+
+def patch(*, version: int, tries: int = 2) -> bytes:
+    row = {**config(version=1)["route-table"][0], "max-tries": tries}
+    return orjson.dumps({"config-version": version, "upserts": {"route-table": [row]}})
+
+
+def primary(sim: Sim) -> str:
+    assert sim.until(cond=lambda: bool(sim.serving(g=0)), limit=20.0)
+    return sim.serving(g=0)[0]
+
+
+def others(sim: Sim, ip: str) -> list[str]:
+    return [other for other in sim.core_ips if other != ip]
+
+
+def read(sim: Sim, ip: str) -> int:
+    status, doc = sim.ask(ip=ip, method="GET", path="/config")
+    assert status == 200
+    return int(doc["config-version"])
+
+
+def evacuate(sim: Sim, *, ip: str, method: str, limit: float = 6.0) -> int:
+    return sim.ask(ip=ip, method=method, path="/evacuation/z1", limit=limit)[0]
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("first", ["POST", "DELETE"])
+def test_a_delayed_copy_of_an_evacuation_order_does_not_undo_a_later_one(seed: int, first: str) -> None:
+    """The node that took the order can't reach the primary; the operator gives up after a second and goes on."""
+    sim = cluster(seed=seed)
+    then = {"POST": "DELETE", "DELETE": "POST"}[first]
+    lead = primary(sim)
+    far, near = others(sim, lead)
+    assert evacuate(sim, ip=near, method=then) == 200
+    sim.run(seconds=1.0)
+    sim.cut(a=far, b=lead)
+    assert evacuate(sim, ip=far, method=first, limit=0.7) == 0
+    assert evacuate(sim, ip=near, method=first) == 200
+    sim.run(seconds=0.1)
+    assert evacuate(sim, ip=near, method=then) == 200
+    sim.heal()
+    sim.run(seconds=5.0)
+    assert primary(sim) == lead
+    assert sim.core(lead).reg.evac == (["z1"] if then == "POST" else [])
+
+
+def test_an_order_of_the_opposite_kind_is_taken_at_once_through_any_node() -> None:
+    sim = cluster(seed=3, cores=5, losses=2)
+    for i in range(20):
+        ip = sim.core_ips[i % 5]
+        assert evacuate(sim, ip=ip, method="POST") == 200
+        sim.run(seconds=0.5)
+        assert evacuate(sim, ip=sim.core_ips[(i * 3 + 1) % 5], method="DELETE") == 200
+        sim.run(seconds=0.5)
+
+
+@pytest.mark.parametrize("depth", [300, 900])
+def test_a_configuration_that_can_not_be_written_is_refused_and_the_cluster_goes_on(depth: int) -> None:
+    sim = cluster(seed=5)
+    deep = "[" * depth + "]" * depth
+    body = f'{{"config-version": 7, "route-table": [], "service-table": [], "x": {deep}}}'.encode()
+    for ip in sim.core_ips:
+        assert send(sim, ip=ip, base=1, body=body)[0] == 400
+    assert send(sim, ip=sim.core_ips[1], base=1, body=patch(version=2), method="PATCH")[0] == 200
+    assert read(sim, sim.core_ips[2]) == 2
+
+
+def test_items_that_are_no_objects_are_refused_by_any_node() -> None:
+    sim = cluster(seed=6)
+    body = b'{"config-version": 7, "upserts": {"route-table": ["fast"]}, "removals": {"route-table": ["slow"]}}'
+    assert [send(sim, ip=ip, base=1, body=body, method="PATCH")[0] for ip in sim.core_ips] == [400] * 3
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("how", ["kill", "power", "all"])
+def test_a_repeat_is_known_after_a_takeover_and_after_replay_from_disk(seed: int, how: str) -> None:
+    sim = cluster(seed=seed)
+    lead = primary(sim)
+    orders = [(1, patch(version=2), "PATCH"), (2, orjson.dumps(config(version=5, more=3)), "PUT"),
+              (5, patch(version=6, tries=4), "PATCH")]
+    for base, body, method in orders:
+        assert send(sim, ip=others(sim, lead)[0], base=base, body=body, method=method)[0] == 200
+    for ip in sim.core_ips if how == "all" else [lead]:
+        sim.kill(ip=ip, power=how != "kill")
+        sim.at(delay=1.0 if how == "all" else 6.0, fn=lambda ip=ip: sim.boot(ip=ip))  # type: ignore[misc]
+    sim.run(seconds=1.5)
+    assert how == "all" or primary(sim) != lead
+    for ip in (sim.core_ips if how == "all" else others(sim, lead)):
+        for base, body, method in orders:
+            assert send(sim, ip=ip, base=base, body=body, method=method)[0] in (200, *UNCLEAR)
+    sim.run(seconds=8.0)
+    for ip in sim.core_ips:
+        for base, body, method in orders:
+            assert send(sim, ip=ip, base=base, body=body, method=method)[0] == 200
+    assert read(sim, sim.core_ips[0]) == 6
+
+
+def test_a_repeat_elsewhere_while_the_first_waits_ends_both_with_200_once_durable() -> None:
+    """The disk of the primary stands still: neither copy may be confirmed, nor a rival refused, before it goes on."""
+    sim = cluster(seed=8)
+    lead = primary(sim)
+    sim.stalls[lead] = sim.now + 0.6
+    body, rival = patch(version=2), patch(version=2, tries=5)
+    copies = [begin(sim, ip=ip, base=1, body=body, method="PATCH") for ip in (*others(sim, lead), lead)]
+    sim.run(seconds=0.05)
+    rivals = [begin(sim, ip=ip, base=1, body=rival, method="PATCH") for ip in others(sim, lead)]
+    sim.run(seconds=0.4)
+    assert copies == [[], [], []] and rivals == [[], []]
+    sim.run(seconds=2.0)
+    assert [[res.status for res in got] for got in copies] == [[200]] * 3
+    assert [[res.status for res in got] for got in rivals] == [[412]] * 2
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_refusal_by_state_that_is_lost_does_not_leave(seed: int) -> None:
+    """The primary has applied an order that reached no backup and is lost with it: nobody may have been told 412."""
+    sim = cluster(seed=seed)
+    lead = primary(sim)
+    sim.stalls[lead] = sim.now + 99.0
+    for ip in others(sim, lead):
+        sim.cut(a=lead, b=ip, one_way=True)
+    first = begin(sim, ip=lead, base=1, body=patch(version=2), method="PATCH")
+    sim.run(seconds=0.02)
+    rival = begin(sim, ip=lead, base=1, body=patch(version=3, tries=5), method="PATCH")
+    sim.run(seconds=0.1)
+    assert first == [] and rival == []
+    sim.kill(ip=lead, power=True)
+    sim.heal()
+    assert first == [] and rival == []
+    sim.run(seconds=3.0)
+    left = others(sim, lead)[0]
+    assert read(sim, left) == 1
+    assert send(sim, ip=left, base=1, body=patch(version=3, tries=5), method="PATCH")[0] == 200
+
+
+def test_a_node_out_of_touch_refuses_nothing() -> None:
+    sim = cluster(seed=11)
+    lead = primary(sim)
+    far = others(sim, lead)[0]
+    for ip in others(sim, far):
+        sim.cut(a=far, b=ip)
+    sim.run(seconds=3.0)
+    for base, body, method in ((0, b"{}", "PUT"), (99, patch(version=2), "PATCH"), (1, patch(version=2), "PATCH"),
+                               (1, patch(version=1), "PATCH"), (1, b"{", "PUT")):
+        assert send(sim, ip=far, base=base, body=body, method=method)[0] in UNCLEAR
+    assert sim.ask(ip=far, method="GET", path="/config")[0] in UNCLEAR
+    assert evacuate(sim, ip=far, method="POST") in UNCLEAR
+    assert send(sim, ip=far, base=1, body=b"\xff", method="PUT")[0] == 400      # the body alone is wrong
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_of_eight_orders_at_once_on_one_version_one_wins(seed: int) -> None:
+    sim = cluster(seed=seed, cores=5, losses=2)
+    for turn in range(10):
+        base = read(sim, sim.core_ips[turn % 5])
+        got = [begin(sim, ip=sim.core_ips[i % 5], base=base, body=patch(version=base + 1 + i // 4, tries=i + 1),
+                     method="PATCH") for i in range(8)]
+        sim.run(seconds=1.0)
+        assert sorted(res.status for answers in got for res in answers) == [200, *[412] * 7]
+
+
+def test_a_repeat_is_known_after_hundreds_of_changes_and_a_takeover() -> None:
+    sim = cluster(seed=12)
+    for version in range(2, 330):
+        assert send(sim, ip=sim.core_ips[version % 3], base=version - 1, body=patch(version=version),
+                    method="PATCH")[0] == 200
+    lead = primary(sim)
+    sim.kill(ip=lead, power=True)
+    sim.run(seconds=3.0)
+    for version in (2, 3, 150, 329):
+        assert send(sim, ip=others(sim, lead)[1], base=version - 1, body=patch(version=version),
+                    method="PATCH")[0] == 200
+    assert send(sim, ip=others(sim, lead)[1], base=1, body=patch(version=2, tries=5), method="PATCH")[0] == 412
--- a/yarrowloom/base/errs.py
+++ b/yarrowloom/base/errs.py
@@ -53,6 +53,13 @@
     status = 412
 
 
+class UnclearError(YarrowError):
+    """Whether an order was taken, or may still be, can't be known here: it is to be sent again, not refused."""
+
+    code = "unclear"
+    status = 503
+
+
 class StoreError(YarrowError):
     """The disk's content cannot be used."""
 
--- a/yarrowloom/fleet/conf.py
+++ b/yarrowloom/fleet/conf.py
@@ -20,6 +20,8 @@
 
 
 _TABLES = {"route-table", "service-table"}
+VERSION_MOST = 2 ** 53 - 1      # every JSON reader takes it for the same whole number
+DEPTH_MOST = 64                 # of nested lists and objects: what can be read can be written again
 _LIMITS = ("max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms")
 
 
@@ -27,10 +29,6 @@
     return isinstance(val, (int, float)) and not isinstance(val, bool)
 
 
-def _int(val: object) -> bool:
-    return isinstance(val, int) and not isinstance(val, bool)
-
-
 def _table(*, doc: dict[str, Any], key: str, bad: list[Finding]) -> list[dict[str, Any]]:
     rows = doc.get(key)
     if not isinstance(rows, list):
@@ -70,6 +68,21 @@
             bad.append(Finding(place=f"{place}.{key}", text="not a number of 0 or more"))
 
 
+def _deeper(*, value: Any, most: int) -> bool:
+    """Whether lists and objects are nested in more than `most` levels.
+
+    >>> _deeper(value={"a": [[1]]}, most=3), _deeper(value={"a": [[1]]}, most=2)
+    (False, True)
+    """
+    level = [value]
+    for _ in range(most + 1):
+        holders = [item for item in level if isinstance(item, (dict, list))]
+        if not holders:
+            return False
+        level = [item for holder in holders for item in (holder.values() if isinstance(holder, dict) else holder)]
+    return True
+
+
 def check(*, doc: Any) -> dict[str, Any]:
     """Return the document if it is a valid configuration, else raise with every finding.
 
@@ -82,8 +95,12 @@
     bad: list[Finding] = []
     if not isinstance(doc, dict):
         raise InvalidError(text="not an object", findings=[Finding(place="(body)", text="not an object")])
-    if not _int(doc.get("config-version")) or doc["config-version"] < 1:
-        bad.append(Finding(place="config-version", text="missing or not a whole number above 0"))
+    if _deeper(value=doc, most=DEPTH_MOST):
+        raise InvalidError(text="nested too deeply", findings=[
+            Finding(place="(body)", text=f"more than {DEPTH_MOST} levels of lists and objects")])
+    version = doc.get("config-version")
+    if not isinstance(version, int) or isinstance(version, bool) or not 1 <= version <= VERSION_MOST:
+        bad.append(Finding(place="config-version", text=f"missing or not a whole number from 1 to {VERSION_MOST}"))
     services = _table(doc=doc, key="service-table", bad=bad)
     routes = _table(doc=doc, key="route-table", bad=bad)
     backends = {str(s.get("name")) for s in services}
@@ -128,7 +145,7 @@
                 continue
             rows = {r["name"]: r for r in out.get(key, [])}     # in order: what is replaced keeps its place
             for i, item in enumerate(items):
-                name = item.get("name") if part == "upserts" and isinstance(item, dict) else item
+                name = item if part == "removals" else item.get("name") if isinstance(item, dict) else None
                 if not isinstance(name, str):
                     bad.append(Finding(place=f"{part}.{key}[{i}]", text="no name"))
                 elif part == "removals":
--- a/yarrowloom/fleet/registry.py
+++ b/yarrowloom/fleet/registry.py
@@ -1,29 +1,52 @@
 """The state of group 0, changed by one reducer: configuration, evacuations, core members, minions and fences."""
 
 import hashlib
+import re
 from typing import Any
 
 import orjson
 
-from ..base.errs import Finding, InvalidError, StampError
+from ..base.errs import Finding, InvalidError, StampError, UnclearError
 from . import conf, delta
+from .orders import AcceptedChanges, ZoneVersions
 from .owners import Owners
 
-_SEEN = 256
+_IF_MATCH = re.compile(r'\s*("?)([0-9]{1,40})\1\s*')
 
 
 def digest(*, base: int, body: bytes) -> str:
-    """Names one call, so that its repeat is known."""
+    """Names one order (its base, and its method and body), so that its repeat is known."""
     return hashlib.sha256(b"%d/" % base + body).hexdigest()[:32]
 
 
+def base_version(*, header: str | None) -> int:
+    """The version that an order builds on, of its If-Match; raises if that isn't one.
+
+    >>> base_version(header="7"), base_version(header=' "7" ')
+    (7, 7)
+    """
+    match = _IF_MATCH.fullmatch(header or "")
+    if match is None:
+        raise InvalidError(text="If-Match is not a version", findings=[
+            Finding(place="If-Match", text="missing or not a whole number")])
+    return int(match.group(2))
+
+
+def _own_version(*, doc: Any) -> int:
+    """The version that an order wants to make; 0 if it names none that could be accepted."""
+    version = doc.get("config-version") if isinstance(doc, dict) else None
+    return version if isinstance(version, int) and not isinstance(version, bool) else 0
+
+
 class Registry:
     """Invariants: the configuration's stamp only rises; `fence` is above every fence given out; a minion has at
-    most one owner; `mods` rises with every change of evacuations or members; `owners` follows `minions`."""
+    most one owner; `mods` rises with every change of evacuations or members, and with every evacuation order that
+    is taken; `owners` follows `minions`; `changes` and `zones` know what orders were taken."""
 
     def __init__(self) -> None:
         self.conf: dict[str, Any] | None = None
-        self.calls: list[str] = []
+        self.changes = AcceptedChanges()
+        self.zones = ZoneVersions()
         self.evac: list[str] = []
         self.members: dict[str, dict[str, Any]] = {}
         self.minions: dict[str, dict[str, Any]] = {}
@@ -38,14 +61,17 @@
 
     def dump(self) -> Any:
         """All of it."""
-        return {"conf": self.conf, "calls": self.calls, "evac": self.evac, "members": self.members,
-                "minions": self.minions, "fence": self.fence, "mods": self.mods}
+        return {"conf": self.conf, "changes": self.changes.dump(), "evac": self.evac, "zones": self.zones.dump(),
+                "members": self.members, "minions": self.minions, "fence": self.fence, "mods": self.mods}
 
     def load(self, doc: Any) -> None:
         """Replace all of it."""
         doc = orjson.loads(orjson.dumps(doc))
-        for key in ("conf", "calls", "evac", "members", "minions", "fence", "mods"):
+        for key in ("conf", "evac", "members", "minions", "fence", "mods"):
             setattr(self, key, doc[key])
+        # A state written by an older version doesn't hold the two memories: nothing before it is known.
+        self.changes = AcceptedChanges.load(doc=doc.get("changes", {"forgotten": self.stamp, "taken": []}))
+        self.zones = ZoneVersions.load(doc=doc.get("zones", {"forgotten": self.mods, "zones": []}))
         self.owners = Owners(rows=self.minions)
 
     def apply(self, ev: dict[str, Any]) -> None:
@@ -57,10 +83,11 @@
                 self.conf = delta.merge(doc=self.conf, delta=ev["d"])
             else:
                 self.conf = ev["doc"]
-            self.calls = [*self.calls[-_SEEN:], ev["h"]]
+            self.changes.add(version=self.stamp, digest=ev["h"])
         elif kind == "evac":
             self.mods += 1
             self.evac = sorted({*self.evac, ev["site"]} if ev["on"] else set(self.evac) - {ev["site"]})
+            self.zones.add(zone=ev["site"], version=self.mods)
         elif kind == "enrol":
             self.mods += 1
             self.members[ev["uid"]] = ev["info"]
@@ -79,29 +106,43 @@
                 del self.minions[ev["m"]]
                 self.owners.drop(mid=ev["m"], row=gone)
 
+    def judge_evacuation(self, *, zone: str, on: bool, known: int) -> dict[str, Any]:
+        """The event that an evacuation order makes. `known`: the version of the node that took it, at that time.
+
+        An order that would change the zone's state, but was taken by its node before that node knew of the zone's
+        last order, may be a copy that was delayed: it is left without a clear answer. An order that asks for the
+        present state makes an event too, since it must fence what was sent before it."""
+        if (zone in self.evac) is not on and known < self.zones.last(zone=zone):
+            raise UnclearError(text=f"another order for {zone} came meanwhile")
+        return {"t": "evac", "site": zone, "on": on}
+
     def judge(self, *, method: str, base: str | None, body: bytes) -> dict[str, Any] | None:
         """The event that a PUT or PATCH makes; None: accepted before. Raises what is wrong with it.
 
-        The event holds the change (`d`) if that is small, else the whole (`doc`)."""
-        try:
-            num = int((base or "").strip().strip('"'))
-        except ValueError as err:
-            raise InvalidError(text="If-Match is not a version", findings=[
-                Finding(place="If-Match", text="missing or not a whole number")]) from err
-        mark = digest(base=num, body=method.encode() + body)
-        if mark in self.calls:
-            return None
+        Versions are unique and rise, so an order can only have been accepted under its own version: with the digest
+        that `changes` holds for that. Below what `changes` knows nobody can tell, and neither 200 nor a refusal would
+        be right. The event holds the change (`d`) if that is small, else the whole (`doc`)."""
+        built_on = base_version(header=base)
+        mark = digest(base=built_on, body=method.encode() + body)
         try:
             doc = orjson.loads(body)
         except orjson.JSONDecodeError as err:
             raise InvalidError(text="unreadable", findings=[Finding(place="(body)", text=str(err))]) from err
-        if num != self.stamp:
+        version = _own_version(doc=doc)
+        if self.changes.accepted(version=version, digest=mark):
+            return None
+        if built_on != self.stamp:
+            if version > built_on and self.changes.unknown(version=version):
+                raise UnclearError(text=f"orders up to version {self.changes.forgotten} aren't known any more")
             raise StampError(text=f"version {self.stamp} is current")
         if method == "PATCH":
             if self.conf is None:
                 raise StampError(text="there is no configuration yet")
             doc = conf.patch(base=self.conf, change=doc)
-        doc = conf.check(doc=doc)
+        return self._change(doc=conf.check(doc=doc), mark=mark)
+
+    def _change(self, *, doc: dict[str, Any], mark: str) -> dict[str, Any]:
+        """The event that makes a valid configuration the current one; raises if its version doesn't rise."""
         if doc["config-version"] <= self.stamp:
             raise InvalidError(text="version does not rise", findings=[
                 Finding(place="config-version", text=f"not above {self.stamp}")])
--- a/yarrowloom/node/control.py
+++ b/yarrowloom/node/control.py
@@ -103,13 +103,19 @@
 @declare("POST", r"/evacuation/([^/]+)")
 def evac_start(node: "CoreHub", call: Any, req: Request, site: str) -> None:
     """Nothing more is to be sent to a site's minions."""
-    node.calls.start(g=0, op="evac", b={"site": site, "on": True}, done=("http", call), ttl=CONF_TTL)
+    _evacuate(node=node, call=call, site=site, on=True)
 
 
 @declare("DELETE", r"/evacuation/([^/]+)")
 def evac_end(node: "CoreHub", call: Any, req: Request, site: str) -> None:
     """The evacuation is taken back."""
-    node.calls.start(g=0, op="evac", b={"site": site, "on": False}, done=("http", call), ttl=CONF_TTL)
+    _evacuate(node=node, call=call, site=site, on=False)
+
+
+def _evacuate(*, node: "CoreHub", call: Any, site: str, on: bool) -> None:
+    """The order goes with the registry's version that is known here now: a copy that is delayed can't undo a later
+    order."""
+    node.calls.start(g=0, op="evac", b={"site": site, "on": on, "mods": node.mods}, done=("http", call), ttl=CONF_TTL)
 
 
 @declare("GET", r"/state")
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -230,7 +230,13 @@
         elif op == "getconf":
             rep.barrier(then=("reply", uid, rid, 200 if self.reg.conf else 404, self.reg.conf or {}))
         elif op == "evac":
-            self.commit0(ev={"t": "evac", "site": b["site"], "on": b["on"]}, news=True)
+            try:
+                ev = self.reg.judge_evacuation(zone=b["site"], on=b["on"], known=b["mods"])
+            except YarrowError as err:
+                status, doc = refusal(err=err)
+                rep.barrier(then=("reply", uid, rid, status, doc))
+                return
+            self.commit0(ev=ev, news=True)
             rep.barrier(then=("reply", uid, rid, 200, {}))
         elif op == "who":
             chief.who(uid=uid, rid=rid, b=b)
