Operators: two simulated ones through faults, judged; each guard's mutant is found

Ten mutants (repeats unknown, forgotten, refusals and confirmations before they are durable, own copy read, no compare, losers confirmed, any body, evacuations forgotten, unfenced) are each found.

--- /dev/null
+++ b/tests/test_mutants_orders.py
@@ -0,0 +1,126 @@
+"""Each guard of operators' orders taken out: the checkers find it in what two operators saw."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import pytest
+
+from tests.simops import OrdersRun
+from tests.test_operators import BUSY, EVACUATING, Fault, closing, closing_cut, cut, doomed, lost_answers, quiet
+from yarrowloom.base.errs import StampError, YarrowError
+from yarrowloom.fleet.orders import AcceptedChanges
+from yarrowloom.fleet.registry import Registry
+from yarrowloom.node import control
+from yarrowloom.node.core import CoreNode
+from yarrowloom.record import Replica
+from yarrowloom.wire.http import Response
+
+SEEDS = 20         # at most; the first that shows it ends the search
+
+
+def no_deduplication(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(AcceptedChanges, "accepted", lambda self, version, digest: False)
+
+
+def forgets_at_once(patch: pytest.MonkeyPatch) -> None:
+    """As it was: only the last orders are known, and what isn't known is refused."""
+    patch.setattr("yarrowloom.fleet.orders.CHANGES_MOST", 8)
+    patch.setattr(AcceptedChanges, "unknown", lambda self, version: False)
+
+
+def refused_before_it_is_durable(patch: pytest.MonkeyPatch) -> None:
+    """A 412 that rests on what is only applied leaves at once."""
+    whole = CoreNode._serve0
+
+    def serve(self: CoreNode, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
+        try:
+            if op == "conf":
+                self.reg.judge(method=b["m"], base=b["base"], body=b["body"].encode())
+        except YarrowError as err:
+            self.reply(uid=uid, rid=rid, status=err.status, doc={})
+            return
+        whole(self, uid=uid, rid=rid, op=op, b=b)
+    patch.setattr(CoreNode, "_serve0", serve)
+
+
+def confirmed_before_it_is_durable(patch: pytest.MonkeyPatch) -> None:
+    def barrier(self: Replica, *, then: tuple[Any, ...]) -> None:
+        self.hub.effect(eff=then)
+    patch.setattr(Replica, "barrier", barrier)
+
+
+def read_from_the_own_copy(patch: pytest.MonkeyPatch) -> None:
+    def read(node: CoreNode, call: Any, req: Any, _arg: str) -> None:
+        node.respond(call=call, res=Response.of(200 if node.conf else 404, node.conf or {}))
+    rows = [(method, path, read if (method, path.pattern) == ("GET", "/config") else fn)
+            for method, path, fn in control.CALLS]
+    patch.setattr(control, "CALLS", rows)
+
+
+def any_base_is_current(patch: pytest.MonkeyPatch) -> None:
+    """Both of a race are taken, if their numbers rise."""
+    whole = Registry.judge
+
+    def judge(self: Registry, *, method: str, base: str | None, body: bytes) -> Any:
+        current = str(self.stamp) if (base or "").strip('"').isdigit() else base
+        return whole(self, method=method, base=current, body=body)
+    patch.setattr(Registry, "judge", judge)
+
+
+def losers_are_confirmed(patch: pytest.MonkeyPatch) -> None:
+    """Both of a race are confirmed under one number, only one is taken."""
+    whole = Registry.judge
+
+    def judge(self: Registry, *, method: str, base: str | None, body: bytes) -> Any:
+        try:
+            return whole(self, method=method, base=base, body=body)
+        except StampError:
+            if orjson.loads(body)["config-version"] == self.stamp:
+                return None
+            raise
+    patch.setattr(Registry, "judge", judge)
+
+
+def any_body_is_good(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("yarrowloom.fleet.conf._route", lambda **_: None)
+
+
+def no_fence_for_evacuations(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Registry, "judge_evacuation", lambda self, zone, on, known: {"t": "evac", "site": zone, "on": on})
+
+
+def evacuations_forgotten(patch: pytest.MonkeyPatch) -> None:
+    """Evacuations are confirmed but not in a snapshot."""
+    whole = Registry.dump
+    patch.setattr(Registry, "dump", lambda self: {**whole(self), "evac": []})
+
+
+Mutant = Callable[[pytest.MonkeyPatch], None]
+MUTANTS: list[tuple[Mutant, Fault, set[str]]] = [
+    (no_deduplication, lost_answers, {"repeat-refused"}),
+    (forgets_at_once, quiet, {"repeat-refused"}),
+    (refused_before_it_is_durable, doomed, {"refused-without-cause", "read-contradicted", "repeat-refused"}),
+    (confirmed_before_it_is_durable, doomed, {"read-contradicted", "base-confirmed-twice", "number-confirmed-twice",
+                                              "refused-without-cause", "repeat-refused"}),
+    (read_from_the_own_copy, cut, {"read-contradicted"}),
+    (any_base_is_current, quiet, {"base-confirmed-twice", "not-linearizable", "number-confirmed-twice"}),
+    (losers_are_confirmed, quiet, {"base-confirmed-twice", "number-confirmed-twice", "invalid-confirmed"}),
+    (any_body_is_good, quiet, {"invalid-confirmed"}),
+    (evacuations_forgotten, closing, {"evacuation-undone"}),
+    (no_fence_for_evacuations, closing_cut, {"evacuation-undone"}),
+]
+
+
+@pytest.mark.parametrize("mutant,fault,rules", MUTANTS, ids=lambda x: getattr(x, "__name__", ""))
+def test_the_checkers_find_it(mutant: Mutant, fault: Fault, rules: set[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    mutant(monkeypatch)
+    for seed in range(SEEDS):
+        run = OrdersRun(seed=seed, habits=EVACUATING if rules == {"evacuation-undone"} else BUSY)
+        fault(run)
+        breach = run.finish()
+        if breach is not None:
+            assert breach.rule in rules, str(breach)
+            assert 1 <= len(breach.operations) <= 6, str(breach)
+            return
+    raise AssertionError(f"not found in {SEEDS} runs")
--- a/yarrowloom/sim/judged.py
+++ b/yarrowloom/sim/judged.py
@@ -141,6 +141,7 @@
         return None
     if any(last is None or op.returned_s >= last.invoked_s for op in causes):
         return None
-    told = tuple(op for op in (*causes[-1:], last) if op is not None)
+    suspect = max(causes, key=lambda op: (op.outcome is Outcome.UNCLEAR, op.invoked_s), default=None)
+    told = tuple(op for op in (suspect, last) if op is not None)
     return Breach(rule="evacuation-undone", operations=told,
                   text=f"{zone} is {'' if now else 'not '}evacuated in the end, though that was ordered otherwise last")
--- a/yarrowloom/sim/linear.py
+++ b/yarrowloom/sim/linear.py
@@ -242,7 +242,7 @@
         if len(core) == 1 and _consistent(history=history, clear=core):
             core += _confirmed_before(operation=core[0], among=rest)
     core.sort(key=lambda op: op.invoked_s)
-    rule, text = _named(core=core, clear=clear)
+    rule, text = _named(core=core, orders=history.orders)
     return Breach(rule=rule, text=text, operations=tuple(core))
 
 
@@ -255,22 +255,29 @@
             and op.returned_s < operation.invoked_s][:1]
 
 
-def _named(*, core: Sequence[Clear], clear: Sequence[Clear]) -> tuple[str, str]:
+def _sent_before(*, operation: Clear, orders: Sequence[Operation[Order]]) -> int | None:
+    """The number of an earlier call of an order that was refused now, confirmed or without a clear answer."""
+    if operation.outcome is not Outcome.REFUSED or isinstance(operation.argument, ReadConfig):
+        return None
+    return next((op.number for op in orders if op.argument == operation.argument
+                 and op.outcome is not Outcome.REFUSED and op.invoked_s < operation.invoked_s), None)
+
+
+def _named(*, core: Sequence[Clear], orders: Sequence[Operation[Order]]) -> tuple[str, str]:
     """The rule that a smallest contradiction breaks, and what happened."""
-    orders = [op for op in core if isinstance(op.argument, Order)]
-    confirmed = {op.argument.identity: op.argument for op in orders
+    confirmed = {op.argument.identity: op.argument for op in core
                  if op.outcome is Outcome.CONFIRMED and isinstance(op.argument, Order)}
-    refused = {op.argument.identity for op in orders
-               if op.outcome is Outcome.REFUSED and isinstance(op.argument, Order)}
+    refused = any(op.outcome is Outcome.REFUSED and isinstance(op.argument, Order) for op in core)
     if any(not order.valid or order.version <= order.base for order in confirmed.values()):
         return "invalid-confirmed", "an order that is invalid in any state was confirmed"
     if len({order.version for order in confirmed.values()}) < len(confirmed):
         return "number-confirmed-twice", "two different orders were confirmed under one version"
     if len({order.base for order in confirmed.values()}) < len(confirmed):
         return "base-confirmed-twice", "two different orders were confirmed on top of one version"
-    known = [before for op in core for before in _confirmed_before(operation=op, among=clear)]
-    if known:
-        return "repeat-refused", f"an order that was confirmed in #{known[0].number} was refused when it was sent again"
+    for op in core:
+        before = _sent_before(operation=op, orders=orders)
+        if before is not None:
+            return "repeat-refused", f"an order was refused when it was sent again, though #{before} was taken"
     if any(isinstance(op.argument, ReadConfig) for op in core):
         return "read-contradicted", "a read shows what can't have been current during it"
     if refused:
