Configuration: numbers are at most 2^53, limits at least 1

Cause: max-tries 1e308 was accepted and became a whole number that no record or frame can hold (TypeError in a job's event); max-body-bytes 0.5 became 0, which refuses all.

--- a/yarrowloom/fleet/conf.py
+++ b/yarrowloom/fleet/conf.py
@@ -20,7 +20,7 @@
 
 
 _TABLES = {"route-table", "service-table"}
-VERSION_MOST = 2 ** 53 - 1      # every JSON reader takes it for the same whole number
+NUMBER_MOST = 2 ** 53 - 1       # every JSON reader takes it for the same whole number, and every writer writes it
 DEPTH_MOST = 64                 # of nested lists and objects: what can be read can be written again
 _LIMITS = ("max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms")
 
@@ -61,11 +61,11 @@
         bad.append(Finding(place=f"{place}.path-prefix", text="does not begin with /"))
     if isinstance(row.get("backend"), str) and row["backend"] not in backends:
         bad.append(Finding(place=f"{place}.backend", text=f"unknown service {row['backend']!r}"))
-    if not _num(row.get("deadline-ms")) or row["deadline-ms"] <= 0:
-        bad.append(Finding(place=f"{place}.deadline-ms", text="must be above 0"))
+    if not _num(row.get("deadline-ms")) or not 0 < row["deadline-ms"] <= NUMBER_MOST:
+        bad.append(Finding(place=f"{place}.deadline-ms", text="must be above 0, and at most 2^53"))
     for key in ("target-ms", "rank", "max-tries", "stretch"):
-        if key in row and (not _num(row[key]) or row[key] < 0):
-            bad.append(Finding(place=f"{place}.{key}", text="not a number of 0 or more"))
+        if key in row and (not _num(row[key]) or not 0 <= row[key] <= NUMBER_MOST):
+            bad.append(Finding(place=f"{place}.{key}", text="not a number from 0 to 2^53"))
 
 
 def _deeper(*, value: Any, most: int) -> bool:
@@ -99,8 +99,8 @@
         raise InvalidError(text="nested too deeply", findings=[
             Finding(place="(body)", text=f"more than {DEPTH_MOST} levels of lists and objects")])
     version = doc.get("config-version")
-    if not isinstance(version, int) or isinstance(version, bool) or not 1 <= version <= VERSION_MOST:
-        bad.append(Finding(place="config-version", text=f"missing or not a whole number from 1 to {VERSION_MOST}"))
+    if not isinstance(version, int) or isinstance(version, bool) or not 1 <= version <= NUMBER_MOST:
+        bad.append(Finding(place="config-version", text=f"missing or not a whole number from 1 to {NUMBER_MOST}"))
     services = _table(doc=doc, key="service-table", bad=bad)
     routes = _table(doc=doc, key="route-table", bad=bad)
     backends = {str(s.get("name")) for s in services}
@@ -115,8 +115,8 @@
     if not isinstance(limits, dict):
         bad.append(Finding(place="limits", text="not an object"))
     else:
-        bad += [Finding(place=f"limits.{k}", text="not a number above 0")
-                for k in _LIMITS if k in limits and (not _num(limits[k]) or limits[k] <= 0)]
+        bad += [Finding(place=f"limits.{k}", text="not a number from 1 to 2^53")
+                for k in _LIMITS if k in limits and (not _num(limits[k]) or not 1 <= limits[k] <= NUMBER_MOST)]
     if bad:
         raise InvalidError(text="configuration is invalid", findings=bad)
     return doc
