A full set of holders and witnesses is back within the time to catch up

Cause: both holders' campaigns copied the state at once; new witnesses were wished for 2 s even when the next loss would take the majority: 5 cores with a budget of 2, lost and replaced every 4.5 s, had no majority in the second round. Change: the primary keeps its backups calm while it copies; Renewal waits 0.5 s where the next loss could do harm.

--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -6,6 +6,7 @@
 from ..wire.frame import Kind
 from .epoch import Ballot, Epoch, majority
 from .parts import encode
+from .timing import PING_S
 
 if TYPE_CHECKING:
     from .replica import Replica
@@ -35,6 +36,7 @@
                       # with each epoch in a row that had to
 COPY_AGAIN_S = 4.8    # after this time without any, all are asked anew
 COPY_LOOK_S = 0.2     # how often is looked again while nobody else can be asked
+CALM_S = 5.0          # for so long does a primary that copies its state keep its backups from campaigning
 VOTE_S = 0.5          # grows with each round, up to
 VOTE_MOST_S = 2.0
 INSTALL_S = 1.0
@@ -64,6 +66,7 @@
         self.goal = 0                   # as many backups are wanted
         self.fewer = False              # live members were given up on
         self.copying = self.begun       # when the first of them was sent the checkpoint
+        self.calmed = self.begun
         self.near = False
         self.ok: set[str] = set()
         self.best: tuple[Ballot, Epoch] | None = None
@@ -84,7 +87,9 @@
         hub, age = self.rep.hub, self.rep.hub.now - self.since
         if self.phase is Phase.PICK:
             self._pick()
-        elif self.phase is Phase.COPY and age > self.patience:
+        elif self.phase is Phase.COPY and age <= self.patience:
+            self._keep_calm()
+        elif self.phase is Phase.COPY:
             self.tried.update(u for u in self.asked if u not in self.have)
             self._go(Phase.PICK)
         elif self.phase in (Phase.PREPARE, Phase.ACCEPT) and age > self.patience:
@@ -98,6 +103,17 @@
             elif hub.now - self.sent > 0.25:
                 self._install()
 
+    def _keep_calm(self) -> None:
+        """The epoch's primary tells its backups that it is at work: a campaign of theirs would only send more copies
+        over the same links. Not for ever: one of them may be able to do what this member is not."""
+        hub, e = self.rep.hub, self.rep.wit.seen
+        if e is None or e["p"] != hub.uid or hub.now - self.begun > CALM_S or hub.now - self.calmed < PING_S:
+            return
+        self.calmed = hub.now
+        for uid in e["b"]:
+            if uid not in self.avoid:
+                hub.send(uid=uid, kind=Kind.PING, body={"g": self.rep.g, "n": e["n"], "t": hub.now})
+
     def _pick(self) -> None:
         rep, hub = self.rep, self.rep.hub
         e = rep.wit.seen
--- a/yarrowloom/record/renewal.py
+++ b/yarrowloom/record/renewal.py
@@ -2,9 +2,9 @@
 
 from .epoch import Epoch
 from .parts import Hub
-from .timing import WANT_S
+from .timing import RISK_S, WANT_S
 
-SHORT_MOST = 3
+SHORT_MOST = 5
 
 
 class _Wish:
@@ -29,8 +29,9 @@
 
 
 class Renewal:
-    """Invariant: an election costs service, so a better set must have been there for WANT_S; only a witness set of
-    which the budget's losses could take the majority grows at once."""
+    """Invariant: an election costs service, so a better set must have been there for WANT_S, and for RISK_S while the
+    budget's losses could take the majority of the witnesses or the last copy; a witness set that is too small for the
+    budget even with all of them there grows at once."""
 
     def __init__(self) -> None:
         self.short = 0        # epochs in a row that had to give up on live members: each makes the next try rarer
@@ -47,13 +48,15 @@
         now, have = hub.now, epoch["w"]
         witnesses = frozenset(hub.witnesses(have=have))
         waited = self._witnesses.same(members=witnesses, now=now)
-        urgent = len(have) < 2 * hub.losses() + 1 and len(witnesses) > len(have)
-        if witnesses != frozenset(have) and (urgent or waited >= WANT_S):
+        small = len(have) < 2 * hub.losses() + 1 and len(witnesses) > len(have)
+        live = sum(hub.up(uid=u) for u in have)
+        at_risk = 2 * (live - hub.losses()) <= len(have)
+        if witnesses != frozenset(have) and (small or waited >= (RISK_S if at_risk else WANT_S)):
             return "witnesses"
         holders = [epoch["p"], *epoch["b"]]
         if len(epoch["b"]) < hub.losses():
             spare = frozenset(u for u in hub.partners(first=epoch["b"]) if u not in holders and hub.up(uid=u))
-            if spare and self._backups.some(members=spare, now=now) >= WANT_S * 2 ** self.short:
+            if spare and self._backups.some(members=spare, now=now) >= RISK_S * 2 ** self.short:
                 return "backups"
         elsewhere = frozenset(hub.other_zones(holders=holders)) if epoch["b"] else frozenset()
         if elsewhere and self._zones.some(members=elsewhere, now=now) >= WANT_S:
--- a/yarrowloom/record/timing.py
+++ b/yarrowloom/record/timing.py
@@ -10,6 +10,7 @@
 TURN_S = 0.5          # a backup waits this much longer for each one named before it
 REST_S = 3.0          # a primary that gave up its duty lets others try this long
 WANT_S = 2.0          # other witnesses must be wished for this long: a campaign costs more than a short absence
+RISK_S = 0.5          # unless the next loss that the budget allows could do harm: then an election costs less than that
 RENEW_S = 0.1         # how often a primary looks for a better set: what it waits for counts in the time to catch up
 CONTACT_PING_S = 0.4  # between questions to witnesses that are no backups: three of them within the time that counts
 CONTACT_WAIT_S = 0.5  # contact must be gone this long before a backup that still has it is asked to take over
