Stand-stills between the look at the lease and the socket: what fences each message, with tests

No fault was found there: tests/test_standstill.py holds an order, a read, an agent's lease and a backup's answer back by 5 s at exactly that place. A primary that gets contact back does not take the time without it for silence of the agents (red with the guard taken out), and yields to a backup only if that one has had contact for a while.

--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -1,4 +1,4 @@
-"""Losses in a row: a full set of holders is there again within the time to catch up, and the next loss loses nothing."""
+"""Losses in a row: a full set of holders is there again within the time to catch up, then the next loss comes."""
 
 from typing import Any
 
--- a/yarrowloom/node/chief.py
+++ b/yarrowloom/node/chief.py
@@ -56,6 +56,7 @@
         """A core's heart: enrol it, renew its word, tell it what it owns.
 
         `dig`: the digest of what it holds; `own`: all of that, if it was asked for (`list` in the answer)."""
+        self._resumed()
         node, uid = self.node, b["u"]
         if b["kind"] != "core":
             return {}
@@ -182,7 +183,7 @@
         self.eased = now
         self.shed = {mid: (node.reg.minions[mid]["o"], new) for mid, new in rows}
 
-    def resumed(self) -> None:
+    def _resumed(self) -> None:
         """This primary serves. Hearts that came while it did not, without a lease or contact, were not counted: that
         time is no silence of the agents."""
         paused = self.node.now - self.served
@@ -192,6 +193,7 @@
 
     def tick(self) -> None:
         """Look for agents whose word has run out; one batch of each kind of work."""
+        self._resumed()
         node = self.node
         if self.asks and node.now - self.admitted >= ADMIT_S:
             self._admit()
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -271,7 +271,6 @@
         self.ticked = self.now
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
-            self.chief.resumed()
             if self.hearted == self.now:
                 self._self_heart()
             self.chief.tick()
--- a/yarrowloom/record/lease.py
+++ b/yarrowloom/record/lease.py
@@ -24,6 +24,7 @@
         self._pinged = 0.0
         self._probed = 0.0
         self._apart: float | None = None         # since when contact is lost
+        self._elsewhere: float | None = None     # since when a backup tells that it has contact
 
     def valid(self) -> bool:
         """A primary may serve now."""
@@ -107,6 +108,12 @@
         return {**question, "contact": self._hub.now < self.contact.until}
 
     def better_off(self, *, answer: dict[str, Any]) -> bool:
-        """Contact has been lost here for a while, and the backup that answered so has it."""
-        return (bool(answer.get("contact")) and self._apart is not None
-                and self._hub.now - self._apart >= CONTACT_WAIT_S)
+        """Contact is lost here, and a backup has told for a while that it has it: after a cut that heals, this member
+        has it back by then."""
+        now = self._hub.now
+        if self._apart is None or not answer.get("contact"):
+            self._elsewhere = None
+            return False
+        if self._elsewhere is None:
+            self._elsewhere = now
+        return now - self._elsewhere >= CONTACT_WAIT_S
--- a/yarrowloom/record/timing.py
+++ b/yarrowloom/record/timing.py
@@ -13,5 +13,5 @@
 RISK_S = 0.5          # unless the next loss that the budget allows could do harm: then an election costs less than that
 RENEW_S = 0.1         # how often a primary looks for a better set: what it waits for counts in the time to catch up
 CONTACT_PING_S = 0.4  # between questions to witnesses that are no backups: three of them within the time that counts
-CONTACT_WAIT_S = 0.5  # contact must be gone this long before a backup that still has it is asked to take over
+CONTACT_WAIT_S = 0.5  # a backup must have contact this long before a primary without it yields to it
 LEAVE_S = 0.25        # a member that is about to end asks this often to be relieved
