--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -96,6 +96,34 @@
     assert version(sim) == 4
 
 
+@pytest.mark.parametrize("leavers", [2, 3])
+@pytest.mark.parametrize("seed", [12, 13])
+def test_several_leave_at_once(seed: int, leavers: int) -> None:
+    """They end within the grace time, the last of all only then, and with their disks back nothing is missing."""
+    sim, _, _, _ = cluster(seed=seed, cores=3)
+    sim.run(seconds=SETTLE_S)
+    change(sim, to=4)
+    begun = sim.now
+    left = list(sim.core_ips)[:leavers]
+    for ip in left:
+        sim.step(ip, sim.procs[ip], sim.core(ip).leave)
+    sim.run(seconds=DRAIN_LEAST_S)
+    while len(left) > (leavers == 3) and sim.now - begun < GRACE_S - GRACE_SPARE_S:
+        for ip in [ip for ip in left if sim.core(ip).may_end()]:
+            sim.kill(ip=ip)
+            left.remove(ip)
+        sim.run(seconds=0.05)
+    assert sim.now - begun < 3.5, left
+    for ip in left:
+        assert sim.core(ip).only_copies() == [] or not sim.core(ip).may_end()
+        sim.kill(ip=ip)
+    for ip in sim.core_ips:
+        if not sim.procs[ip].up:
+            sim.boot(ip=ip)
+    assert sim.until(cond=lambda: served(sim), limit=CATCH_UP_S)
+    assert version(sim) == 4
+
+
 def test_lone_core_says_that_it_leaves_the_only_copy() -> None:
     sim, _, _, _ = cluster(seed=9, cores=1, sites=1)
     node = sim.core(sim.core_ips[0])
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -117,12 +117,12 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize("losses", [1, 2])
+@pytest.mark.parametrize(("cores", "losses"), [(3, 1), (4, 1), (5, 1), (5, 2)])
 def test_one_loss_after_another_at_the_pace_of_catching_up(monkeypatch: pytest.MonkeyPatch, seed: int,
-                                                           losses: int) -> None:
+                                                           cores: int, losses: int) -> None:
     """Members are lost with their disks, as many at once as the budget names, and come back empty at the same
     address; each time when the last ones have had their time to catch up."""
-    sim = start(monkeypatch, seed=seed, cores=5, losses=losses)
+    sim = start(monkeypatch, seed=seed, cores=cores, losses=losses)
     stamp = 4
     for _ in range(6):
         lost = holders(newest(sim, g=0))[:losses]
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -306,7 +306,7 @@
 
     def may_end(self) -> bool:
         """Others hold all that this process holds, as far as there are others."""
-        return all(may_end(hub=self, epoch=rep.epoch) for rep in self.reps.values())
+        return all(may_end(hub=self, epoch=rep.epoch, asked_s=rep.relief.asked_s()) for rep in self.reps.values())
 
     def only_copies(self) -> list[int]:
         """Groups of which this node knows no other live holder."""
--- a/yarrowloom/record/relief.py
+++ b/yarrowloom/record/relief.py
@@ -6,7 +6,7 @@
 from .epoch import Epoch, Witness
 from .lease import Lease
 from .parts import Hub, Role
-from .timing import LEAVE_S
+from .timing import LEAVE_S, RELIEF_S
 
 
 class Member(Protocol):
@@ -44,36 +44,47 @@
     return any(u != hub.uid and hub.up(uid=u) for u in (epoch["p"], *epoch["b"]))
 
 
-def may_end(*, hub: Hub, epoch: Epoch | None) -> bool:
-    """No epoch needs this member any more, or another holder is there and no further one to be had by waiting, or no
-    other member is known at all."""
+def may_end(*, hub: Hub, epoch: Epoch | None, asked_s: float) -> bool:
+    """No epoch needs this member any more; or another holder is there, and no further one is to be had or has been
+    found in RELIEF_S; or no other member is known at all. `asked_s`: how long it has been leaving."""
     if epoch is None or hub.uid not in (epoch["p"], *epoch["b"]) or not hub.partners(first=[]):
         return True
-    return copied_elsewhere(hub=hub, epoch=epoch) and not substitutes(hub=hub, epoch=epoch)
+    if not copied_elsewhere(hub=hub, epoch=epoch):
+        return False
+    return asked_s >= RELIEF_S or not substitutes(hub=hub, epoch=epoch)
 
 
 class Relief:
     """Of a member that is about to end, and of backups of this primary that are. Invariant: a leaving member asks
-    until no decided epoch names it as holder, and takes no further copies meanwhile."""
+    until no decided epoch names it as holder, or for RELIEF_S if another holder is there. It takes copies all the
+    same: nobody else may be there to take them."""
 
     def __init__(self, *, member: Member) -> None:
         self.leaving = False
         self._member = member
+        self._begun = 0.0
         self._asked = 0.0
 
     def begin(self) -> None:
         """This process is about to end."""
         self.leaving = True
+        self._begun = self._member.hub.now
         self._asked = -LEAVE_S
         if not self._member.electing:
             self.tick()
 
+    def asked_s(self) -> float:
+        """Seconds since this member began to leave."""
+        return self._member.hub.now - self._begun
+
     def tick(self) -> None:
         """Called a few times a second while there is no campaign."""
         member = self._member
         epoch = member.wit.seen
         if not self.leaving or epoch is None or member.hub.now - self._asked < LEAVE_S:
             return
+        if self.asked_s() >= RELIEF_S and copied_elsewhere(hub=member.hub, epoch=epoch):
+            return      # several leave at once: they would only hand the copy to and fro
         self._asked = member.hub.now
         if member.role is Role.BACKUP:
             member.hub.send(uid=epoch["p"], kind=Kind.YIELD, body={"g": member.g, "n": epoch["n"]})
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -332,9 +332,7 @@
         elif kind is Kind.INSTALL:
             self._install(uid=uid, m=m)
         elif kind is Kind.CKPT:
-            if self.relief.leaving:
-                pass      # whoever asks tries the next member
-            elif self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
+            if self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
                 rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "seq": m["seq"], "st": m["st"]}
                 self.keep(rec=rec)
                 self.hub.write(rec=rec, done=("send", uid, int(Kind.CKPTOK), {"g": self.g, "tag": m["tag"]}))
--- a/yarrowloom/record/timing.py
+++ b/yarrowloom/record/timing.py
@@ -15,3 +15,4 @@
 CONTACT_PING_S = 0.4  # between questions to witnesses that are no backups: three of them within the time that counts
 CONTACT_WAIT_S = 0.5  # a backup must have contact this long before a primary without it yields to it
 LEAVE_S = 0.25        # a member that is about to end asks this often to be relieved
+RELIEF_S = 2.0        # for so long does a leaving member wait to be replaced if another one has all
