--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -276,7 +276,6 @@
         self.prove_own()
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
-            self.chief.resumed()
             if self.hearted == self.now:
                 self._self_heart()
             self.chief.tick()
@@ -313,7 +312,7 @@
 
     def may_end(self) -> bool:
         """Others hold all that this process holds, as far as there are others."""
-        return all(may_end(hub=self, epoch=rep.epoch) for rep in self.reps.values())
+        return all(may_end(hub=self, epoch=rep.epoch, asked_s=rep.relief.asked_s()) for rep in self.reps.values())
 
     def only_copies(self) -> list[int]:
         """Groups of which this node knows no other live holder."""
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -305,9 +305,7 @@
         elif kind is Kind.INSTALL:
             self._install(uid=uid, m=m)
         elif kind is Kind.CKPT:
-            if self.relief.leaving:
-                pass      # whoever asks tries the next member
-            elif self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
+            if self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
                 rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "applied": int(m["applied"]),
                        "st": m["st"]}
                 self.keep(rec=rec)
