--- a/yarrowloom/sim/troubled.py
+++ b/yarrowloom/sim/troubled.py
@@ -19,6 +19,15 @@
 RESTART_S = 1.0       # a process that ended by itself is started again after this long
 
 
+def _reason(err: Exception) -> str:
+    """An exception, and where it was raised."""
+    trace = err.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    place = "" if trace is None else f" in {trace.tb_frame.f_code.co_name} (line {trace.tb_lineno})"
+    return f"{type(err).__name__} {err}{place}"
+
+
 @dataclass(slots=True, kw_only=True)
 class SteadyClock:
     """A steady clock: `value` at the true time `since`, and how much faster than true time it runs."""
@@ -99,11 +108,7 @@
         super().step(ip, proc, lambda: None)     # frozen: the first thing to be done afterwards
 
     def _ended(self, ip: str, proc: Proc, err: Exception) -> None:
-        trace = err.__traceback__
-        while trace is not None and trace.tb_next is not None:
-            trace = trace.tb_next
-        place = "" if trace is None else f" in {trace.tb_frame.f_code.co_name} (line {trace.tb_lineno})"
-        self.ended.append(f"ENDED {ip} by itself: {type(err).__name__} {err}{place}")
+        self.ended.append(f"ENDED {ip} by itself: {_reason(err)}")
         self.note(who=ip, text=self.ended[-1])
         proc.node.out.sends.clear()
         self.kill(ip=ip)
@@ -115,7 +120,7 @@
             try:
                 self.boot(ip=ip)
             except Exception as err:
-                self.ended.append(f"ENDED {ip} at its start: {type(err).__name__} {err}")
+                self.ended.append(f"ENDED {ip} at its start: {_reason(err)}")
                 self.note(who=ip, text=self.ended[-1])
                 return
             self.note(who=ip, text="process started")
