--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -6,7 +6,7 @@
 from tests.simnet import Sim
 from tests.test_contact import holders, newest
 from yarrowloom.node.base import JOB_GROUPS
-from yarrowloom.node.hub import spread
+from yarrowloom.node.members import spread
 
 SETTLE_S = 6.0
 MEND_S = 6.0         # after the return of a zone: seen (0.3 s), enrolled, wished for 2 s, once a second looked at
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -11,45 +11,24 @@
 from ..job.state import Jobs
 from ..place import Placer
 from ..record import Epoch, Replica
-from ..record.epoch import addr_of
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
-from .base import HEART_S, JOB_GROUPS, NodeBase
+from .base import HEART_S, JOB_GROUPS
 from .calls import first_number
 from .chief import Chief
 from .control import BEAT_TTL, refusal
+from .members import MemberView
 
 OWNER_S = 3.0
-WITNESSES = 9
 
 
-def spread(*, order: list[str], zones: dict[str, str], size: int, most: int) -> list[str]:
-    """The first `size` of `order`, sorted, of which no zone has more than `most`; empty if there are none.
-
-    >>> zones = {"a": "x", "b": "x", "c": "x", "d": "y", "e": "z"}
-    >>> spread(order=list(zones), zones=zones, size=3, most=1)
-    ['a', 'd', 'e']
-    >>> spread(order=list(zones), zones=zones, size=5, most=2)
-    []
-    """
-    taken: dict[str, int] = {}
-    found: list[str] = []
-    for uid in order:
-        if len(found) < size and taken.get(zones[uid], 0) < most:
-            taken[zones[uid]] = taken.get(zones[uid], 0) + 1
-            found.append(uid)
-    return sorted(found) if len(found) == size else []
-
-
-class CoreHub(NodeBase):
+class CoreHub(MemberView):
     """Invariants: a replica's effects leave in the order of their events; a placer lives exactly while its group is
     served here; the agent acts only while `trusted`."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
                  rand: float = 0.5, defaults: Defaults | None = None) -> None:
-        super().__init__(startup=startup, uid=uid, boot=boot, kind="core", log=log)
-        self.now = now
-        self._rand = rand
+        super().__init__(startup=startup, uid=uid, boot=boot, log=log, now=now, rand=rand)
         self.reg = Registry()
         self.defaults = defaults or SHIPPED
         self.jobs = {g: Jobs(learn=self.defaults["learn"]["on"]) for g in self.groups()}
@@ -69,7 +48,6 @@
         self.lease = -9.0
         self.echo: list[Any] = []            # epoch and time of the last answer that came from group 0's primary
         self.listing = False                 # the chief wants to be told all that the agent holds
-        self.roster: dict[str, float] = {}
         self.owner: dict[str, tuple[str, float]] = {}
         self.before: dict[int, str] = {}
         self.proved: dict[str, float] = {}   # when an answer to a call last carried the proof, by node
@@ -87,82 +65,10 @@
         return {"n": 0, "p": seeds[g % n], "w": seeds, "t": "",
                 "b": [seeds[(g + i) % n] for i in range(1, min(self.startup.losses, n - 1) + 1)]}
 
-    def jitter(self) -> float:
-        """0 to 1, from a small generator of its own."""
-        self._rand = (self._rand * 997.0 + 0.123456789) % 1.0
-        return self._rand
-
     def write(self, *, rec: dict[str, Any], done: tuple[Any, ...]) -> None:
         """To disk."""
         self.out.writes.append((dump(body=rec), done))
 
-    def partners(self, *, first: list[str]) -> list[str]:
-        """Members that may be a backup: alive ones first, then one zone after another, beginning with those that are
-        not this node's; within a zone those in `first`, then the least loaded."""
-        load: dict[str, int] = {}
-        for e in self.eps.values():
-            for holder in (e["p"], *e["b"]):
-                load[holder] = load.get(holder, 0) + 1
-        zones = self.peers()
-        rank = {u: (not self.up(uid=u), u not in first, load.get(u, 0), u) for u in zones if u != self.uid}
-        taken = {self.startup.site: 1, "": 1}
-        order: list[str] = []
-        while rank:
-            best = min(rank, key=lambda u: (rank[u][0], taken.get(zones[u], 0), rank[u][1:]))
-            del rank[best]
-            order.append(best)
-            taken[zones[best]] = taken.get(zones[best], 0) + 1
-        return order
-
-    def other_zones(self, *, holders: list[str]) -> list[str]:
-        """If all of `holders` stand in one zone: live members of other zones. A zone not known yet proves nothing."""
-        zones = self.peers()
-        held = {zones.get(u, "") for u in holders}
-        if len(held) != 1 or "" in held:
-            return []
-        return [u for u, zone in zones.items() if zone and zone not in held and self.up(uid=u)]
-
-    def peers(self) -> dict[str, str]:
-        """Core nodes and their sites as far as known. After a restart of all there are no members yet, only what
-        epochs name and whose hearts are heard; a uid that gave way to another at its address does not count."""
-        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u}
-        heard = {u for u, i in self.info.items() if i["kind"] == "core" and self.alive(uid=u)} | {self.uid}
-        new = {addr_of(uid=u): u for u in heard}
-        out = {}
-        for u in sorted(named | heard | set(self.members)):
-            if new.get(addr_of(uid=u), u) == u:
-                row = self.members.get(u) or self.info.get(u) or {}
-                out[u] = str(row.get("site", ""))
-        return out
-
-    def losses(self) -> int:
-        """How many disks may be lost at once."""
-        return self.startup.losses
-
-    def up(self, *, uid: str) -> bool:
-        """Heard of lately."""
-        return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
-
-    def witnesses(self, *, have: list[str]) -> list[str]:
-        """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer, but for
-        a set of which one zone holds the majority while a smaller one, still enough for the budget, would not."""
-        zones = {u: str(row.get("site", "")) for u, row in self.members.items() if self.up(uid=u)}
-        order = [u for u in have if u in zones] + [u for u in sorted(zones) if u not in have]
-        size = min(len(order) - 1 + len(order) % 2, WITNESSES)
-        least = max(2 * self.losses() + 1, 3)
-        for fewer in range(size, least - 1, -2):
-            found = spread(order=order, zones=zones, size=fewer, most=fewer // 2)
-            if found and (fewer >= len(have) or all(u in zones for u in have)):
-                return found
-        if size < max(len(have), 3):
-            return have
-        rows = (spread(order=order, zones=zones, size=size, most=most) for most in range(size // 2, size + 1))
-        return next(found for found in rows if found)
-
-    def everyone(self) -> list[str]:
-        """All core members known."""
-        return sorted(self.peers())
-
     def elected(self, *, g: int) -> None:
         """This node now serves the group."""
         e = self.reps[g].epoch
