A call that was refused stays refused: its repeats, and a refusal beside another node's copy

Cause: the primary forgets a call once it has answered; a repeat that waited behind a refused call (429) was judged anew and could be taken, so a job ran of which the client had heard that it never would (REFUSED). And a refusal by the former primary counted as final while the next one might have taken the call. Change: refusals are kept 10 s by call identity and given again; one is final only if no other node holds a copy that it has not declined, else the answer is unclear (504).

--- a/yarrowloom/node/calls.py
+++ b/yarrowloom/node/calls.py
@@ -16,6 +16,8 @@
 HAND_S = 35.0         # longer than any call lives
 RETRY_S = 0.12
 NOT_PRIMARY = 421
+REFUSALS = frozenset({429, 503})     # of a group's primary: the call was not taken and never will be
+REFUSED_S = 10.0      # a refused call is refused again this long: longer than its repeats are on their way
 CALLS_PER_LIFE = 1 << 32
 
 
@@ -54,7 +56,7 @@
     sent: bool = False
     wait: float = RESEND_S
     asked: tuple[str, int] | None = None     # the primary, with its epoch, that it was last sent to
-    nodes: set[str] = field(default_factory=set)     # all that it was sent to: only they may answer
+    nodes: dict[str, int] = field(default_factory=dict)     # copies sent and not declined, by node: only these answer
 
 
 def first_number(*, incarnation: int) -> int:
@@ -90,7 +92,7 @@
         if uid:
             pend.sent = True
             pend.wait = min(2 * pend.wait, RESEND_MOST_S)
-            pend.nodes.add(uid)
+            pend.nodes[uid] = pend.nodes.get(uid, 0) + 1
             self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "to": uid, "g": pend.g, "op": pend.op,
                                                          "b": pend.b, "ttl": round(pend.horizon - self.hub.now, 3)})
 
@@ -110,6 +112,7 @@
         if pend is None or m["to"] != self.hub.uid or uid not in pend.nodes:
             return
         if m["s"] == NOT_PRIMARY and not pend.to:
+            pend.nodes[uid] = max(pend.nodes[uid] - 1, 0)
             before = self.hub.primary(g=pend.g)
             self.hub.learn(eps=m["d"])
             if self.hub.primary(g=pend.g) != before:
@@ -118,7 +121,10 @@
                 pend.again = self.hub.now + RETRY_S
             return
         del self.open[pend.rid]
-        self.hub.called(done=pend.done, status=m["s"], doc=m["d"], sent=True)
+        if m["s"] in REFUSALS and any(copies for node, copies in pend.nodes.items() if node != uid):
+            self.hub.called(done=pend.done, status=0, doc=None, sent=True)      # another node may have taken it
+        else:
+            self.hub.called(done=pend.done, status=m["s"], doc=m["d"], sent=True)
 
     def tick(self) -> None:
         """Send again, give up."""
@@ -133,12 +139,23 @@
                 self._send(pend)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """The answer to a call that was not taken."""
+
+    status: int
+    doc: Any
+    until: float
+
+
 class InHand:
     """Calls taken and not yet answered here, by their identity: caller and number. Invariant: a call is taken again
-    only once its answer has left, or this node no longer serves its group; so an answer that got lost is made again."""
+    only once its answer has left, or this node no longer serves its group; so an answer that got lost is made again.
+    One that was refused is refused again: its caller may have heard so, while a repeat was still on its way."""
 
     def __init__(self) -> None:
         self._at: dict[tuple[str, int], tuple[int, float]] = {}
+        self._refused: dict[tuple[str, int], Refusal] = {}
         self._swept = 0.0
 
     def take(self, *, uid: str, rid: int, g: int, now: float) -> bool:
@@ -148,6 +165,7 @@
         >>> hand.take(uid="a", rid=1, g=1, now=0.0), hand.take(uid="a", rid=1, g=1, now=0.4)
         (True, False)
         >>> hand.drop(uid="a", rid=1)
+        1
         >>> hand.take(uid="a", rid=1, g=1, now=0.8), hand.leave(g=1)
         (True, [('a', 1)])
         """
@@ -156,9 +174,17 @@
         self._at[uid, rid] = (g, now)
         return True
 
-    def drop(self, *, uid: str, rid: int) -> None:
-        """It is answered."""
-        self._at.pop((uid, rid), None)
+    def drop(self, *, uid: str, rid: int) -> int:
+        """It is answered; the group that it was for, -1 if it was for none or is not known."""
+        return self._at.pop((uid, rid), (-1, 0.0))[0]
+
+    def refuse(self, *, uid: str, rid: int, status: int, doc: Any, now: float) -> None:
+        """It is refused for good."""
+        self._refused[uid, rid] = Refusal(status=status, doc=doc, until=now + REFUSED_S)
+
+    def refusal(self, *, uid: str, rid: int) -> Refusal | None:
+        """How a call was refused before."""
+        return self._refused.get((uid, rid))
 
     def leave(self, *, g: int) -> list[tuple[str, int]]:
         """Let go of all of a group."""
@@ -169,3 +195,5 @@
         if now - self._swept > HAND_S / 2:
             self._swept = now
             self._at = {key: row for key, row in self._at.items() if now - row[1] < HAND_S}
+        while self._refused and next(iter(self._refused.values())).until <= now:
+            del self._refused[next(iter(self._refused))]
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -12,7 +12,7 @@
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
-from .calls import NOT_PRIMARY, InHand
+from .calls import NOT_PRIMARY, REFUSALS, InHand
 from .chief import LEASE_S
 from .control import dispatch
 from .hub import CoreHub
@@ -136,6 +136,10 @@
 
     def _call(self, *, uid: str, m: dict[str, Any]) -> None:
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
+        refusal = self.hand.refusal(uid=uid, rid=rid)
+        if refusal is not None:
+            super().reply(uid=uid, rid=rid, status=refusal.status, doc=refusal.doc)
+            return
         if not self.hand.take(uid=uid, rid=rid, g=g, now=self.now):
             return
         if g < 0 and m["to"] != self.uid:     # for the agent of a node that is no more; groups know who serves them
@@ -151,7 +155,9 @@
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call of another node."""
-        self.hand.drop(uid=uid, rid=rid)
+        g = self.hand.drop(uid=uid, rid=rid)
+        if g > 0 and status in REFUSALS:
+            self.hand.refuse(uid=uid, rid=rid, status=status, doc=doc, now=self.now)
         super().reply(uid=uid, rid=rid, status=status, doc=doc)
 
     def deposed(self, *, g: int) -> None:
