Record: one copy proposed for an epoch number, also after restarts; proofs of replay

Cause: a restarted member proposed a new copy each time. Now a member goes on with its own copy, which its disk has, and never serves in an epoch an earlier life may have served in.

--- a/tests/replica_cell.py
+++ b/tests/replica_cell.py
@@ -6,26 +6,28 @@
 
 import orjson
 
+from yarrowloom.node.recovery import counted, last_snapshot
 from yarrowloom.record.epoch import Epoch
 from yarrowloom.record.parts import Role
 from yarrowloom.record.replica import Replica
+from yarrowloom.store import END
 from yarrowloom.wire.frame import Kind
 
 Effect = tuple[Any, ...]
 Built = Callable[..., Replica]
 STEP_S = 0.05
-END = {"k": "none", "end": True}
 
 
 class Rows:
-    """A reducer that keeps its events in order; one that says so is refused half-way."""
+    """A reducer that keeps its events in order; one that it refuses is taken half-way."""
 
     def __init__(self) -> None:
         self.rows: list[int] = []
+        self.refused = -1
 
     def apply(self, ev: dict[str, Any]) -> list[Any]:
         self.rows.append(ev["x"])
-        assert not ev.get("poison"), "refused by the reducer"
+        assert ev["x"] != self.refused, "refused by the reducer"
         return []
 
     def dump(self) -> Any:
@@ -62,7 +64,7 @@
 
     def effect(self, *, eff: Effect) -> None:
         if eff[0] == "near":
-            self.rep.near(n=eff[2], **{self.cell.near_key: eff[3]})
+            self.rep.near(n=eff[2], last=eff[3])
         elif eff[0] == "copied":
             if self.rep.camp is not None:
                 self.rep.camp.copied(tag=eff[2], uid="")
@@ -116,24 +118,17 @@
 
     def snapshot(self) -> list[bytes]:
         """The head of a ring file."""
-        head = [{"k": "id", "uid": self.uid}, *self.rep.checkpoint(), END]
-        return [orjson.dumps(rec) for rec in head]
+        return [orjson.dumps(rec) for rec in ({"k": "id", "uid": self.uid}, *self.rep.checkpoint())] + [END]
 
     def rotate(self, *, count: int) -> None:
         """As the writer does: a snapshot of what is now, then records that waited all along."""
-        head = self.snapshot()
-        batch, self.unsynced = self.unsynced[:count], self.unsynced[count:]
-        self.journal += head + [body for body, _ in batch]
-        self.ran(batch=batch)
+        self.journal += self.snapshot()
+        self.sync(count=count)
 
     def replayed(self, *, journal: list[bytes], built: Built = Replica) -> tuple[Replica, Rows]:
         """A replica that has what a journal tells, from its last whole snapshot on."""
-        recs = [orjson.loads(raw) for raw in journal]
-        ends = [i for i, rec in enumerate(recs) if rec == END]
-        if ends:
-            recs = recs[max(i for i, rec in enumerate(recs[:ends[-1]]) if rec["k"] == "id"):]
-            again = [i for i, rec in enumerate(recs) if rec["k"] == "id"]
-            recs = recs[:again[1]] if len(again) > 1 else recs
+        begin = last_snapshot(records=journal)
+        recs = [orjson.loads(raw) for raw in counted(records=journal, begin=max(begin, 0))]
         state = Rows()
         rep = built(g=0, hub=self, state=state, epoch=None)
         for rec in recs:
@@ -142,8 +137,10 @@
         rep.settle()
         return rep, state
 
-    def restart(self, *, journal: list[bytes]) -> None:
-        """End and start again with what the disk has."""
+    def restart(self, *, lost: int = 0) -> None:
+        """End and start again with what the disk has, less the newest records that no sync covered."""
+        journal = self.journal + [body for body, _ in self.unsynced]
+        journal = journal[:len(journal) - min(lost, len(self.unsynced))]
         self.unsynced = []
         self.rep, self.state = self.replayed(journal=journal, built=self.cell.built)
         self.journal = self.snapshot()
@@ -152,13 +149,11 @@
 class Cell:
     """Members a, b, c ... of one group; a is the first primary, those after it are its backups."""
 
-    def __init__(self, *, size: int = 3, losses: int = 1, seed: int = 1, built: Built = Replica,
-                 near_key: str = "last") -> None:
+    def __init__(self, *, size: int = 3, losses: int = 1, seed: int = 1, built: Built = Replica) -> None:
         self.rng = random.Random(seed)
         self.now = 100.0
         self.losses = losses
         self.built = built
-        self.near_key = near_key
         self.wire: list[tuple[str, str, Kind, bytes]] = []
         self.confirmed: list[int] = []
         self.decided: dict[int, Epoch] = {}
@@ -198,6 +193,10 @@
         assert self.settle(seconds=30.0, until=lambda: bool(self.serving()))
         return self.serving()[0]
 
+    def cut(self, *, uid: str) -> None:
+        """What is on its way from or to a member is lost."""
+        self.wire = [row for row in self.wire if uid not in row[:2]]
+
     def serving(self) -> list[Member]:
         return [m for m in self.members.values() if m.rep.serving()]
 
--- /dev/null
+++ b/tests/ringsim.py
@@ -0,0 +1,78 @@
+"""The simulated cluster with the product's own journal: real ring files, small enough to move on often."""
+
+import pathlib
+from typing import Any
+
+from tests.simnet import Disk, Proc, Sim
+from yarrowloom.node.core import CoreNode
+from yarrowloom.node.turns import Rank
+from yarrowloom.store import END, Ring
+
+SIZE_BYTES = 4 << 10
+MOST_BYTES = 12 << 10     # less than a snapshot soon: the ring moves on with almost every batch
+
+
+class RingSim(Sim):
+    """Records are written as the shell's writer does. Invariant: `ring` of a machine is that of its last process; what
+    a batch under way when the process ends has brought to the disk is there or not, as the seed says."""
+
+    def __init__(self, *, folder: pathlib.Path, size: int = SIZE_BYTES, **kw: Any) -> None:
+        self.folder = folder
+        self.size = size
+        self.rings: dict[str, Ring] = {}
+        self.under_way: dict[str, tuple[list[bytes], list[bytes]]] = {}
+        self.rotations: dict[str, int] = {}
+        super().__init__(**kw)
+
+    def _ring(self, ip: str) -> Ring:
+        return Ring(folder=str(self.folder / ip), size=self.size, most=MOST_BYTES)
+
+    def boot(self, *, ip: str, first: bool = False) -> None:
+        if ip.split(".")[2] == "1":
+            super().boot(ip=ip, first=first)
+            return
+        ring = self._ring(ip)
+        disk = self.disks.setdefault(ip, Disk())
+        disk.synced, disk.pending = ring.load(), []
+        super().boot(ip=ip, first=first)
+        self.rings[ip] = ring
+        self._put(ip=ip, head=list(disk.synced[:-1]), bodies=[])
+
+    def _put(self, *, ip: str, head: list[bytes], bodies: list[bytes]) -> None:
+        ring = self.rings[ip]
+        if head:
+            head = [*head, END]
+            ring.rotate(need=ring.room(bodies=head))
+            self.rotations[ip] = self.rotations.get(ip, 0) + 1
+        ring.append(bodies=head + bodies)
+
+    def _sync(self, ip: str, proc: Proc) -> None:
+        if proc.disk_busy or not proc.disk:
+            return
+        proc.disk_busy = True
+        batch, proc.disk = proc.disk, []
+        bodies = [body for body, _ in batch]
+        node = proc.node
+        assert isinstance(node, CoreNode)
+        ring = self.rings[ip]
+        head = node.checkpoint() if ring.full(extra=ring.room(bodies=bodies)) else []
+        self.under_way[ip] = (head, bodies)
+
+        def synced() -> None:
+            if not proc.up or self.procs.get(ip) is not proc:
+                return
+            del self.under_way[ip]
+            self._put(ip=ip, head=head, bodies=bodies)
+            proc.disk_busy = False
+            self.post(ip, proc, lambda: node.done(effs=[eff for _, eff in batch]), rank=Rank.URGENT)
+            self._sync(ip, proc)
+        self.at(delay=self.sync_s * (0.5 + self.rng.random()), fn=synced)
+
+    def kill(self, *, ip: str, power: bool = False) -> None:
+        head, bodies = self.under_way.pop(ip, ([], []))
+        if (head or bodies) and self.rng.random() < 0.5:
+            self._put(ip=ip, head=head, bodies=bodies[:self.rng.randint(0, len(bodies))] if power else bodies)
+        super().kill(ip=ip, power=power)
+        ring = self.rings.pop(ip, None)
+        if ring is not None:
+            ring.close()
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,230 @@
+"""A core node that starts again: with all that its journal tells, or with a new identity where it can't be replayed."""
+
+import pathlib
+import traceback
+from typing import Any
+
+import orjson
+import pytest
+
+from tests import simfleet
+from tests.ringsim import RingSim
+from tests.simfleet import Oracle, SimCaller, cluster, config
+from tests.simnet import Sim
+from yarrowloom.base.log import Log
+from yarrowloom.node.core import CoreNode
+from yarrowloom.node.recovery import counted, last_snapshot, recover
+from yarrowloom.record import Replica
+from yarrowloom.record.parts import Role
+from yarrowloom.record.replay import ReplayError
+from yarrowloom.record.stored import StoredCopy
+from yarrowloom.store import END
+
+STAGES = [{"task-count": 3, "cpus": 300, "mem-mb": 100, "estimate-ms": 300}]
+Held = dict[tuple[int, int, int], bytes]
+
+
+def ringed(monkeypatch: pytest.MonkeyPatch, folder: pathlib.Path, seed: int, **kw: Any) -> tuple[
+        RingSim, Oracle, SimCaller]:
+    """A configured cluster on real ring files."""
+    monkeypatch.setattr(simfleet, "Sim", lambda **more: RingSim(folder=folder, **more))
+    sim, oracle, caller, _ = cluster(seed=seed, **kw)
+    assert isinstance(sim, RingSim)
+    return sim, oracle, caller
+
+
+def load(sim: Sim, caller: SimCaller, *, seconds: float, version: int) -> int:
+    """Jobs and changes of the configuration, many a second."""
+    end = sim.now + seconds
+    while sim.now < end:
+        caller.submit(stages=STAGES)
+        sim.run(seconds=0.1)
+        status, _ = sim.ask(ip=sim.core_ips[0], method="PUT", path="/config", doc=config(version=version + 1),
+                            headers={"if-match": str(version)}, limit=1.0)
+        version += status == 200
+    return version
+
+
+def states(node: CoreNode) -> dict[int, tuple[int, int, bytes]]:
+    """By group: epoch, number of the last event, and the state, of the copies that count."""
+    return {g: (rep.base, rep.applied, orjson.dumps(rep.state.dump(), option=orjson.OPT_SORT_KEYS))
+            for g, rep in node.reps.items() if rep.role is not Role.IDLE}
+
+
+def agree(sim: Sim) -> None:
+    """All copies of one group's newest epoch are equal, and so are those that the journals tell."""
+    for g in (0, 1):
+        primary = sim.core(sim.serving(g=g)[0]).reps[g]
+        epoch = primary.epoch
+        assert epoch is not None
+        for uid in (epoch["p"], *epoch["b"]):
+            ip = uid.split(":")[0]
+            want = states(sim.core(sim.serving(g=g)[0]))[g]
+            assert states(sim.core(ip))[g] == want, (g, ip)
+            assert isinstance(sim, RingSim)
+            records = sim._ring(ip).load()
+            again = recover(startup=sim.startup(ip=ip, first=False), records=records, boot=1, now=sim.now, rand=0.5,
+                            log=Log(name="sim", level="error"), token="x")
+            assert again.uid == sim.uids[ip]
+            rep = again.reps[g]
+            assert (rep.base, rep.applied) == want[:2], (g, ip)
+            assert orjson.dumps(rep.state.dump(), option=orjson.OPT_SORT_KEYS) == want[2], (g, ip)
+
+
+def quiet(sim: Sim) -> None:
+    """Until no batch is under way and all disks have what was written."""
+    assert sim.until(cond=lambda: all(sim.serving(g=g) for g in (0, 1)), limit=20.0)
+    assert sim.until(cond=lambda: all(
+        not p.disk and not p.disk_busy and all(r.fly is None and not r.queue for r in p.node.reps.values())
+        for p in sim.procs.values() if isinstance(p.node, CoreNode) and p.up), limit=20.0)
+
+
+@pytest.mark.parametrize("power", [False, True])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_members_that_restart_under_load_catch_up_and_never_lead_with_old_state(
+        seed: int, power: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    sim, oracle, caller = ringed(monkeypatch, tmp_path, seed)
+    version = 3
+    for turn in range(5):
+        version = load(sim, caller, seconds=3.0, version=version)
+        ip = sim.serving(g=turn % 2)[0] if turn < 3 else sim.core_ips[turn % 3]
+        before = states(sim.core(ip))
+        sim.kill(ip=ip, power=power)
+        sim.run(seconds=0.3)
+        sim.boot(ip=ip)
+        for g, (base, applied, _) in states(sim.core(ip)).items():
+            assert base == before[g][0] and applied <= before[g][1]
+    version = load(sim, caller, seconds=2.0, version=version)
+    assert sum(sim.rotations.values()) > 100 and version > 40, (sim.rotations, version)
+    sim.run(seconds=8.0)
+    quiet(sim)
+    agree(sim)
+    assert sim.core(sim.serving(g=0)[0]).reg.stamp == version
+    jobs = sim.core(sim.serving(g=1)[0]).jobs[1].jobs
+    assert set(oracle.accepted) <= set(jobs) and not oracle.broken
+
+
+@pytest.mark.parametrize("old", [False, True])
+def test_a_start_that_waits_while_a_snapshot_is_taken_is_replayed_once(old: bool,
+                                                                       monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen on the bench as a core process that ended by itself, over and over, with an assertion of `_start`. `old`: a
+    snapshot carries the number of the last event sent, as it did then."""
+    records = StoredCopy.records
+
+    def sent(self: StoredCopy, *, whole: bool) -> list[dict[str, Any]]:
+        assert isinstance(self, Replica)
+        queued = sum(ev is not None for ev, _ in self.queue)
+        return [{**rec, "applied": rec["applied"] - queued} if rec["k"] == "st" else rec
+                for rec in records(self, whole=whole)]
+
+    if old:
+        monkeypatch.setattr(StoredCopy, "records", sent)
+    sim, _, caller, _ = cluster(seed=1)
+    for _ in range(20):
+        caller.submit(stages=STAGES)
+    ip = sim.serving(g=1)[0]
+    node = sim.core(ip)
+
+    def waits() -> bool:
+        sim.run(seconds=0.0005)
+        return any(ev is not None and ev["t"] == "start" for ev, _ in node.reps[1].queue)
+
+    assert any(waits() for _ in range(4000))
+    journal = [*node.checkpoint(), END]
+    begin = len(sim.disks[ip].synced)
+    sim.run(seconds=1.0)
+    quiet(sim)
+    journal += sim.disks[ip].synced[begin:]
+    again = CoreNode(startup=sim.startup(ip=ip, first=False), uid=node.uid, boot=1, log=Lines(), first=False,
+                     now=sim.now)
+    if old:
+        with pytest.raises(ReplayError) as caught:
+            again.restore(recs=journal)
+        assert isinstance(caught.value.__cause__, AssertionError)
+        assert traceback.extract_tb(caught.value.__cause__.__traceback__)[-1].name == "_start"
+    else:
+        again.restore(recs=journal)
+        assert states(again)[1] == states(node)[1]
+
+
+def spoil(disk: list[bytes], *, how: str) -> None:
+    """Make a journal one that can't be replayed."""
+    batches = [i for i, raw in enumerate(disk) if b'"k":"lg","g":1' in raw]
+    if how == "gap":
+        del disk[batches[-2]]
+    elif how == "reducer":
+        rec = orjson.loads(disk[batches[-1]])
+        rec["evs"][-1]["t"] = "nothing"
+        disk[batches[-1]] = orjson.dumps(rec)
+    elif how == "malformed":
+        disk[batches[-1]] = b'{"k":"lg","g":1}'
+    elif how == "no json":
+        disk[batches[-1]] = b"\xff\xfe"
+    else:
+        begin = last_snapshot(records=disk)
+        disk[begin] = b'{"k":"id","uid":7}'
+
+
+class Lines(Log):
+    """Keeps what is warned of."""
+
+    def __init__(self) -> None:
+        super().__init__(name="sim", level="error")
+        self.warned: list[tuple[str, dict[str, object]]] = []
+
+    def warn(self, event: str, **fields: object) -> None:
+        self.warned.append((event, fields))
+
+
+@pytest.mark.parametrize("how", ["gap", "reducer", "malformed", "no json", "identity"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_node_whose_journal_cannot_be_replayed_says_so_and_is_refilled(seed: int, how: str) -> None:
+    sim, oracle, caller, _ = cluster(seed=seed)
+    version = load(sim, caller, seconds=2.0, version=3)
+    ip = sim.serving(g=1)[0]
+    sim.kill(ip=ip)
+    spoil(sim.disks[ip].synced, how=how)
+    log = Lines()
+    found = recover(startup=sim.startup(ip=ip, first=True), records=sim.disks[ip].synced, boot=1, now=sim.now, rand=0.5,
+                    log=log, token="new")
+    (event, fields), = log.warned
+    assert event == "journal-unusable" and fields["cause"] and fields["record"] in range(len(sim.disks[ip].synced))
+    assert found.uid == f"{ip}:7000#new" and all(rep.base < 0 and rep.epoch is None for rep in found.reps.values())
+    old = sim.uids[ip]
+    sim.boot(ip=ip, first=True)
+    assert sim.uids[ip] not in (old, f"{ip}:7000#0")
+    node = sim.core(ip)
+    led: list[int] = []
+    for _ in range(40):
+        sim.run(seconds=0.1)
+        led += [g for g, rep in node.reps.items() if rep.serving() and rep.applied < 1]
+    assert not led
+    version = load(sim, caller, seconds=2.0, version=version)
+    sim.run(seconds=6.0)
+    assert sim.procs[ip].up and sim.core(ip) is node
+    members = sim.core(sim.serving(g=0)[0]).reg.members
+    assert node.uid in members and old not in members
+    for g in (0, 1):
+        rep = sim.core(sim.serving(g=g)[0]).reps[g]
+        assert rep.epoch is not None and node.uid in rep.epoch["w"] and old not in rep.epoch["w"]
+    assert node.table is not None and node.table.stamp == version and not oracle.broken
+    sim.kill(ip=ip)
+    sim.boot(ip=ip)
+    assert sim.uids[ip] == node.uid         # the new identity is in the journal: it is no newcomer again
+
+
+def test_a_node_without_a_whole_snapshot_never_said_anything() -> None:
+    """It is a first member where the settings say so, else a new one; one that was cut off does not count."""
+    sim = Sim(seed=1)
+    ip = sim.core_ips[0]
+    head = sim.core(ip).checkpoint()
+
+    def start(*, records: list[bytes], first: bool) -> str:
+        return recover(startup=sim.startup(ip=ip, first=first), records=records, boot=1, now=1.0, rand=0.5,
+                       log=Log(name="sim", level="error"), token="new").uid
+
+    assert last_snapshot(records=head) == -1 and last_snapshot(records=[*head, END]) == 0
+    assert start(records=[], first=True) == start(records=head, first=True) == f"{ip}:7000#0"
+    assert start(records=[], first=False) == start(records=head, first=False) == f"{ip}:7000#new"
+    assert start(records=[*head, END, *head], first=False) == f"{ip}:7000#0"
+    assert counted(records=[*head, END, *head], begin=0) == [*head, END]
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -1,6 +1,25 @@
 """Snapshots and replay: each event counts once, whenever the ring moves on and wherever the journal ends."""
 
-from tests.replica_cell import Cell
+import orjson
+import pytest
+
+from tests.replica_cell import Cell, Member, Role
+from yarrowloom.record.replay import ReplayError
+from yarrowloom.wire.frame import Kind
+
+
+def holders(cell: Cell) -> list[Member]:
+    epoch = cell.primary().rep.epoch
+    assert epoch is not None
+    return [cell.members[uid] for uid in (epoch["p"], *epoch["b"])]
+
+
+def arrive(cell: Cell) -> None:
+    while cell.wire:
+        cell.deliver()
+
+
+# -- a snapshot, and the records after it
 
 
 def test_a_snapshot_with_events_that_wait_for_their_batch_is_replayed_once() -> None:
@@ -18,14 +37,28 @@
     assert replayed.rows == [1, 2]
 
 
+def test_a_batch_that_a_snapshot_holds_in_part_is_replayed_once() -> None:
+    cell = Cell()
+    primary = cell.primary()
+    cell.commit(x=1)
+    primary.rep.flush()
+    cell.commit(x=2)
+    primary.journal += primary.snapshot()
+    cell.commit(x=3)
+    cell.settle(seconds=0.3)
+    batches = [rec["first"] for rec in map(orjson.loads, primary.journal) if rec["k"] == "lg"]
+    assert batches[-1] == primary.rep.applied - 1       # events 2 and 3 are one batch
+    _, replayed = primary.replayed(journal=primary.journal)
+    assert replayed.rows == primary.state.rows == [1, 2, 3]
+
+
 def test_a_backup_snapshot_with_records_that_are_not_yet_on_disk_is_replayed_once() -> None:
     """The writer asks for the snapshot before it writes the records that waited."""
     cell = Cell()
     primary, backup = cell.primary(), cell.backup()
     cell.commit(x=1)
     primary.rep.flush()
-    while cell.wire:
-        cell.deliver()
+    arrive(cell)
     assert backup.state.rows == [1] and backup.unsynced
     backup.rotate(count=len(backup.unsynced))
     _, replayed = backup.replayed(journal=backup.journal)
@@ -33,16 +66,197 @@
 
 
 def test_a_witness_record_after_a_snapshot_of_its_epoch_does_not_bring_old_state_back() -> None:
-    """A member won an epoch and confirmed events in it; the ring moved on; an older witness record and the spare
-    copy of that epoch stand before the snapshot in the journal."""
+    """A member won an epoch and confirmed events in it; an older witness record and the spare copy of that epoch stand
+    before the snapshot, its own witness record after it."""
     cell = Cell()
     primary = cell.primary()
-    epoch = primary.rep.epoch
-    assert epoch is not None
     spare = [raw for raw in primary.journal if b'"ck"' in raw]
     before = [raw for raw in primary.journal if b'"w"' in raw][:1]
+    assert spare and before
     cell.commit(x=1)
     cell.settle(seconds=0.3)
-    journal = [*before, *spare, *[raw for raw in primary.snapshot() if b'"id"' not in raw and b'"end"' not in raw]]
-    _, replayed = primary.replayed(journal=journal)
+    records = [orjson.loads(raw) for raw in [*before, *spare, *primary.snapshot()[1:-1]]]
+    rep, replayed = primary.replayed(journal=[orjson.dumps(rec) for rec in records])
+    assert replayed.rows == [1] and rep.base == primary.rep.base
+
+
+def test_a_witness_record_that_waited_while_a_snapshot_was_taken_takes_nothing_back() -> None:
+    cell = Cell()
+    member = cell.primary()
+    waiting = orjson.dumps({"k": "w", "g": 0, **member.rep.wit.dump()})
+    assert member.rep.wit.seen is not None
+    member.rep.wit.prepare(n=member.rep.wit.seen["n"] + 1, ballot=[5, "b:1#0"])
+    rep, _ = member.replayed(journal=[*member.snapshot(), waiting])
+    assert rep.wit.promised == [5, "b:1#0"]
+
+
+def test_a_snapshot_that_was_cut_off_does_not_count() -> None:
+    """The process was killed between the new file's head and its records: the journal before it holds all."""
+    cell = Cell()
+    primary = cell.primary()
+    cell.commit(x=1)
+    cell.settle(seconds=0.3)
+    before = list(primary.journal)
+    head = primary.snapshot()
+    for kept in range(len(head)):
+        rep, replayed = primary.replayed(journal=before + head[:kept])
+        assert replayed.rows == [1] and rep.role is Role.LAPSED
+
+
+def test_a_spare_copy_of_an_undecided_epoch_is_kept_by_a_snapshot_and_used_once_it_is_decided() -> None:
+    cell = Cell()
+    primary, backup = cell.primary(), cell.backup()
+    cell.commit(x=1)
+    cell.settle(seconds=0.3)
+    primary.rep.take(why="test")
+    cell.deliver()
+    backup.sync(count=len(backup.unsynced))
+    assert [kind for _, _, kind, _ in cell.wire] == [Kind.CKPTOK]     # the backup has synced the copy
+    backup.rotate(count=0)
+    backup.restart()
+    assert [rec["inst"] for rec in backup.rep.spares.values()] == [2]
+    assert cell.settle(seconds=10.0, until=lambda: len(cell.decided) >= 2 and bool(cell.serving()))
+    assert all(member.state.rows == [1] for member in holders(cell))
+
+
+# -- numbers
+
+
+def test_a_gap_cannot_be_replayed() -> None:
+    cell = Cell()
+    primary = cell.primary()
+    for x in (1, 2, 3):
+        cell.commit(x=x)
+        cell.settle(seconds=0.3)
+    batches = [i for i, raw in enumerate(primary.journal) if b'"lg"' in raw]
+    journal = primary.journal[:batches[-2]] + primary.journal[batches[-2] + 1:]
+    with pytest.raises(ReplayError, match="follows event"):
+        primary.replayed(journal=journal)
+
+
+@pytest.mark.parametrize("record", [
+    {"k": "lg", "g": 0, "n": 1, "seq": 1, "evs": [{"x": 9}]}, {"k": "st", "g": 0, "n": 1, "seq": 1, "st": {"rows": []}},
+    {"k": "lg", "g": 0, "n": 99, "first": 1, "evs": [{"x": 9}]}, {"k": "what", "g": 0}, {"g": 0}])
+def test_records_of_another_format_are_refused_and_not_guessed_at(record: dict[str, object]) -> None:
+    """Older journals numbered batches."""
+    cell = Cell()
+    primary = cell.primary()
+    with pytest.raises((ReplayError, KeyError)):
+        primary.replayed(journal=[*primary.journal, orjson.dumps(record)])
+
+
+def test_a_backup_takes_a_batch_once_however_often_it_comes_and_refuses_one_after_a_gap() -> None:
+    cell = Cell()
+    primary, backup = cell.primary(), cell.backup()
+    base, start = backup.rep.base, backup.rep.applied
+
+    def log(*, first: int, events: list[int]) -> list[int]:
+        """Send one batch; the events that are confirmed by number."""
+        backup.rep.on(uid=primary.uid, kind=Kind.LOG, m={
+            "g": 0, "n": base, "first": start + first, "evs": [{"x": x} for x in events], "t": cell.now})
+        backup.sync(count=len(backup.unsynced))
+        rows = [orjson.loads(body)["last"] - start for _, _, kind, body in cell.wire if kind is Kind.LOGOK]
+        cell.wire.clear()
+        return rows
+
+    assert log(first=1, events=[1, 2]) == [2]
+    assert log(first=1, events=[1, 2]) == [2] and backup.state.rows == [1, 2]
+    assert log(first=2, events=[2, 3]) == [3] and backup.state.rows == [1, 2, 3]
+    assert log(first=5, events=[5]) == [] and backup.state.rows == [1, 2, 3]
+    assert backup.notes[-1][0] == "log-gap"
+    _, replayed = backup.replayed(journal=backup.journal)
+    assert replayed.rows == [1, 2, 3]
+
+
+# -- what a restarted member takes for confirmed
+
+
+def test_a_restarted_primary_tells_nothing_before_the_backups_of_a_new_epoch_have_its_state() -> None:
+    """Its snapshot holds events that no backup has; it is cut off, then not."""
+    cell = Cell()
+    primary = cell.primary()
+    cell.commit(x=1)
+    primary.rep.flush()
+    cell.commit(x=2)
+    cell.cut(uid=primary.uid)
+    primary.rotate(count=0)
+    primary.restart()
+    assert primary.state.rows == [1, 2] and primary.rep.role is Role.LAPSED
+    for _ in range(60):
+        cell.now += 0.05
+        primary.rep.tick()
+        primary.sync(count=len(primary.unsynced))
+        cell.cut(uid=primary.uid)
+        assert not primary.rep.serving() and not cell.confirmed and primary.rep.base == 1
+    assert cell.settle(seconds=20.0, until=lambda: bool(cell.serving()))
+    for member in holders(cell):
+        _, replayed = member.replayed(journal=member.journal)
+        assert replayed.rows == member.state.rows
+        assert member.rep.base == cell.primary().rep.base > 1
+
+
+def test_a_backup_that_began_to_take_over_confirms_nothing_more_after_a_restart() -> None:
+    """Witnesses voted for its copy, it was killed before it knew; its primary still serves. Whatever that one confirms
+    with it is lost when the vote is found and its epoch goes into force."""
+    cell = Cell()
+    first, taker = cell.primary(), cell.backup()
+    third = next(m for m in cell.members.values() if m not in (first, taker))
+    taker.rep.take(why="test", avoid=[first.uid])
+    for _ in range(100):
+        cell.cut(uid=first.uid)
+        for member in (taker, third):
+            member.sync(count=len(member.unsynced))
+        if third.rep.wit.voted is not None and taker.rep.wit.voted is not None:
+            break
+        cell.deliver()
+    cell.wire.clear()
+    taker.restart()
+    assert first.rep.serving()
+    cell.commit(x=1, member=first)
+    cell.settle(seconds=1.0)
+    first.rep.take(why="test") if first.rep.role is Role.PRIMARY else None
+    cell.settle(seconds=10.0, until=lambda: len(cell.decided) >= 2 and bool(cell.serving()))
+    cell.settle(seconds=1.0)
+    assert set(cell.confirmed) <= set(cell.primary().state.rows)
+
+
+# -- reducers that raise
+
+
+def test_a_backup_whose_reducer_raises_goes_on_without_its_copy_and_is_sent_another() -> None:
+    cell = Cell()
+    cell.commit(x=1)
+    backup = cell.backup()
+    backup.state.refused = 2
+    cell.commit(x=2)
+    cell.settle(seconds=0.3)
+    assert backup.rep.role is Role.IDLE and backup.rep.base == -1
+    assert 2 not in cell.confirmed
+    assert [name for name, _ in backup.notes].count("copy-void") == 1
+    assert cell.settle(seconds=20.0, until=lambda: 2 in cell.confirmed)
+    assert all(member.state.rows == [1, 2] for member in holders(cell))
+    assert all(member.state.rows == [1, 2] for member in cell.members.values() if member.rep.role is not Role.IDLE)
+
+
+def test_a_backup_whose_reducer_raised_has_the_beginning_after_a_restart() -> None:
+    cell = Cell()
+    cell.commit(x=1)
+    cell.settle(seconds=0.3)
+    backup = cell.backup()
+    backup.state.refused = 2
+    cell.commit(x=2)
+    cell.settle(seconds=0.3)
+    _, replayed = backup.replayed(journal=backup.journal)
     assert replayed.rows == [1]
+
+
+def test_a_primary_whose_reducer_raises_no_longer_serves() -> None:
+    cell = Cell()
+    cell.commit(x=1)
+    cell.settle(seconds=0.3)
+    primary = cell.primary()
+    primary.state.refused = 2
+    with pytest.raises(AssertionError, match="refused by the reducer"):
+        cell.commit(x=2)
+    assert not primary.rep.serving() and primary.rep.role is Role.IDLE
+    assert cell.primary() is not primary and cell.primary().state.rows == [1]
--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -59,6 +59,7 @@
         self.asked: list[str] = []      # members that were sent the checkpoint in this round
         self.have: list[str] = []       # members that have synced it
         self.near = False
+        self.resumed = False            # the copy was proposed before a restart
         self.ok: set[str] = set()
         self.best: tuple[Ballot, Epoch] | None = None
         self.ballot: Ballot = [0, rep.hub.uid]
@@ -117,20 +118,30 @@
         self.patience = min(COPY_S * 2 ** self.copies, COPY_MOST_S) * (1 + hub.jitter() / 2)
         self.copies += 1
         self._go(Phase.COPY)
-        self.text = self.text or encode(state=rep.state)
         if fresh:
-            self.inst, self.near = e["n"] + 1, False
-            self.tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
-        rec = {"k": "ck", "g": rep.g, "inst": self.inst, "tag": self.tag, "applied": rep.applied,
-               "st": self.text}
-        rep.keep(rec=rec)
-        if fresh:
-            hub.write(rec=rec, done=("copied", rep.g, self.tag))
+            self._propose(inst=e["n"] + 1)
+        rec = rep.spares[self.tag]
         for uid in want:
             if uid not in self.have:
                 hub.send(uid=uid, kind=Kind.CKPT, body={k: rec[k] for k in ("g", "inst", "tag", "applied", "st")})
         self._copied()
 
+    def _propose(self, *, inst: int) -> None:
+        """Write the copy that the next epoch is to begin with, or go on with the one from before a restart."""
+        rep, hub = self.rep, self.rep.hub
+        self.inst, self.near = inst, False
+        rec = rep.proposed(n=inst)
+        if rec is not None:
+            self.resumed = True
+            hub.write(rec={"k": "none", "g": rep.g}, done=("copied", rep.g, rec["tag"]))
+        else:
+            self.text = self.text or encode(state=rep.state)
+            tag = f"{hub.uid}/{hub.now:.4f}/{int(hub.jitter() * 1e9)}"
+            rec = {"k": "ck", "g": rep.g, "inst": inst, "tag": tag, "applied": rep.applied, "st": self.text}
+            hub.write(rec=rec, done=("copied", rep.g, tag))
+            rep.keep(rec=rec)
+        self.tag = rec["tag"]
+
     def copied(self, *, tag: str, uid: str) -> None:
         """A checkpoint is synced, here (`uid` empty) or at a member."""
         if tag != self.tag:
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -102,7 +102,7 @@
             self._become(Role.LAPSED)
             self.rest = max(self.rest, self.hub.now + 0.05)
         elif mine and self.hub.uid in e["b"]:
-            self._become(Role.LAPSED if self._campaigned(epoch=e) else Role.BACKUP)
+            self._become(Role.LAPSED if self.proposed(n=e["n"] + 1) else Role.BACKUP)
             self.heard = self.hub.now
         elif self.role is not Role.IDLE:
             self._become(Role.IDLE)
@@ -114,7 +114,8 @@
         self._save(done=("none",))
         self.hub.installed(g=self.g, epoch=epoch)
         camp = self.camp
-        if camp is not None and epoch["p"] == self.hub.uid and epoch["t"] == camp.tag:
+        # An earlier life may have served in an epoch whose copy it proposed: this one goes on to the next.
+        if camp is not None and epoch["p"] == self.hub.uid and epoch["t"] == camp.tag and not camp.resumed:
             self.base = epoch["n"]
             self._prune(n=epoch["n"])
             camp.decided(epoch=epoch)
@@ -135,6 +136,9 @@
         self.role = Role.IDLE
         e = self.wit.seen
         if e is not None and self.base == e["n"] and self.hub.uid in (e["p"], *e["b"]):
+            own = self.proposed(n=e["n"] + 1)
+            if own is not None:
+                self._load(epoch=e["n"], rec=own)      # has also what was applied and not yet on disk
             self._place()
 
     # -- time
--- a/yarrowloom/record/stored.py
+++ b/yarrowloom/record/stored.py
@@ -65,19 +65,25 @@
         return out + list(self.spares.values())
 
     def keep(self, *, rec: dict[str, Any]) -> None:
-        """Hold on to a checkpoint until its epoch is decided; the oldest make room, but for the newest own one."""
+        """Hold on to a checkpoint until its epoch is decided. Those for one number are no more than an epoch has
+        holders; of others, the lowest number makes room, as an epoch after it is under way."""
         self.spares[rec["tag"]] = rec
-        own = [tag for tag in self.spares if self._own(tag=tag)][-1:]
         while len(self.spares) > SPARES:
-            del self.spares[next(tag for tag in self.spares if tag not in own)]
+            del self.spares[min((tag for tag in self.spares if not self._own(tag=tag)),
+                                key=lambda tag: self.spares[tag]["inst"])]
 
     def _own(self, *, tag: str) -> bool:
         return tag.startswith(f"{self.uid}/")
 
-    def _campaigned(self, *, epoch: Epoch) -> bool:
-        """Whether this member began to take over from an epoch: witnesses may have voted for its copy, or will, so
-        that it must not confirm anything more to the primary that it wanted to follow."""
-        return any(self._own(tag=tag) and rec["inst"] == epoch["n"] + 1 for tag, rec in self.spares.items())
+    def proposed(self, *, n: int) -> dict[str, Any] | None:
+        """The copy that this member proposed for an epoch number, in this life or an earlier one. Witnesses may have
+        voted for it, or will: the member proposes no other for that number, so that those who hold copies need not
+        keep more of them than an epoch has holders; and it confirms nothing more to the primary of the epoch before.
+        """
+        for tag, rec in self.spares.items():
+            if self._own(tag=tag) and rec["inst"] == n:
+                return rec
+        return None
 
     def _unpack(self, *, epoch: Epoch) -> bool:
         rec = self.spares.get(epoch["t"])
