--- a/tests/test_lives_wire.py
+++ b/tests/test_lives_wire.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+from functools import partial
 from typing import Any, cast
 
 import orjson
@@ -9,7 +10,7 @@
 import trio
 import trio.testing
 
-from tests.test_loopback import ADDR, settings
+from tests.test_loopback import ADDR, ports, settings
 from yarrowloom.base.log import Log
 from yarrowloom.base.startup import check
 from yarrowloom.node.identity import last_life
@@ -199,3 +200,39 @@
     doc = settings(binds={"front": f"{ADDR}:1"}, inner=7000, seed=f"{ADDR}:2", data=None)
     shells = [open_edge(startup=check(doc={**doc, "role": "edge"}), log=LOG) for _ in range(20)]
     assert len({shell.node.uid for shell in shells}) == 20 and {shell.node.boot for shell in shells} == {1}
+
+
+def test_two_lives_at_one_address_over_real_sockets() -> None:
+    """Each life listens at the address of the one before, and is heard at once."""
+    here, there = (f"{ADDR}:{port}" for port in ports(2))
+    got: list[tuple[str, Any]] = []
+
+    def sink(uid: str, lane: Lane, rows: list[tuple[Kind, Any]], lost: bool) -> None:
+        got.extend((uid, m) for _, m in rows)
+
+    async def life(*, uid: str, first: int, task_status: trio.TaskStatus[trio.CancelScope]) -> None:
+        peers = Peers(addr=here, uid=f"{here}#{uid}", boot=1, sink=lambda *_: None, log=LOG)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(peers.run)
+            while peers._nursery is None:
+                await trio.lowlevel.checkpoint()
+            task_status.started(nursery.cancel_scope)
+            for m in range(first, first + 20):
+                peers.send(addr=there, kind=Kind.ORDER, body=b"%d" % m)
+
+    async def main() -> None:
+        receiver = Peers(addr=there, uid=f"{there}#0", boot=1, sink=sink, log=LOG)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(receiver.run)
+                while receiver._nursery is None:
+                    await trio.lowlevel.checkpoint()
+                for number, uid in enumerate(("a", "b", "c")):
+                    scope = await nursery.start(partial(life, uid=uid, first=100 * number))
+                    while len(got) < 20 * (number + 1):
+                        await trio.lowlevel.checkpoint()
+                    scope.cancel()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert got == [(f"{here}#{uid}", 100 * n + i) for n, uid in enumerate(("a", "b", "c")) for i in range(20)]
