--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -169,6 +169,7 @@
         self._out: dict[tuple[str, Lane], tuple[Line, trio.Event]] = {}
         self._seen = Seen()
         self._accepted = 0     # connections so far
+        self._checked: dict[int, tuple[int, str, str, int]] = {}     # by connection: the last good envelope
         self._told: dict[int, None] = {}     # connections with frames of a life that does not count
         self._nursery: trio.Nursery | None = None
 
@@ -272,6 +273,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         finally:
+            self._checked.pop(connection, None)
             await trio.aclose_forcefully(stream)
 
     async def _receive(self, *, stream: trio.SocketStream, connection: int, challenge: bytes) -> None:
@@ -304,10 +306,13 @@
 
     def _deliver(self, frm: Frame, *, connection: int) -> None:
         number, src, uid, boot, seq = frm.lane, frm.src, frm.uid, frm.boot, frm.seq     # reading a field is not cheap
-        fault = envelope_fault(lane=number, src=src, uid=uid, boot=boot, seq=seq)
-        if fault:
-            self.log.warn("frame-malformed", peer=uid, why=fault)
-            return
+        envelope = (number, src, uid, boot)
+        if seq < 1 or self._checked.get(connection) != envelope:     # else it is as good as the last one's
+            fault = envelope_fault(lane=number, src=src, uid=uid, boot=boot, seq=seq)
+            if fault:
+                self.log.warn("frame-malformed", peer=uid, why=fault)
+                return
+            self._checked[connection] = envelope
         fresh, lost = self._seen.take(src=src, lane=number, uid=uid, boot=boot, seq=seq, connection=connection)
         if not fresh:
             self._passed_over(src=src, identity=Identity(uid, boot), connection=connection)
