--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -10,10 +10,10 @@
 from ..base.startup import Startup
 from ..fleet.conf import Table
 from ..fleet.delta import Delta, History
-from ..record.epoch import Epoch, addr_of
+from ..record.epoch import Epoch, addr_of, check_epoch
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
-from .calls import Calls
+from .calls import Calls, first_number
 from .fresh import Freshness
 
 JOB_GROUPS = 1
@@ -67,7 +67,8 @@
 class NodeBase:
     """Invariants: `now` is the steady clock and rises; `table` never goes back to an older stamp; an epoch known
     is never replaced by one with a lower number; `table` is that of the newest document in `past`; `have` is what
-    nodes said in their last hearts, `sent` what left for them since."""
+    nodes said in their last hearts, `sent` what left for them since. `boot` is this life's incarnation: with `uid` it
+    tells the life from all others; nothing but its equality means anything outside `wire`."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, kind: str, log: Log) -> None:
         self.startup = startup
@@ -96,8 +97,9 @@
         self.behind = -1.0                   # since when others tell of a newer configuration; below 0: they do not
         self.hearted = -9.0
         self.contact = -9.0                  # when any node last answered a heart, in touch or not
+        self.proved: dict[str, float] = {}   # when an answer to a call last carried the proof, by node
         self.freshness = Freshness(apply_ms=startup.bound(name="config-apply-ms", default=2000))
-        self.calls = Calls(hub=self, base=boot % 1_000_000 * 1_000_000)
+        self.calls = Calls(hub=self, base=first_number(incarnation=boot))
 
     # -- outputs
 
@@ -127,6 +129,7 @@
     def learn(self, *, eps: list[Any]) -> None:
         """Take note of epochs: (group, epoch)."""
         for g, e in eps:
+            check_epoch(epoch=e)
             if g not in self.eps or self.eps[g]["n"] < e["n"]:
                 self.eps[g] = e
 
@@ -220,6 +223,20 @@
         """A route by name."""
         return self.table.routes.get(name) if self.table is not None else None
 
+    def stamp(self) -> int:
+        """The version of the configuration in force here; 0: none yet."""
+        return self.table.stamp if self.table is not None else 0
+
+    def select(self, *, host: str, path: str) -> str:
+        """The queue that a path belongs to by the configuration in force here; empty: none."""
+        route = self.table.select(host=host, path=path) if self.table is not None else None
+        return str(route["name"]) if route is not None else ""
+
+    def proof_age_ms(self) -> int | None:
+        """How old the proof of contact with group 0's primary is; None: there was none yet."""
+        fields = self.proof()
+        return round(fields["age"] * 1000) if fields else None
+
     # -- hearts
 
     def seeds(self) -> list[str]:
@@ -273,6 +290,15 @@
         fields = {} if self.torn else self.freshness.told(now=self.now)
         return {**fields, "conf": self.mine()["conf"]} if fields else {}
 
+    def proof_to(self, *, uid: str) -> dict[str, Any]:
+        """The same for an answer to a node's call: a few times a second is enough."""
+        if self.now - self.proved.get(uid, -9.0) <= HEART_S:
+            return {}
+        if len(self.proved) > 4096:
+            self.proved.clear()
+        self.proved[uid] = self.now
+        return self.proof()
+
     def confirm(self, *, sent: float, m: dict[str, Any]) -> bool:
         """Take the proof that an answer carries to what was sent at `sent`, unless it tells of a newer configuration
         than is here; whether its sender is in touch. Word of an epoch that is over proves nothing."""
--- a/yarrowloom/node/chief.py
+++ b/yarrowloom/node/chief.py
@@ -20,6 +20,7 @@
 FRESH_S = 1.0                       # nor a core been enrolled for this long
 EASE_S = 0.5                        # how often up to EASE of them, of one rack, do
 EASE = 16
+PAUSE_S = 0.3                       # a primary that did not serve for longer discounts that time
 SHED_S = 2.0                        # an agent that has not let go of minions by then keeps them
 
 
@@ -42,7 +43,7 @@
         self.stale: dict[str, list[str]] = {}    # by agent: minions whose fence is from before its process began anew
         self.shed: dict[str, tuple[str, str]] = {}      # minions that should change hands: from whom, to whom
         self.asked: set[str] = set()             # of these, those that their agent held when it was asked
-        self.eased = now
+        self.eased = self.served = now
         self.stirred = now if node.reg.minions else now - CALM_S + FRESH_S
 
     def live(self, *, uid: str) -> bool:
@@ -67,6 +68,7 @@
         """A core's heart: enrol it, renew its word, tell it what it owns.
 
         `dig`: the digest of what it holds; `own`: all of that, if it was asked for (`list` in the answer)."""
+        self._resumed()
         node, uid = self.node, b["u"]
         if b["kind"] != "core":
             return {}
@@ -195,8 +197,17 @@
         self.eased = now
         self.shed = {mid: (node.reg.minions[mid]["o"], new) for mid, new in rows}
 
+    def _resumed(self) -> None:
+        """This primary serves. Hearts that came while it did not, without a lease or contact, were not counted: that
+        time is no silence of the agents."""
+        paused = self.node.now - self.served
+        self.served = self.node.now
+        if paused > PAUSE_S:
+            self.last = {uid: min(at + paused, self.node.now) for uid, at in self.last.items()}
+
     def tick(self) -> None:
         """Look for agents whose word has run out; one batch of each kind of work."""
+        self._resumed()
         node = self.node
         if self.asks and node.now - self.admitted >= ADMIT_S:
             self._admit()
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -7,6 +7,8 @@
 from ..base.log import Log
 from ..base.startup import Startup
 from ..fleet.owners import total
+from ..record.relief import copied_elsewhere, may_end
+from ..record.replay import ReplayError
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
@@ -18,6 +20,7 @@
 
 REC = frozenset({Kind.PREP, Kind.PROMISE, Kind.ACCEPT, Kind.ACCEPTED, Kind.INSTALL, Kind.INSTALLED, Kind.CKPT,
                  Kind.CKPTOK, Kind.LOG, Kind.LOGOK, Kind.PING, Kind.PONG, Kind.YIELD})
+NODE_RECORDS = frozenset({"id", "none"})     # the kinds of records that are of no group
 THAW_S = 0.3
 
 
@@ -43,8 +46,8 @@
     def _none(self) -> None:
         pass
 
-    def _near(self, g: int, n: int, seq: int) -> None:
-        self.reps[g].near(n=n, seq=seq)
+    def _near(self, g: int, n: int, last: int) -> None:
+        self.reps[g].near(n=n, last=last)
 
     def _copied(self, g: int, tag: str) -> None:
         camp = self.reps[g].camp
@@ -114,9 +117,9 @@
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.CALL:
-            self._call(uid=m.get("for") or uid, m=m)
+            self._call(uid=uid, m=m)
         elif kind is Kind.REPLY:
-            self.calls.reply(m=m)
+            self.calls.reply(uid=uid, m=m)
         elif kind is Kind.ROOM:
             self._room(m=m)
         else:
@@ -135,14 +138,14 @@
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
         if not self.hand.take(uid=uid, rid=rid, g=g, now=self.now):
             return
-        if g < 0:
+        if g < 0 and m["to"] != self.uid:     # for the agent of a node that is no more; groups know who serves them
+            self.reply(uid=uid, rid=rid, status=503, doc={})
+        elif g < 0:
             self._handed(uid=uid, rid=rid, op=op, b=b)
         elif not self.reps[g].serving():
             self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
         elif g == 0:
             self._serve0(uid=uid, rid=rid, op=op, b=b)
-            if op == "leave":     # the minion's agent answers
-                self.hand.drop(uid=uid, rid=rid)
         else:
             self.placers[g].call(uid=uid, rid=rid, op=op, b=b)
 
@@ -303,26 +306,39 @@
             self.reps[0].barrier(then=("selfown", {k: own[k] for k in ("own", "dis")}))
 
     def leave(self) -> None:
-        """The process is to end: hand the groups served here to their backups."""
+        """The process is to end: hand what it holds to others, and the groups served here to their backups."""
         for rep in self.reps.values():
             rep.hand_over()
 
+    def may_end(self) -> bool:
+        """Others hold all that this process holds, as far as there are others."""
+        return all(may_end(hub=self, epoch=rep.epoch, asked_s=rep.relief.asked_s()) for rep in self.reps.values())
+
+    def only_copies(self) -> list[int]:
+        """Groups of which this node knows no other live holder."""
+        return [g for g, rep in self.reps.items() if not copied_elsewhere(hub=self, epoch=rep.epoch)]
+
     # -- disk
 
     def restore(self, *, recs: list[bytes]) -> None:
-        """Replay the journal."""
-        for raw in recs:
-            rec = self.load(body=raw)
-            if "g" in rec and rec["g"] in self.reps and rec["k"] != "none":
-                self.reps[rec["g"]].restore(rec)
+        """Replay the journal from a whole snapshot on. Where that raises, the node is of no use any more."""
+        for number, raw in enumerate(recs):
+            try:
+                self._replay(rec=self.load(body=raw))
+            except Exception as err:      # a reducer may raise anything
+                raise ReplayError(text=f"{type(err).__name__}: {err}", number=number) from err
         for g, rep in self.reps.items():
             rep.settle()
             if rep.epoch is not None:
                 NodeBase.learn(self, eps=[[g, rep.epoch]])
 
+    def _replay(self, *, rec: dict[str, Any]) -> None:
+        if rec["k"] not in NODE_RECORDS:
+            self.reps[rec["g"]].restore(rec)
+
     def checkpoint(self) -> list[bytes]:
         """Records that stand for all that this node keeps."""
-        out = [dump(body={"k": "id", "uid": self.uid})]
+        out = [dump(body={"k": "id", "uid": self.uid, "inc": self.boot})]
         for rep in self.reps.values():
             out += [dump(body=rec) for rec in rep.checkpoint()]
         return out
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -208,9 +208,9 @@
             self.take_news(doc=m)
         elif kind is Kind.REPLY:
             pend = self.calls.open.get(m["rid"])
-            if pend is not None and "age" in m:
+            if pend is not None and uid in pend.nodes and "age" in m:
                 self.confirm(sent=pend.began, m=m)
-            self.calls.reply(m=m)
+            self.calls.reply(uid=uid, m=m)
 
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         """A core or a relay answered a heart. A relay that is not in touch is left as soon as another node is."""
--- a/yarrowloom/record/parts.py
+++ b/yarrowloom/record/parts.py
@@ -56,6 +56,9 @@
     def up(self, *, uid: str) -> bool:
         """Heard of lately."""
 
+    def other_zones(self, *, holders: list[str]) -> list[str]:
+        """If all of `holders` stand in one zone: live members of other zones."""
+
     def losses(self) -> int:
         """How many disks may be lost at once: the number of backups."""
 
@@ -86,7 +89,7 @@
 
     IDLE = "idle"
     BACKUP = "backup"
-    LAPSED = "lapsed"      # named primary, has the state, but not serving
+    LAPSED = "lapsed"      # has the state of an epoch that it must not go on with: it is to campaign for the next
     TAKING = "taking"      # campaigning for the next epoch
     PRIMARY = "primary"
 
