--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -290,7 +290,7 @@
         fields = {} if self.torn else self.freshness.told(now=self.now)
         return {**fields, "conf": self.mine()["conf"]} if fields else {}
 
-    def proof_to(self, *, uid: str) -> dict[str, Any]:
+    def proofs(self, *, uid: str) -> dict[str, Any]:
         """The same for an answer to a node's call: a few times a second is enough."""
         if self.now - self.proved.get(uid, -9.0) <= HEART_S:
             return {}
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -231,7 +231,7 @@
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call of another node."""
-        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "to": uid, "s": status, "d": doc} | self.proof_to(uid=uid))
+        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "to": uid, "s": status, "d": doc} | self.proofs(uid=uid))
 
     def learn(self, *, eps: list[Any]) -> None:
         """Epochs go to the replicas first, which report what is news."""
