--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -135,7 +135,7 @@
     sim.run(seconds=1.0)
     quiet(sim)
     journal += sim.disks[ip].synced[begin:]
-    again = CoreNode(startup=sim.startup(ip=ip, first=False), uid=node.uid, log=Lines(), first=False,
+    again = CoreNode(startup=sim.startup(ip=ip, first=False), uid=node.uid, boot=2, log=Lines(), first=False,
                      now=sim.now)
     if old:
         with pytest.raises(ReplayError) as caught:
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -97,6 +97,7 @@
         self.behind = -1.0                   # since when others tell of a newer configuration; below 0: they do not
         self.hearted = -9.0
         self.contact = -9.0                  # when any node last answered a heart, in touch or not
+        self.proved: dict[str, float] = {}   # when an answer to a call last carried the proof, by node
         self.freshness = Freshness(apply_ms=startup.bound(name="config-apply-ms", default=2000))
         self.calls = Calls(hub=self, base=first_number(incarnation=boot))
 
@@ -222,6 +223,20 @@
         """A route by name."""
         return self.table.routes.get(name) if self.table is not None else None
 
+    def stamp(self) -> int:
+        """The version of the configuration in force here; 0: none yet."""
+        return self.table.stamp if self.table is not None else 0
+
+    def select(self, *, host: str, path: str) -> str:
+        """The queue that a path belongs to by the configuration in force here; empty: none."""
+        route = self.table.select(host=host, path=path) if self.table is not None else None
+        return str(route["name"]) if route is not None else ""
+
+    def proof_age_ms(self) -> int | None:
+        """How old the proof of contact with group 0's primary is; None: there was none yet."""
+        fields = self.proof()
+        return round(fields["age"] * 1000) if fields else None
+
     # -- hearts
 
     def seeds(self) -> list[str]:
@@ -275,6 +290,15 @@
         fields = {} if self.torn else self.freshness.told(now=self.now)
         return {**fields, "conf": self.mine()["conf"]} if fields else {}
 
+    def proofs(self, *, uid: str) -> dict[str, Any]:
+        """The same for an answer to a node's call: a few times a second is enough."""
+        if self.now - self.proved.get(uid, -9.0) <= HEART_S:
+            return {}
+        if len(self.proved) > 4096:
+            self.proved.clear()
+        self.proved[uid] = self.now
+        return self.proof()
+
     def confirm(self, *, sent: float, m: dict[str, Any]) -> bool:
         """Take the proof that an answer carries to what was sent at `sent`, unless it tells of a newer configuration
         than is here; whether its sender is in touch. Word of an epoch that is over proves nothing."""
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -13,7 +13,7 @@
 from ..record import Epoch, Replica
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
-from .base import HEART_S, JOB_GROUPS
+from .base import JOB_GROUPS
 from .calls import first_number
 from .chief import Chief
 from .control import BEAT_TTL, refusal
@@ -50,7 +50,6 @@
         self.listing = False                 # the chief wants to be told all that the agent holds
         self.owner: dict[str, tuple[str, float]] = {}
         self.before: dict[int, str] = {}
-        self.proved: dict[str, float] = {}   # when an answer to a call last carried the proof, by node
         self.ticked = now
 
     # -- what the state machines ask
@@ -111,20 +110,6 @@
         self.prove_own()
         return super().proof()
 
-    def stamp(self) -> int:
-        """The version of the configuration in force here; 0: none yet."""
-        return self.table.stamp if self.table is not None else 0
-
-    def select(self, *, host: str, path: str) -> str:
-        """The queue that a path belongs to by the configuration in force here; empty: none."""
-        route = self.table.select(host=host, path=path) if self.table is not None else None
-        return str(route["name"]) if route is not None else ""
-
-    def proof_age_ms(self) -> int | None:
-        """How old the proof of contact with group 0's primary is; None: there was none yet."""
-        fields = self.proof()
-        return round(fields["age"] * 1000) if fields else None
-
     def let_go(self, *, mids: list[str]) -> None:
         """The chief wants these given to others. Let go of are those in good order, with none on its way out: the
         next agent would have to find out anew that a minion is silent or about to leave."""
@@ -151,14 +136,8 @@
         self.calls.start(g=0, op="gone", b={"m": mid, "f": fence}, done=("none",), ttl=30.0)
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
-        """Answer a call of another node; a few times a second the answer tells how new the configuration here is."""
-        body = {"rid": rid, "to": uid, "s": status, "d": doc}
-        if self.now - self.proved.get(uid, -9.0) > HEART_S:
-            if len(self.proved) > 4096:
-                self.proved.clear()
-            self.proved[uid] = self.now
-            body |= self.proof()
-        self.send(uid=uid, kind=Kind.REPLY, body=body)
+        """Answer a call of another node."""
+        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "to": uid, "s": status, "d": doc} | self.proofs(uid=uid))
 
     def learn(self, *, eps: list[Any]) -> None:
         """Epochs go to the replicas first, which report what is news."""
