--- /dev/null
+++ b/tests/test_sim_found.py
@@ -0,0 +1,18 @@
+"""What hunts found: each fault list (`tests/found/`) is played again."""
+
+from pathlib import Path
+
+import pytest
+
+from yarrowloom.sim.faults import load
+from yarrowloom.sim.play import Settings, play
+
+FOUND = sorted((Path(__file__).parent / "found").glob("*.toml"))
+
+
+@pytest.mark.parametrize("path", FOUND, ids=lambda path: path.stem)
+def test_what_a_hunt_found_breaks_no_rule_any_more(path: Path) -> None:
+    plan = load(path=str(path))
+    assert plan.seed is not None and plan.seconds is not None and plan.size is not None
+    report = play(settings=Settings(seed=plan.seed, seconds=plan.seconds, size=plan.size, faults=plan.faults))
+    assert report.breaches == ()
