--- /dev/null
+++ b/yarrowloom/sim/__init__.py
@@ -0,0 +1,1 @@
+"""A simulated world for the real nodes."""
