--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -1,5 +1,6 @@
 """The disk ring against an oracle: what was synced comes back, in order, and nothing that is not a prefix of it."""
 
+import os
 import pathlib
 import random
 
@@ -142,7 +143,7 @@
     with monkeypatch.context() as patch:
         def refuse(_fd: int, _data: bytes) -> int:
             raise OSError("refused")
-        patch.setattr("yarrowloom.store.ring.os.write", refuse)
+        patch.setattr("yarrowloom.store.files.os.write", refuse)
         with pytest.raises(OSError, match="refused"):
             ring.append(bodies=[b"b"])
     ring.close()
@@ -157,7 +158,11 @@
     ring.load()
     ring.rotate()
     ring.append(bodies=[b"c0", END])
-    seen: list[int] = []
-    monkeypatch.setattr("yarrowloom.store.ring.os.fsync", seen.append)
+    ring.close()
+    seen: list[str] = []
+
+    def record(handle: int) -> None:
+        seen.append(os.readlink(f"/proc/self/fd/{handle}"))
+    monkeypatch.setattr("yarrowloom.store.files.os.fsync", record)
     Ring(folder=str(tmp_path), files=4, size=4096).load()
-    assert len(seen) == 1
+    assert sorted(seen) == sorted([str(tmp_path), *(str(tmp_path / f"ring-{slot}") for slot in range(4))])
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,277 @@
+"""The store's verdict on damaged, cut off and empty disks; what its calls cost; how much room it takes."""
+
+import errno
+import logging
+import pathlib
+
+import pytest
+
+from tests.storeproof import FILE_BYTES, FOLDER, Life, Oracle, Process, checkpoint, make_ring, play, replay
+from yarrowloom.base.errs import StoreError
+from yarrowloom.base.log import Log
+from yarrowloom.base.startup import Startup
+from yarrowloom.node.shell import Shell, open_core
+from yarrowloom.sim.disk import Operation, Outcome, PowerCutError, SimDisk, Trouble
+from yarrowloom.store import END, Ring, Verdict, file_sizes, until_taken
+from yarrowloom.store.layout import HEADER_BYTES
+
+MIB = 1 << 20
+LOG = Log(name="test", level="error")
+logging.getLogger("yarrowloom.test").setLevel(logging.CRITICAL)
+
+
+def after(*, batches: tuple[int, ...]) -> tuple[SimDisk, Oracle]:
+    """A disk on which some batches were acknowledged, after the loss of power."""
+    disk, oracle = SimDisk(), Oracle()
+    assert play(disk=disk, oracle=oracle, life=Life(batches=batches), make=make_ring, cut=None)
+    lose_all(disk=disk)
+    return disk, oracle
+
+
+def lose_all(*, disk: SimDisk) -> None:
+    """Power goes, and all that was not synced with it."""
+    disk.lose_power(outcome=Outcome(names=(False,) * len(disk.unsynced_names()),
+                                    writes=(0,) * len(disk.unsynced_writes())))
+
+
+def verdict(*, disk: SimDisk) -> Verdict:
+    ring = make_ring(disk.copy(), 99)
+    ring.load()
+    return ring.verdict
+
+
+def path(slot: int) -> str:
+    return f"{FOLDER}/ring-{slot}"
+
+
+DAMAGES = ["removed", "emptied", "header", "foreign", "zeros"]
+
+
+def damage(*, disk: SimDisk, slot: int, how: str) -> None:
+    old = disk.content(path=path(slot))
+    assert old is not None
+    new = {"removed": None, "emptied": b"", "header": b"?" * HEADER_BYTES + old[HEADER_BYTES:],
+           "foreign": b"something else" * 30, "zeros": bytes(len(old))}[how]
+    disk.damage(path=path(slot), content=new)
+
+
+@pytest.mark.parametrize("how", DAMAGES)
+@pytest.mark.parametrize("slot", range(4))
+@pytest.mark.parametrize("turns", range(9))
+def test_a_damaged_file_holds_nothing_needed_or_the_journal_is_called_lost(turns: int, slot: int, how: str) -> None:
+    """Also the newest file gone while older ones are there. Damage to any one file, after each number of batches."""
+    disk, oracle = after(batches=(3,) * turns)
+    damage(disk=disk, slot=slot, how=how)
+    ring = make_ring(disk, 99)
+    records = ring.load()
+    assert ring.verdict in (Verdict.WHOLE, Verdict.LOST)
+    if ring.verdict is Verdict.WHOLE:
+        assert replay(records=records) == oracle.acknowledged
+
+
+@pytest.mark.parametrize("how", DAMAGES)
+@pytest.mark.parametrize("turns", [0, 1, 2, 4, 6, 8])
+def test_the_newest_file_gone_is_called_lost_until_a_new_journal_stands(turns: int, how: str) -> None:
+    """Whatever cuts off the first start after it, the old journal is never taken up again."""
+    disk, oracle = after(batches=(3,) * turns)
+    ring = make_ring(disk.copy(), 99)
+    ring.load()
+    damage(disk=disk, slot=ring._durable % 4, how=how)
+    assert verdict(disk=disk) is Verdict.LOST
+    new = [b'{"list": [7]}', END]
+    for cut in range(1, 40):
+        again, ended = disk.copy(), False
+        again.cut_at = again.calls + cut
+        ring = make_ring(again, 100)
+        try:
+            ring.load()
+            ring.begin(checkpoint=new)
+            ended = True
+        except PowerCutError:
+            pass
+        for names, writes in (((False,), (0,)), ((True,), (HEADER_BYTES,)), ((True,), (10,)), ((True,), (1 << 20,))):
+            last = again.copy()
+            kept = tuple(min(writes[0], size) for size in last.unsynced_writes())
+            last.lose_power(outcome=Outcome(names=names * len(last.unsynced_names()), writes=kept))
+            ring = make_ring(last, 101)
+            records = ring.load()
+            assert ring.verdict is Verdict.LOST or (ring.verdict, records) == (Verdict.WHOLE, new)
+            assert ring.verdict is Verdict.WHOLE or not ended
+        if ended:
+            return
+    raise AssertionError("the start never came to its end")
+
+
+def test_a_start_that_was_cut_off_before_anything_was_acknowledged_is_shown_as_empty() -> None:
+    found: list[Verdict] = []
+    ended = False
+    while not ended:
+        disk = SimDisk()
+        ended = play(disk=disk, oracle=Oracle(), life=Life(), make=make_ring, cut=len(found) + 1)
+        lose_all(disk=disk)
+        found.append(verdict(disk=disk))
+    first = found.index(Verdict.WHOLE)      # from the sync of the first batch on
+    assert first > 10 and set(found[:first]) == {Verdict.EMPTY} and set(found[first:]) == {Verdict.WHOLE}
+    assert verdict(disk=SimDisk()) is Verdict.EMPTY
+
+
+# -- what a batch costs
+
+
+def test_calls_of_a_batch_and_of_a_rotation() -> None:
+    """One write and one sync for a batch; for a rotation one write and one sync more, to a file of the full length."""
+    disk = SimDisk()
+    process = Process(disk=disk, oracle=Oracle(),
+                      make=lambda disk, _: Ring(folder=FOLDER, size=2000, file_system=disk))
+    process.start()
+    costs: dict[bool, set[int]] = {False: set(), True: set()}
+    for _ in range(200):
+        calls, file = disk.calls, process.ring._file
+        process.put(count=2)
+        if process.ring._file > 5:
+            costs[process.ring._file != file].add(disk.calls - calls)
+    assert costs == {False: {2}, True: {4}}
+
+
+# -- refused and slow disks
+
+
+def test_a_sync_that_failed_is_not_called_again_on_the_same_file() -> None:
+    disk = SimDisk()
+    process = Process(disk=disk, oracle=Oracle(), make=make_ring)
+    process.start()
+    process.put(count=1)
+    disk.troubles = [Trouble(operation=Operation.SYNC_DATA, error=errno.EIO)]
+    with pytest.raises(OSError, match=r"Input/output"):
+        process.ring.append(bodies=[b'{"entry": 1}'])
+    assert process.ring.full(extra=0)
+    with pytest.raises(OSError, match="no ring file"):
+        process.ring.append(bodies=[b'{"entry": 1}'])
+    process.ring.begin(checkpoint=checkpoint(state=[0]), bodies=[b'{"entry": 1}'])
+    lose_all(disk=disk)
+    assert replay(records=make_ring(disk, 2).load()) == [0, 1]
+
+
+def test_tries_without_end_leave_the_durable_file_alone() -> None:
+    """The disk refuses each sync; every fourth try wrote over the only durable file."""
+    disk, oracle = after(batches=(3, 3))
+    disk.troubles = [Trouble(operation=Operation.SYNC_DATA, error=errno.EIO, times=100)]
+    ring = make_ring(disk, 5)
+    ring.load()
+    for _ in range(20):
+        with pytest.raises(OSError, match=r"Input/output"):
+            ring.begin(checkpoint=checkpoint(state=[1]))
+    lose_all(disk=disk)
+    assert replay(records=make_ring(disk, 6).load()) == oracle.acknowledged
+
+
+def test_starts_without_end_leave_the_durable_file_alone() -> None:
+    """Each life is killed before its first sync."""
+    disk, oracle = after(batches=(3, 3))
+    for life in range(12):
+        ring = make_ring(disk, 10 + life)
+        ring.load()
+        disk.troubles = [Trouble(operation=Operation.SYNC_DATA, error=errno.EIO)]
+        with pytest.raises(OSError, match=r"Input/output"):
+            ring.begin(checkpoint=checkpoint(state=[1])[:2])
+        disk.kill()
+
+    lose_all(disk=disk)
+    assert replay(records=make_ring(disk, 31).load()) == oracle.acknowledged
+
+
+def test_a_disk_that_is_full_for_a_while() -> None:
+    disk, oracle = SimDisk(room_bytes=2 * FILE_BYTES), Oracle()
+    process = Process(disk=disk, oracle=oracle, make=make_ring)
+    process.start()
+    with pytest.raises(AssertionError, match="refused too often"):
+        for _ in range(9):
+            process.put(count=3)
+    disk.room_bytes = None
+    disk.kill()
+    process = Process(disk=disk, oracle=oracle, make=make_ring)
+    process.start()
+    process.put(count=3)
+    lose_all(disk=disk)
+    assert replay(records=make_ring(disk, 9).load()) == oracle.acknowledged
+
+
+def test_a_start_waits_for_a_disk_that_refuses() -> None:
+    disk, waits = SimDisk(), list[float]()
+    disk.troubles = [Trouble(operation=Operation.SYNC_FOLDER, error=errno.EIO, times=3),
+                     Trouble(operation=Operation.WRITE, error=errno.ENOSPC, times=2)]
+    ring = make_ring(disk, 1)
+    assert until_taken(call=ring.load, ring=ring, log=LOG, sleep=waits.append) == []
+    assert len(waits) == 5
+    disk.troubles = [Trouble(operation=Operation.SYNC_FOLDER, error=errno.EACCES)]
+    with pytest.raises(StoreError):
+        until_taken(call=ring.load, ring=ring, log=LOG, sleep=waits.append)
+
+
+# -- the node
+
+
+def startup(*, bootstrap: bool) -> Startup:
+    return Startup(name="n", role="r", ip="10.0.0.1", site="z", sites={"z": "r"}, binds={"control": "10.0.0.1:8000"},
+                   ports=(7000, 7015), seeds=("10.0.0.1:8000",), bootstrap=bootstrap, data_dir=FOLDER, disk_mb=8,
+                   memory_mb=300, beat_ms=1000)
+
+
+def start_node(*, disk: SimDisk, bootstrap: bool = True) -> Shell:
+    return open_core(startup=startup(bootstrap=bootstrap), log=LOG, file_system=disk)
+
+
+FIRST_UID = "10.0.0.1:7000#0"
+
+
+def test_a_node_starts_as_first_only_on_a_disk_that_shows_that_nothing_was_acknowledged() -> None:
+    assert start_node(disk=SimDisk()).node.uid == FIRST_UID
+    assert start_node(disk=SimDisk(), bootstrap=False).node.uid != FIRST_UID
+    disk = SimDisk()
+    disk.cut_at = 12          # in the first batch
+    with pytest.raises(PowerCutError):
+        start_node(disk=disk)
+    lose_all(disk=disk)
+    assert start_node(disk=disk).node.uid == FIRST_UID
+
+
+@pytest.mark.parametrize("how", DAMAGES)
+def test_a_node_whose_journal_is_lost_joins_under_a_new_identity(how: str) -> None:
+    disk = SimDisk()
+    start_node(disk=disk)
+    lose_all(disk=disk)
+    assert start_node(disk=disk.copy()).node.uid == FIRST_UID
+    damage(disk=disk, slot=1, how=how)
+    node = start_node(disk=disk).node
+    assert node.uid != FIRST_UID
+    lose_all(disk=disk)
+    assert start_node(disk=disk).node.uid == node.uid
+
+
+# -- room
+
+
+@pytest.mark.parametrize("disk_mb", [4, 5, 6, 7, 8, 12, 16, 32, 48, 64, 100, 128, 512, 4096])
+def test_four_files_stay_within_the_disk(disk_mb: int) -> None:
+    size, most = file_sizes(disk_mb=disk_mb)
+    assert 0 < size <= most
+    assert 4 * most <= disk_mb * MIB
+    if disk_mb >= 6:
+        assert 4 * most <= disk_mb * MIB * 2 // 3
+
+
+def test_files_that_grow_stay_within_the_disk(tmp_path: pathlib.Path) -> None:
+    size, most = file_sizes(disk_mb=12)
+    ring = Ring(folder=str(tmp_path), size=size, most=most)
+    ring.load()
+    for _ in range(9):
+        ring.begin(checkpoint=[b"c" * MIB, END])
+        while not ring.full(extra=70_000):
+            ring.append(bodies=[b"e" * 60_000])
+    used = sum(file.stat().st_size for file in tmp_path.iterdir())
+    assert ring.size == most and used == 4 * most <= 8 * MIB
+
+
+def test_a_ring_of_two_files_is_refused() -> None:
+    with pytest.raises(ValueError, match="3 files or more"):
+        Ring(folder=FOLDER, files=2)
--- /dev/null
+++ b/tests/test_store_mutants.py
@@ -0,0 +1,134 @@
+"""Guards of the store, each taken out: the proof finds every one."""
+
+import errno
+import random
+
+import pytest
+
+from tests.storeproof import Bounds, Breach, Life, Oracle, explore, make_ring, play, replay, walk
+from tests.test_store import DAMAGES, damage, path
+from tests.test_store_proof import FIRST, SECOND, troubles
+from yarrowloom.sim.disk import Operation, SimDisk, Trouble
+from yarrowloom.store import Ring, Verdict
+from yarrowloom.store.layout import HEADER_BYTES, Header, Slot
+
+
+def ends() -> None:
+    """Power cut at each call of a life, and once more in the life after."""
+    explore(lives=[FIRST], bounds=[Bounds(outcomes=300, followed=0)])
+    explore(lives=[Life(batches=(3, 4)), Life(batches=(3,))],
+            bounds=[Bounds(outcomes=60, followed=1), Bounds(outcomes=60, followed=0)])
+
+
+def refusals() -> None:
+    """Refused calls, then power cuts and kills in a row."""
+    rng = random.Random(5)
+    for after in range(0, 24, 3):
+        trouble = Trouble(operation=Operation.SYNC_DATA, error=errno.EIO, after=after, times=5)
+        explore(lives=[Life(batches=(3, 4, 3, 2), troubles=(trouble,))], bounds=[Bounds(outcomes=20, followed=0)])
+    for seed in range(150):
+        walk(seed=seed, lives=[Life(batches=FIRST.batches, troubles=troubles(rng=rng)), Life(), SECOND], longest=90)
+
+
+def damages() -> None:
+    """One file damaged after each number of batches."""
+    for turns in range(9):
+        disk, oracle = SimDisk(), Oracle()
+        play(disk=disk, oracle=oracle, life=Life(batches=(3,) * turns), make=make_ring, cut=None)
+        for slot in range(4):
+            for how in DAMAGES:
+                hurt = disk.copy()
+                hurt.kill()
+                damage(disk=hurt, slot=slot, how=how)
+                ring = make_ring(hurt, 99)
+                records = ring.load()
+                if ring.verdict is not Verdict.LOST and replay(records=records) != oracle.acknowledged:
+                    raise Breach(f"damage not seen: {how} {slot}")
+        newest = max(range(4), key=lambda slot: header_number(disk=disk, slot=slot))
+        for slot in range(4):
+            if slot != newest:
+                flips(disk=disk, slot=slot, wanted=oracle.acknowledged)
+
+
+def header_number(*, disk: SimDisk, slot: int) -> int:
+    header = Header.parse(raw=disk.content(path=path(slot)) or b"")
+    return header.number if header is not None else 0
+
+
+def flips(*, disk: SimDisk, slot: int, wanted: list[int]) -> None:
+    """A bit changed in the header of a file that is not needed: the journal is whole all the same."""
+    old = disk.content(path=path(slot))
+    assert old is not None
+    for position in range(HEADER_BYTES):
+        hurt = disk.copy()
+        hurt.kill()
+        hurt.damage(path=path(slot), content=old[:position] + bytes([old[position] ^ 64]) + old[position + 1:])
+        ring = make_ring(hurt, 99)
+        records = ring.load()
+        if ring.verdict is not Verdict.WHOLE or replay(records=records) != wanted:
+            raise Breach(f"a header that is not needed: {slot} {position}")
+
+
+def proof() -> None:
+    ends()
+    refusals()
+    damages()
+
+
+def test_the_proof_passes_on_the_store_as_it_is() -> None:
+    proof()
+
+
+def no_folder_sync(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(SimDisk, "sync_folder", lambda self, *, path: None)
+
+
+def no_file_sync(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(SimDisk, "sync", lambda self, *, handle: None)
+
+
+def no_data_sync(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(SimDisk, "sync_data", lambda self, *, handle: None)
+
+
+def no_header_checksum(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Header, "checks", staticmethod(lambda *, raw: True))
+
+
+def records_not_bound_to_their_file(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Header, "seed", 1)
+
+
+def no_check_of_the_number_that_follows(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Ring, "_follows", staticmethod(lambda **_: True))
+
+
+def no_check_of_the_first_batch(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Slot, "whole", property(lambda self: self.header is not None and bool(self.records)))
+
+
+def no_word_of_the_durable_file(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Ring, "_declare", lambda self: None)
+
+
+def tries_in_the_next_file(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Ring, "_next_file", lambda self: self._file + 1)
+
+
+def empty_where_no_file_is_whole(patch: pytest.MonkeyPatch) -> None:
+    def judge(self: Ring, *, slots: list[Slot]) -> None:
+        newest = max((slot.header.number for slot in slots if slot.header is not None and slot.whole), default=0)
+        self.verdict = Verdict.WHOLE if newest else Verdict.EMPTY
+        self._file = self._durable = newest
+    patch.setattr(Ring, "_judge", judge)
+
+
+@pytest.mark.parametrize("mutant", [
+    no_folder_sync, no_file_sync, no_data_sync, no_header_checksum, records_not_bound_to_their_file,
+    no_check_of_the_number_that_follows, no_check_of_the_first_batch, no_word_of_the_durable_file,
+    tries_in_the_next_file, empty_where_no_file_is_whole])
+def test_a_guard_taken_out_is_found(mutant: object, monkeypatch: pytest.MonkeyPatch) -> None:
+    assert callable(mutant)
+    mutant(monkeypatch)
+    with pytest.raises(Breach):
+        proof()
--- /dev/null
+++ b/tests/test_store_writer.py
@@ -0,0 +1,107 @@
+"""The node's writer on a disk that refuses or hangs: each batch takes effect once, and the journal holds it once."""
+
+import errno
+import time
+from typing import Any
+
+import pytest
+import trio
+
+from tests.test_store import lose_all, start_node
+from yarrowloom.node.shell import Shell
+from yarrowloom.sim.disk import Operation, Outcome, SimDisk, Trouble
+from yarrowloom.store import Ring, Verdict
+
+BATCHES = 5
+
+
+def entry(number: int) -> bytes:
+    return b'{"k":"none","entry":%d}' % number
+
+
+def written(*, disk: SimDisk) -> list[int]:
+    """Entries in the journal, which has to be whole, in order."""
+    ring = Ring(folder="/data", file_system=disk)
+    records = ring.load()
+    assert ring.verdict is Verdict.WHOLE
+    numbers = [int(record.split(b":")[2][:-1]) for record in records if b"entry" in record]
+    return numbers
+
+
+def run_writer(*, shell: Shell, batches: int) -> list[int]:
+    """Hand in batches of two entries; the numbers whose effects came, in order."""
+    done: list[int] = []
+    shell.post = lambda *, fn, **_: done.extend(eff[0] for eff in fn.keywords["effs"])  # type: ignore[method-assign]
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(shell.writer)
+            with trio.fail_after(20):
+                for batch in range(batches):
+                    effects: list[tuple[bytes, tuple[Any, ...]]] = [
+                        (entry(number), (number,)) for number in (2 * batch, 2 * batch + 1)]
+                    shell.disk += effects
+                    shell.dirty.set()
+                    while len(done) < 2 * batch + 2:
+                        await trio.sleep(0.005)
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+    return done
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+@pytest.mark.parametrize("operation", [Operation.WRITE, Operation.SYNC_DATA])
+@pytest.mark.parametrize("times", [1, 3])
+def test_a_refused_batch_is_written_once_and_takes_effect_once(operation: Operation, error: int, times: int) -> None:
+    disk = SimDisk()
+    shell = start_node(disk=disk)
+    disk.troubles = [Trouble(operation=operation, error=error, after=2, times=times, taken_bytes=25)]
+    assert run_writer(shell=shell, batches=BATCHES) == list(range(2 * BATCHES))
+    killed = disk.copy()
+    killed.kill()
+    lose_all(disk=disk)
+    # The checkpoint that begins the next file stands for the entries before it.
+    for left in (disk, killed):
+        found = written(disk=left)
+        assert found == sorted(set(found)) and found[-1] == 2 * BATCHES - 1
+
+
+def test_a_disk_that_hangs_holds_up_effects_and_nothing_else() -> None:
+    disk = SimDisk(wait=time.sleep)
+    shell = start_node(disk=disk)
+    disk.troubles = [Trouble(operation=Operation.SYNC_DATA, stall_s=0.3)]
+    shell.post = lambda **_: None  # type: ignore[method-assign]
+    turns = 0
+
+    async def main() -> None:
+        nonlocal turns
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(shell.writer)
+            shell.disk.append((entry(0), (0,)))
+            shell.dirty.set()
+            while disk.stalled_s == 0:
+                await trio.sleep(0.01)
+            for _ in range(10):
+                await trio.sleep(0.01)
+                turns += 1
+            assert disk.unsynced_writes()
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+    assert turns == 10 and written(disk=disk) == [0]
+
+
+def test_a_batch_that_is_cut_off_comes_back_as_its_beginning_or_whole() -> None:
+    disk = SimDisk()
+    shell = start_node(disk=disk)
+    assert shell.ring is not None
+    shell.ring.append(bodies=[entry(0), entry(1)])
+    disk.troubles = [Trouble(operation=Operation.SYNC_DATA, error=errno.EIO)]
+    with pytest.raises(OSError, match="Input"):
+        shell._put(shell.ring, [], [entry(2), entry(3)])
+    (size,) = disk.unsynced_writes()
+    found: set[tuple[int, ...]] = set()
+    for kept in range(size + 1):
+        after = disk.copy()
+        after.lose_power(outcome=Outcome(names=(), writes=(kept,)))
+        found.add(tuple(written(disk=after)))
+    assert found == {(0, 1), (0, 1, 2), (0, 1, 2, 3)}
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -18,7 +18,8 @@
 from ..base.errs import StartupError, YarrowError
 from ..base.log import Log
 from ..base.startup import Startup, load
-from ..store import END, Ring
+from ..store import END, FileSystem, Ring, Verdict, file_sizes, until_taken
+from ..store.retry import RETRY_S
 from ..wire.frame import Kind, Lane, dump
 from ..wire.http import Request, Response, Server, listen
 from ..wire.peer import Peers, Rows
@@ -213,7 +214,7 @@
                     self.log.warn("disk-refused", why=str(err))
                     ring.close()
                     self.disk = batch + self.disk
-                    await trio.sleep(0.2)
+                    await trio.sleep(RETRY_S)
                     continue
                 self.tally.wrote(head=head, bodies=bodies)
                 self.post(fn=partial(node.done, effs=[eff for _, eff in batch]), rank=Rank.URGENT)
@@ -221,9 +222,9 @@
     @staticmethod
     def _put(ring: Ring, head: list[bytes], bodies: list[bytes]) -> None:
         if head:
-            head = [*head, END]
-            ring.rotate(need=ring.room(bodies=head))
-        ring.append(bodies=head + bodies)
+            ring.begin(checkpoint=[*head, END], bodies=bodies)
+        else:
+            ring.append(bodies=bodies)
 
     async def stop_on_term(self, scope: trio.CancelScope) -> None:
         """SIGTERM drains; SIGHUP reads the settings again."""
@@ -302,17 +303,20 @@
             self.log.info("started", role=node.kind, uid=node.uid)
 
 
-def open_core(*, startup: Startup, log: Log) -> Shell:
+def open_core(*, startup: Startup, log: Log, file_system: FileSystem | None = None) -> Shell:
     """A core process: identity and state from the disk, or new ones."""
     if startup.data_dir is None:
         raise StartupError(text="a core needs data-dir")
-    size = min(8 << 20, max(1 << 20, startup.disk_mb * (1 << 20) // 8))
-    ring = Ring(folder=startup.data_dir, size=size, most=max(size, startup.disk_mb * (1 << 20) // 6))
-    recs = ring.load()
+    size, most = file_sizes(disk_mb=startup.disk_mb)
+    ring = Ring(folder=startup.data_dir, size=size, most=most, file_system=file_system)
+    recs = until_taken(call=ring.load, ring=ring, log=log)
+    if ring.verdict is Verdict.LOST:      # what is left may be old: join as after the loss of the disk
+        log.warn("journal-lost", folder=startup.data_dir)
+        recs = []
     port = startup.ports[0]
     addr = f"{startup.ip}:{port}"
     known = [r["uid"] for r in (orjson.loads(raw) for raw in recs) if r.get("k") == "id"]
-    first = not known and startup.bootstrap
+    first = ring.verdict is Verdict.EMPTY and startup.bootstrap
     uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
     node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
                     now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30),
@@ -320,8 +324,7 @@
     if known:
         node.restore(recs=recs)
     head = [*node.checkpoint(), END]
-    ring.rotate(need=ring.room(bodies=head))
-    ring.append(bodies=head)
+    until_taken(call=partial(ring.begin, checkpoint=head), ring=ring, log=log)
     return Shell(node=node, log=log, ring=ring, port=port)
 
 
