--- a/yarrowloom/record/ballot.py
+++ b/yarrowloom/record/ballot.py
@@ -34,6 +34,7 @@
 COPY_MOST_S = 2.4
 COPY_ENOUGH_S = 2.4   # after this time an epoch makes do with the backups that have synced the checkpoint; doubles
                       # with each epoch in a row that had to
+ENOUGH_MOST_S = 9.6
 COPY_AGAIN_S = 4.8    # after this time without any, all are asked anew
 COPY_LOOK_S = 0.2     # how often is looked again while nobody else can be asked
 CALM_S = 5.0          # for so long does a primary that copies its state keep its backups from campaigning
@@ -135,7 +136,7 @@
         if not ask and not copies and not pending:
             ask = untried[:1]
         self.goal = min(most, len(copies) + len(pending) + len(ask))
-        if copies and hub.now - self.copying > COPY_ENOUGH_S * 2 ** rep.renewal.short:
+        if copies and hub.now - self.copying > min(COPY_ENOUGH_S * 2 ** rep.renewal.short, ENOUGH_MOST_S):
             self.fewer = len(copies) < self.goal      # makes do with these: another epoch follows later
             self.goal = len(copies)
         solo = not rows and hub.everyone() in ([hub.uid], []) and len(e["w"]) <= 1
