--- /dev/null
+++ b/tests/record_adapter.py
@@ -0,0 +1,254 @@
+"""All that the model of replication knows of the product's interface: members made of the real `Replica`, `Witness` and
+`Campaign`, their node's surroundings, restarts from disk as `node/core.py` and `node/shell.py` do them."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from yarrowloom.fleet.registry import Registry
+from yarrowloom.record.epoch import Epoch, addr_of
+from yarrowloom.record.parts import Reducer, Role
+from yarrowloom.record.replica import Replica
+from yarrowloom.record.timing import DOUBT_S, SILENCE_S, SUSPECT_S
+from yarrowloom.wire.frame import LANES, Kind, Lane
+
+if TYPE_CHECKING:
+    from tests.record_model import World
+
+GROUP = 0
+ALIVE_S = 1.2          # as in `node/base.py`
+WITNESSES_MOST = 9     # as in `node/hub.py`
+ALL_ROLES_WITH_STATE = frozenset({Role.PRIMARY, Role.BACKUP, Role.LAPSED, Role.TAKING})
+
+
+class Book:
+    """A reducer: the numbers of the events that were applied, in their order."""
+
+    def __init__(self) -> None:
+        self.numbers: list[int] = []
+
+    def apply(self, ev: dict[str, Any]) -> None:
+        self.numbers.append(ev["i"])
+
+    def dump(self) -> Any:
+        return list(self.numbers)
+
+    def load(self, doc: Any) -> None:
+        self.numbers = list(doc)
+
+
+def event(*, number: int, registry: bool) -> dict[str, Any]:
+    """The event with a number."""
+    return {"t": "enrol", "uid": f"{number:04}", "info": {}} if registry else {"t": "n", "i": number}
+
+
+def numbers_of(*, state: Reducer) -> list[int]:
+    """The events that a state holds; one applied twice is there twice."""
+    if isinstance(state, Registry):
+        out = [int(uid) for uid in state.members]
+        return out + out[-1:] * (state.mods - len(out))
+    assert isinstance(state, Book)
+    return state.numbers
+
+
+def copy_of(doc: Any) -> Any:
+    return orjson.loads(orjson.dumps(doc))
+
+
+@dataclass(kw_only=True)
+class Member:
+    """One process with its disk: what `Hub` asks of a node. `left` is the newest epoch that an election of this disk's
+    owner was to replace; `synced` and `pending` are its disk, done effects wait with the records."""
+
+    w: "World"
+    index: int
+    addr: str
+    uid: str
+    rate: float
+    registry: bool
+    incarnation: int = 0
+    up_since: float = 0.0
+    down_until: float = -1.0          # below 0: the process runs
+    frozen_until: float = -1.0        # below 0: it does not stand still
+    gone: bool = False                # replaced by a member at another address
+    left: int = -1
+    draws: int = 0
+    synced: list[dict[str, Any]] = field(default_factory=list)
+    pending: list[tuple[int, dict[str, Any], tuple[Any, ...]]] = field(default_factory=list)
+    last_heard: dict[str, float] = field(default_factory=dict)
+    view: list[str] = field(default_factory=list)       # the uids that it takes for members
+    rep: Replica = field(init=False)
+
+    # -- what the product asks (the Hub protocol)
+
+    @property
+    def now(self) -> float:  # type: ignore[override]
+        return self.w.start + (self.w.now - self.w.start) * self.rate
+
+    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
+        self.w.check_send(member=self, kind=kind, body=body)
+        self.w.send(src=self, dst=addr_of(uid=uid), kind=kind.name, body=body, copy=LANES[kind] is Lane.COPY)
+
+    def write(self, *, rec: dict[str, Any], done: tuple[Any, ...]) -> None:
+        self.pending.append((self.w.next_serial(), copy_of(rec), done))
+
+    def effect(self, *, eff: tuple[Any, ...]) -> None:
+        what = eff[0]
+        if what == "near":
+            self.rep.near(n=eff[2], seq=eff[3])
+        elif what == "copied":
+            if self.rep.camp is not None:
+                self.rep.camp.copied(tag=eff[2], uid="")
+        elif what == "send":
+            self.send(uid=eff[1], kind=Kind(eff[2]), body=eff[3])
+        elif what == "ack":
+            self.w.acked_by(member=self, numbers=[eff[1]])
+        elif what == "answer":
+            self.w.acked_by(member=self, numbers=eff[1])
+        else:
+            assert what == "none", eff
+
+    def partners(self, *, first: list[str]) -> list[str]:
+        rows = [(not self.up(uid=u), u not in first, u) for u in self.view if u != self.uid]
+        return [u for *_, u in sorted(rows)]
+
+    def up(self, *, uid: str) -> bool:
+        return uid == self.uid or self.now - self.last_heard.get(uid, -9.0) < ALIVE_S
+
+    def losses(self) -> int:
+        return self.w.losses
+
+    def witnesses(self, *, have: list[str]) -> list[str]:
+        up = [u for u in have if u in self.view and self.up(uid=u)]
+        up += [u for u in sorted(self.view) if u not in have and self.up(uid=u)]
+        size = min(len(up) - 1 + len(up) % 2, WITNESSES_MOST)
+        return sorted(up[:size]) if size >= max(len(have), 3) else have
+
+    def everyone(self) -> list[str]:
+        return sorted({*self.view, self.uid})
+
+    def jitter(self) -> float:
+        self.draws += 1
+        return (self.draws * 0.381966 + self.index * 0.27 + self.incarnation * 0.11) % 1.0
+
+    def note(self, *, event: str, **fields: object) -> None:
+        if event == "campaign":
+            self.left = max(self.left, int(str(fields["after"])))
+
+    def installed(self, *, g: int, epoch: Epoch) -> None:
+        self.w.learnt(member=self, epoch=epoch)
+
+    def elected(self, *, g: int) -> None:
+        for other in self.w.members:
+            if other is not self and self.epoch is not None:
+                self.w.send(src=self, dst=other.addr, kind="NEWS", body={"e": self.epoch}, copy=False)
+
+    def deposed(self, *, g: int) -> None:
+        pass
+
+    # -- what the explorer asks and does
+
+    @property
+    def epoch(self) -> Epoch | None:
+        return self.rep.epoch
+
+    @property
+    def running(self) -> bool:
+        return self.down_until < 0 and not self.gone
+
+    @property
+    def awake(self) -> bool:
+        return self.running and self.frozen_until < 0
+
+    def serving(self) -> bool:
+        return self.running and self.rep.serving()
+
+    def numbers(self) -> list[int]:
+        return numbers_of(state=self.rep.state)
+
+    def held_epoch(self) -> int:
+        """The epoch whose record this member holds, as its primary or backup; below 0: none."""
+        return self.rep.base if self.rep.role in ALL_ROLES_WITH_STATE else -1
+
+    def whole_backup(self, *, n: int) -> bool:
+        return self.awake and self.rep.role is Role.BACKUP and self.rep.base == n
+
+    def begin(self, *, epoch: Epoch | None) -> None:
+        """The process starts: with what its disk has, or for the first time."""
+        self.rep = self.replay(records=self.synced, epoch=epoch)
+        self.rep.thawed()
+        self.synced = self.checkpoint()
+        self.pending.clear()
+
+    def replay(self, *, records: list[dict[str, Any]], epoch: Epoch | None = None) -> Replica:
+        """The replica that a restart makes of records."""
+        rep = Replica(g=GROUP, hub=self, state=Registry() if self.registry else Book(), epoch=epoch)
+        for rec in copy_of(records):
+            if rec["k"] != "none":
+                rep.restore(rec)
+        if records:
+            rep.settle()
+        return rep
+
+    def checkpoint(self) -> list[dict[str, Any]]:
+        rows: list[dict[str, Any]] = copy_of(self.rep.checkpoint())
+        return rows
+
+    def commit(self, *, number: int) -> None:
+        self.rep.commit(ev=event(number=number, registry=self.registry), then=("ack", number))
+        self.rep.flush()
+
+    def read(self) -> None:
+        self.rep.barrier(then=("answer", list(self.numbers())))
+        self.rep.flush()
+
+    def take(self, *, uid: str, kind: str, body: dict[str, Any]) -> None:
+        """A message arrives."""
+        if kind == "NEWS":
+            self.rep.learn(body["e"])
+        else:
+            self.rep.on(uid=uid, kind=Kind[kind], m=body)
+        self.rep.flush()
+
+    def done(self, *, effects: list[tuple[Any, ...]]) -> None:
+        for eff in effects:
+            self.effect(eff=eff)
+        self.rep.flush()
+
+    def tick(self) -> None:
+        self.rep.tick()
+        self.rep.flush()
+
+    def thaw(self, *, slept: float) -> None:
+        self.rep.thawed()
+        for uid, when in self.last_heard.items():
+            self.last_heard[uid] = min(when + slept, self.now)
+
+    def leave(self) -> None:
+        self.rep.hand_over()
+
+    def deadlines(self) -> list[float]:
+        """By the own clock: when something is decided by time alone."""
+        rep = self.rep
+        if rep.role is Role.PRIMARY:
+            flight = rep.fly["t0"] if rep.fly is not None else 0.0
+            words = [at + DOUBT_S for at in rep.words.values()]
+            return [rep.until, flight + SUSPECT_S, flight + DOUBT_S, *words]
+        return [rep.heard + SILENCE_S + rep._turn()] if rep.role is Role.BACKUP else []
+
+    def on_disk(self, *, kind: Kind, body: dict[str, Any]) -> bool:
+        """Whether what an answer says is synced."""
+        if kind is Kind.CKPTOK:
+            return any(r["k"] == "ck" and r["tag"] == body["tag"] for r in self.synced) or self.epoch is not None and (
+                self.epoch["t"] == body["tag"])
+        if kind is Kind.LOGOK:
+            return any(r["k"] in ("lg", "st") and r["n"] == body["n"] and r["seq"] >= body["seq"] for r in self.synced)
+        votes = [r for r in self.synced if r["k"] == "w"]
+        if not votes or votes[-1]["e"] is None:
+            return False
+        last = votes[-1]
+        if last["e"]["n"] >= body["n"]:
+            return True
+        name = "ab" if kind is Kind.ACCEPTED else "pb"
+        return last[name] is not None and last[name] >= body["bal"]
--- /dev/null
+++ b/tests/record_model.py
@@ -0,0 +1,306 @@
+"""A small closed world for model checking of replication: real replicas on disks, links and clocks that the explorer
+controls. All of it is data, so that a state is a pickle; `record_explore.py` says what may happen next."""
+
+from dataclasses import dataclass
+from itertools import pairwise
+from typing import Any
+
+from tests.model import need
+from tests.record_adapter import Member, copy_of
+from yarrowloom.record.epoch import Epoch, majority
+from yarrowloom.wire.frame import Kind
+
+START_S = 1000.0
+ANSWERS = (Kind.PROMISE, Kind.ACCEPTED, Kind.CKPTOK, Kind.LOGOK)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Line:
+    """What one process sends to an address in one lane arrives in order."""
+
+    src: str
+    incarnation: int
+    dst: str
+    copy: bool
+
+
+@dataclass(slots=True, kw_only=True)
+class Message:
+    serial: int
+    uid: str
+    kind: str
+    body: dict[str, Any]
+
+
+@dataclass(slots=True, kw_only=True)
+class Cut:
+    """A way that carries nothing until a time: what is sent is lost, or waits."""
+
+    until: float
+    loses: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Op:
+    """A client's call: a commit or a read, at a time after the start; `last` ones wait until no fault
+    comes any more and the cluster is whole."""
+
+    commit: bool
+    at: float = 0.0
+    last: bool = False
+
+
+class World:
+    """Members, links and the clients' script. Invariants are asked in `judge` and where members speak or learn."""
+
+    def __init__(self, *, size: int, losses: int, script: tuple[Op, ...], rates: tuple[float, ...] = (),
+                 registry: bool = False) -> None:
+        self.start = self.now = START_S
+        self.losses = losses
+        self.script = script
+        self.next_op = 0
+        self.closing = False                           # no swap or fault comes any more
+        self.began = float("inf")                     # when the script's times count from
+        self.serial = 0
+        self.count = 0                                 # events handed in
+        self.acked: dict[int, int] = {}                # event: the epoch in which it was acknowledged or read
+        self.last_acks: set[int] = set()               # events of the last commits: these must be acknowledged
+        self.lost_disks: set[str] = set()              # uids whose disk is gone, until the cluster is whole again
+        self.votes: dict[tuple[int, str], set[str]] = {}
+        self.decided: dict[int, Epoch] = {}
+        self.proposals: dict[tuple[int, str], Epoch] = {}
+        self.lines: dict[Line, list[Message]] = {}
+        self.cuts: dict[tuple[str, str], Cut] = {}
+        self.members: list[Member] = []
+        addrs = [f"10.0.0.{i + 1}:7000" for i in range(size)]
+        uids = [f"{a}#0" for a in addrs]
+        first: Epoch = {"n": 0, "p": uids[0], "b": uids[1:losses + 1], "w": uids[:size - 1 + size % 2], "t": ""}
+        self.decided[0] = first
+        for i, (addr, uid) in enumerate(zip(addrs, uids, strict=True)):
+            member = Member(w=self, index=i, addr=addr, uid=uid, rate=rates[i] if rates else 1.0, registry=registry,
+                            view=list(uids))
+            member.last_heard = dict.fromkeys(uids, START_S)
+            member.begin(epoch=copy_of(first))
+            self.members.append(member)
+
+    # -- messages
+
+    def next_serial(self) -> int:
+        self.serial += 1
+        return self.serial
+
+    def send(self, *, src: Member, dst: str, kind: str, body: dict[str, Any], copy: bool) -> None:
+        cut = self.cuts.get((src.addr, dst))
+        there = self.at(addr=dst)
+        if there is None or not there.running or (cut is not None and cut.loses):
+            return
+        line = Line(src=src.addr, incarnation=src.incarnation, dst=dst, copy=copy)
+        self.lines.setdefault(line, []).append(
+            Message(serial=self.next_serial(), uid=src.uid, kind=kind, body=copy_of(body)))
+
+    def at(self, *, addr: str) -> Member | None:
+        return next((m for m in self.members if m.addr == addr and not m.gone), None)
+
+    def open(self, *, line: Line) -> bool:
+        """Whether its next message may arrive now."""
+        there = self.at(addr=line.dst)
+        return there is not None and there.awake and (line.src, line.dst) not in self.cuts
+
+    def deliver(self, *, line: Line, keep: bool = False) -> None:
+        """The next message arrives; `keep`: it will come again."""
+        message = self.lines[line][0]
+        if not keep:
+            self.drop(line=line)
+        there = self.at(addr=line.dst)
+        assert there is not None
+        for old in [x for x in self.lines if (x.src, x.dst) == (line.src, line.dst)
+                    and x.incarnation < line.incarnation]:
+            del self.lines[old]       # as `wire/peer.py`: nothing of an earlier process counts any more
+        there.take(uid=message.uid, kind=message.kind, body=copy_of(message.body))
+
+    def drop(self, *, line: Line) -> None:
+        self.lines[line].pop(0)
+        if not self.lines[line]:
+            del self.lines[line]
+
+    # -- disks and processes
+
+    def sync(self, *, member: Member, count: int) -> None:
+        """The oldest records reach the disk, and what waited for them follows."""
+        rows, member.pending = member.pending[:count], member.pending[count:]
+        member.synced += [rec for _, rec, _ in rows]
+        member.done(effects=[done for *_, done in rows])
+
+    def rotate(self, *, member: Member) -> None:
+        """The journal moves on: a checkpoint stands for all that was, the records that waited follow it."""
+        member.synced = member.checkpoint()
+        self.sync(member=member, count=len(member.pending))
+
+    def crash(self, *, member: Member, kept: int, down_s: float, head: int = 0) -> None:
+        """The process ends. Of what was not synced `kept` records are there; `head`: it happened when the journal
+        moved on, and so many records of the checkpoint were written."""
+        member.synced += member.checkpoint()[:head]
+        member.synced += [rec for _, rec, _ in member.pending[:kept]]
+        member.pending.clear()
+        member.down_until = self.now + down_s
+        member.frozen_until = -1.0
+        self.lines = {line: rows for line, rows in self.lines.items()
+                      if line.dst != member.addr}
+        self.check_replay(member=member)
+
+    def restart(self, *, member: Member) -> None:
+        member.incarnation += 1
+        member.down_until = -1.0
+        member.last_heard = {}
+        member.draws = 0
+        member.begin(epoch=None)
+
+    def lose_disk(self, *, member: Member, new_addr: bool) -> None:
+        """Process and disk are lost; an empty member comes, there or at another address."""
+        self.lost_disks.add(member.uid)
+        self.crash(member=member, kept=0, down_s=0.5)
+        if new_addr:
+            member.gone = True
+            fresh = Member(w=self, index=len(self.members), addr=f"10.0.0.{len(self.members) + 1}:7000", uid="",
+                           rate=member.rate, registry=member.registry, down_until=member.down_until)
+            self.members.append(fresh)
+            member = fresh
+        member.synced = []
+        member.left = -1
+        member.uid = f"{member.addr}#{member.incarnation + 1}"
+        member.begin(epoch=None)
+        member.synced = []
+
+    def current(self) -> list[str]:
+        return [m.uid for m in self.members if not m.gone]
+
+    def tick_member(self, member: Member) -> None:
+        """Time goes on for one process; hearts and the epochs that they carry are simplified."""
+        for other in self.members:
+            if other is not member and other.awake and (other.addr, member.addr) not in self.cuts:
+                member.last_heard[other.uid] = member.now
+                member.view = self.current()
+        member.tick()
+        mine = member.epoch
+        for other in self.members:
+            if mine is None or other is member or not other.awake:
+                continue
+            line = Line(src=member.addr, incarnation=member.incarnation, dst=other.addr, copy=False)
+            waits = any(m.kind == "NEWS" for m in self.lines.get(line, []))
+            if (other.epoch is None or other.epoch["n"] < mine["n"]) and not waits:
+                self.send(src=member, dst=other.addr, kind="NEWS", body={"e": mine}, copy=False)
+
+    # -- clients
+
+    def server(self) -> Member | None:
+        return next((m for m in self.members if m.awake and m.serving()), None)
+
+    def op_due(self) -> bool:
+        if self.next_op >= len(self.script) or self.server() is None:
+            return False
+        op = self.script[self.next_op]
+        return self.closing and self.whole() if op.last else self.now >= self.began + op.at
+
+    def start_script(self) -> None:
+        self.began = self.now
+
+    def do_op(self) -> None:
+        member, op = self.server(), self.script[self.next_op]
+        assert member is not None
+        self.next_op += 1
+        if op.commit:
+            self.count += 1
+            if op.last:
+                self.last_acks.add(self.count)
+            member.commit(number=self.count)
+        else:
+            need(set(self.acked) <= set(member.numbers()), "STALE", member.uid, "reads", member.numbers(),
+                 "acknowledged were", sorted(self.acked))
+            member.read()
+
+    def acked_by(self, *, member: Member, numbers: list[int]) -> None:
+        """An acknowledgement or an answer with these events leaves."""
+        for number in numbers:
+            self.acked.setdefault(number, member.rep.base)
+
+    # -- invariants
+
+    def check_send(self, *, member: Member, kind: Kind, body: dict[str, Any]) -> None:
+        """What a member says must be on its disk, and must not belong to an epoch that it has begun to replace."""
+        if kind in ANSWERS and body.get("ok", True):
+            need(member.on_disk(kind=kind, body=body), "UNSYNCED", member.uid, kind.name, body)
+        if kind in (Kind.PONG, Kind.LOGOK):
+            need(body["n"] > member.left, "LEFT", member.uid, "acknowledges epoch", body["n"],
+                 "after its election to replace it")
+        if kind is Kind.PROMISE and body["ok"] or kind is Kind.ACCEPTED and body["ok"]:
+            before = self.decided[body["n"] - 1]
+            need(member.uid in before["w"], "ABSTAIN", member.uid, "is no witness of", before)
+        if kind is Kind.ACCEPT:
+            self.votes.setdefault((body["n"], str(body["bal"])), set())
+            known = self.proposals.setdefault((body["n"], str(body["bal"])), copy_of(body["val"]))
+            need(known == body["val"], "BALLOT", "two values in one ballot", known, body["val"])
+        if kind is Kind.ACCEPTED and body["ok"]:
+            self.vote(uid=member.uid, n=body["n"], ballot=str(body["bal"]))
+
+    def vote(self, *, uid: str, n: int, ballot: str) -> None:
+        votes = self.votes[n, ballot]
+        votes.add(uid)
+        if majority(votes=votes, among=self.decided[n - 1]["w"]):
+            value = self.proposals[n, ballot]
+            need(self.decided.setdefault(n, value) == value, "EPOCH", n, "was", self.decided[n], "and is", value)
+
+    def learnt(self, *, member: Member, epoch: Epoch) -> None:
+        need(self.decided.get(epoch["n"]) == epoch, "EPOCH", member.uid, "takes", epoch, "decided is",
+             self.decided.get(epoch["n"]))
+
+    def check_replay(self, *, member: Member) -> None:
+        """What a restart would make of the disk."""
+        if member.synced:
+            rep = member.replay(records=member.synced)
+            now, member.rep = member.rep, rep
+            self.check_state(member=member)
+            member.rep = now
+            member.pending.clear()
+
+    def check_state(self, *, member: Member) -> None:
+        numbers, n = member.numbers(), member.held_epoch()
+        need(all(a < b for a, b in pairwise(numbers)), "ORDER", member.uid, "holds", numbers)
+        missing = [i for i, at in self.acked.items() if at <= n and i not in numbers]
+        need(not missing, "LOST", missing, "are acknowledged;", member.uid, "in epoch", n, "holds", numbers)
+
+    def judge(self) -> None:
+        """The invariants of every state."""
+        for member in self.members:
+            if member.running:
+                self.check_state(member=member)
+        serving = [m.uid for m in self.members if m.serving()]
+        need(len(serving) <= 1, "SERVING", *serving)
+        if serving:
+            member = next(m for m in self.members if m.uid == serving[0])
+            missing = set(self.acked) - set(member.numbers())
+            need(not missing, "LOST", missing, "are acknowledged; serving is", serving[0], member.numbers())
+        if self.lost_disks and self.whole():
+            self.lost_disks.clear()
+
+    def whole(self) -> bool:
+        """Some member serves, with a full set of backups and of witnesses, and no trouble is left."""
+        server = self.server()
+        if server is None or self.cuts or any(not m.awake for m in self.members if not m.gone):
+            return False
+        epoch = server.epoch
+        assert epoch is not None
+        by_uid = {m.uid: m for m in self.members if not m.gone}
+        return (len(epoch["b"]) == self.losses and set(epoch["w"]) <= set(by_uid)
+                and all(u in by_uid and by_uid[u].whole_backup(n=epoch["n"]) for u in epoch["b"]))
+
+    def unsettled(self) -> list[str]:
+        """What is still to come."""
+        out = [f"{len(self.script) - self.next_op} calls"] if self.next_op < len(self.script) else []
+        out += [f"{i} not acknowledged" for i in self.last_acks if i not in self.acked]
+        out += [] if self.whole() else [f"not whole: {[(m.uid, m.rep.role.value, m.epoch) for m in self.members]}"]
+        out += [f"{m.uid} writes" for m in self.members if m.pending]
+        return out + [f"{row.kind} to {line.dst}" for line, rows in self.lines.items() for row in rows
+                      if row.kind not in ("PING", "PONG")]
+
+
+__all__ = ["Cut", "Line", "Message", "Op", "World"]
