--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -11,7 +11,6 @@
 from functools import partial
 from typing import Any
 
-import orjson
 import trio
 
 from ..base.defaults import load as load_defaults
@@ -24,6 +23,7 @@
 from ..wire.peer import Peers, Rows
 from .core import CoreNode
 from .edge import EdgeNode
+from .recovery import recover
 from .tally import Tally
 from .turns import Input, Rank, Repeats, Turns, rank_of
 
@@ -33,6 +33,8 @@
 SLICE_S = 0.004
 LONG_S = 0.02         # after a slice this long all sockets are read before the next tick
 WAIT_S = 30.0         # an HTTP call that the node has not answered by then gets 504
+DRAIN_LEAST_S = 0.6   # what a core has to say leaves within this time
+GRACE_SPARE_S = 1.0   # of `grace-s`: left for the end itself
 Node = CoreNode | EdgeNode
 
 
@@ -272,8 +274,22 @@
                     break
                 await trio.sleep(0.1)
         else:
-            self.step(node.leave)
-            await trio.sleep(0.6)
+            await self.drain_core(node=node)
+
+    async def drain_core(self, *, node: CoreNode) -> None:
+        """Hand over and stay until others hold what this node holds, within `grace-s`."""
+        begun = time.monotonic()
+        most = max(node.startup.bound(name="grace-s", default=6.0) - GRACE_SPARE_S, DRAIN_LEAST_S)
+        self.step(node.leave)
+        while True:
+            await trio.sleep(0.05)
+            spent = time.monotonic() - begun
+            if spent >= most or spent >= DRAIN_LEAST_S and node.may_end():
+                break
+        alone = node.only_copies()
+        if alone:
+            self.log.warn("leaves-only-copy", groups=",".join(map(str, alone)))
+        self.log.info("drained", s=round(spent, 2), relieved=node.may_end())
 
     async def run(self) -> None:
         """Serve until told to end."""
@@ -310,15 +326,8 @@
     ring = Ring(folder=startup.data_dir, size=size, most=max(size, startup.disk_mb * (1 << 20) // 6))
     recs = ring.load()
     port = startup.ports[0]
-    addr = f"{startup.ip}:{port}"
-    known = [r["uid"] for r in (orjson.loads(raw) for raw in recs) if r.get("k") == "id"]
-    first = not known and startup.bootstrap
-    uid = known[-1] if known else f"{addr}#0" if first else f"{addr}#{secrets.token_hex(4)}"
-    node = CoreNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log, first=first,
-                    now=time.monotonic(), rand=secrets.randbelow(1 << 30) / (1 << 30),
-                    defaults=load_defaults())
-    if known:
-        node.restore(recs=recs)
+    node = recover(startup=startup, records=recs, boot=time.time_ns() // 1000, log=log, now=time.monotonic(),
+                   rand=secrets.randbelow(1 << 30) / (1 << 30), token=secrets.token_hex(4), defaults=load_defaults())
     head = [*node.checkpoint(), END]
     ring.rotate(need=ring.room(bodies=head))
     ring.append(bodies=head)
