--- a/yarrowloom/node/calls.py
+++ b/yarrowloom/node/calls.py
@@ -1,9 +1,12 @@
 """Calls from one node to whoever serves a group: sent again until answered, given up at a horizon.
 
 What a call rests on may take longer than a repeat at its receiver, which therefore knows those it has in hand.
+
+A call's identity is the caller's uid and a number that holds the caller's incarnation: no two calls of any lives share
+one. A CALL names the node it is meant for (`to`), as frames go to an address; its REPLY names the caller (`to`).
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ..wire.frame import Kind
@@ -13,12 +16,16 @@
 HAND_S = 35.0         # longer than any call lives
 RETRY_S = 0.12
 NOT_PRIMARY = 421
+REFUSALS = frozenset({429, 503})     # of a group's primary: the call was not taken and never will be
+REFUSED_S = 10.0      # a refused call is refused again this long: longer than its repeats are on their way
+CALLS_PER_LIFE = 1 << 32
 
 
 class CallHub(Protocol):
     """What calls need of their node."""
 
     now: float
+    uid: str
 
     def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
         """To another node."""
@@ -44,14 +51,26 @@
     b: dict[str, Any]
     done: tuple[Any, ...]
     horizon: float
+    began: float
     again: float = 0.0
     sent: bool = False
     wait: float = RESEND_S
     asked: tuple[str, int] | None = None     # the primary, with its epoch, that it was last sent to
+    nodes: dict[str, int] = field(default_factory=dict)     # copies sent and not declined, by node: only these answer
+
+
+def first_number(*, incarnation: int) -> int:
+    """What a life's calls are numbered from.
+
+    >>> first_number(incarnation=2) - first_number(incarnation=1) == CALLS_PER_LIFE
+    True
+    """
+    return incarnation * CALLS_PER_LIFE
 
 
 class Calls:
-    """Invariant: each call ends exactly once, by its answer or at its horizon."""
+    """Invariants: each call ends exactly once, by its answer or at its horizon; an answer is taken only if it names
+    this caller and an open call of this life, and comes from a node that was asked."""
 
     def __init__(self, *, hub: CallHub, base: int) -> None:
         self.hub = hub
@@ -61,7 +80,7 @@
     def start(self, *, g: int, op: str, b: dict[str, Any], done: tuple[Any, ...], ttl: float, to: str = "") -> None:
         """Begin a call."""
         self.rid += 1
-        pend = Pending(rid=self.rid, g=g, to=to, op=op, b=b, done=done, horizon=self.hub.now + ttl)
+        pend = Pending(rid=self.rid, g=g, to=to, op=op, b=b, done=done, horizon=self.hub.now + ttl, began=self.hub.now)
         self.open[pend.rid] = pend
         self._send(pend)
 
@@ -73,8 +92,9 @@
         if uid:
             pend.sent = True
             pend.wait = min(2 * pend.wait, RESEND_MOST_S)
-            self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "g": pend.g, "op": pend.op, "b": pend.b,
-                                                         "ttl": round(pend.horizon - self.hub.now, 3)})
+            pend.nodes[uid] = pend.nodes.get(uid, 0) + 1
+            self.hub.send(uid=uid, kind=Kind.CALL, body={"rid": pend.rid, "to": uid, "g": pend.g, "op": pend.op,
+                                                         "b": pend.b, "ttl": round(pend.horizon - self.hub.now, 3)})
 
     def _anew(self, pend: Pending) -> None:
         pend.wait = RESEND_S
@@ -86,12 +106,13 @@
             if uid == (pend.to or (pend.asked[0] if pend.asked else "")):
                 self._anew(pend)
 
-    def reply(self, *, m: dict[str, Any]) -> None:
-        """An answer came."""
+    def reply(self, *, uid: str, m: dict[str, Any]) -> None:
+        """An answer came from a node; what fits no open call of this life is dropped."""
         pend = self.open.get(m["rid"])
-        if pend is None:
+        if pend is None or m["to"] != self.hub.uid or uid not in pend.nodes:
             return
         if m["s"] == NOT_PRIMARY and not pend.to:
+            pend.nodes[uid] = max(pend.nodes[uid] - 1, 0)
             before = self.hub.primary(g=pend.g)
             self.hub.learn(eps=m["d"])
             if self.hub.primary(g=pend.g) != before:
@@ -100,7 +121,10 @@
                 pend.again = self.hub.now + RETRY_S
             return
         del self.open[pend.rid]
-        self.hub.called(done=pend.done, status=m["s"], doc=m["d"], sent=True)
+        if m["s"] in REFUSALS and any(copies for node, copies in pend.nodes.items() if node != uid):
+            self.hub.called(done=pend.done, status=0, doc=None, sent=True)      # another node may have taken it
+        else:
+            self.hub.called(done=pend.done, status=m["s"], doc=m["d"], sent=True)
 
     def tick(self) -> None:
         """Send again, give up."""
@@ -115,12 +139,23 @@
                 self._send(pend)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """The answer to a call that was not taken."""
+
+    status: int
+    doc: Any
+    until: float
+
+
 class InHand:
-    """Calls taken and not yet answered here, by caller and number. Invariant: a call is taken again only once its
-    answer has left, or this node no longer serves its group; so an answer that got lost is made again."""
+    """Calls taken and not yet answered here, by their identity: caller and number. Invariant: a call is taken again
+    only once its answer has left, or this node no longer serves its group; so an answer that got lost is made again.
+    One that was refused is refused again: its caller may have heard so, while a repeat was still on its way."""
 
     def __init__(self) -> None:
         self._at: dict[tuple[str, int], tuple[int, float]] = {}
+        self._refused: dict[tuple[str, int], Refusal] = {}
         self._swept = 0.0
 
     def take(self, *, uid: str, rid: int, g: int, now: float) -> bool:
@@ -130,6 +165,7 @@
         >>> hand.take(uid="a", rid=1, g=1, now=0.0), hand.take(uid="a", rid=1, g=1, now=0.4)
         (True, False)
         >>> hand.drop(uid="a", rid=1)
+        1
         >>> hand.take(uid="a", rid=1, g=1, now=0.8), hand.leave(g=1)
         (True, [('a', 1)])
         """
@@ -138,9 +174,17 @@
         self._at[uid, rid] = (g, now)
         return True
 
-    def drop(self, *, uid: str, rid: int) -> None:
-        """It is answered."""
-        self._at.pop((uid, rid), None)
+    def drop(self, *, uid: str, rid: int) -> int:
+        """It is answered; the group that it was for, -1 if it was for none or is not known."""
+        return self._at.pop((uid, rid), (-1, 0.0))[0]
+
+    def refuse(self, *, uid: str, rid: int, status: int, doc: Any, now: float) -> None:
+        """It is refused for good."""
+        self._refused[uid, rid] = Refusal(status=status, doc=doc, until=now + REFUSED_S)
+
+    def refusal(self, *, uid: str, rid: int) -> Refusal | None:
+        """How a call was refused before."""
+        return self._refused.get((uid, rid))
 
     def leave(self, *, g: int) -> list[tuple[str, int]]:
         """Let go of all of a group."""
@@ -151,3 +195,5 @@
         if now - self._swept > HAND_S / 2:
             self._swept = now
             self._at = {key: row for key, row in self._at.items() if now - row[1] < HAND_S}
+        while self._refused and next(iter(self._refused.values())).until <= now:
+            del self._refused[next(iter(self._refused))]
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -12,7 +12,7 @@
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
 from .base import FANOUT, NodeBase, ring
-from .calls import NOT_PRIMARY, InHand
+from .calls import NOT_PRIMARY, REFUSALS, InHand
 from .chief import LEASE_S
 from .control import dispatch
 from .hub import CoreHub
@@ -101,7 +101,7 @@
     def heart(self) -> dict[str, Any]:
         """A core's heart tells what its agent owns: a digest, and all of it if the chief asked."""
         own = [(m.mid, m.fence) for m in self.agent.minions.values()]
-        body = {**super().heart(), "dig": total(rows=own)}
+        body = {**super().heart(), "dig": total(rows=own), "echo": self.echo}
         if self.listing:
             body["own"] = own
         return body
@@ -117,9 +117,9 @@
         elif kind is Kind.NEWS:
             self.take_news(doc=m)
         elif kind is Kind.CALL:
-            self._call(uid=m.get("for") or uid, m=m)
+            self._call(uid=uid, m=m)
         elif kind is Kind.REPLY:
-            self.calls.reply(m=m)
+            self.calls.reply(uid=uid, m=m)
         elif kind is Kind.ROOM:
             self._room(m=m)
         else:
@@ -136,22 +136,28 @@
 
     def _call(self, *, uid: str, m: dict[str, Any]) -> None:
         g, rid, op, b = m["g"], m["rid"], m["op"], m["b"]
+        refusal = self.hand.refusal(uid=uid, rid=rid)
+        if refusal is not None:
+            super().reply(uid=uid, rid=rid, status=refusal.status, doc=refusal.doc)
+            return
         if not self.hand.take(uid=uid, rid=rid, g=g, now=self.now):
             return
-        if g < 0:
+        if g < 0 and m["to"] != self.uid:     # for the agent of a node that is no more; groups know who serves them
+            self.reply(uid=uid, rid=rid, status=503, doc={})
+        elif g < 0:
             self._handed(uid=uid, rid=rid, op=op, b=b)
         elif not self.reps[g].serving():
             self.reply(uid=uid, rid=rid, status=NOT_PRIMARY, doc=[[k, e] for k, e in self.eps.items()])
         elif g == 0:
             self._serve0(uid=uid, rid=rid, op=op, b=b)
-            if op == "leave":     # the minion's agent answers
-                self.hand.drop(uid=uid, rid=rid)
         else:
             self.placers[g].call(uid=uid, rid=rid, op=op, b=b)
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call of another node."""
-        self.hand.drop(uid=uid, rid=rid)
+        g = self.hand.drop(uid=uid, rid=rid)
+        if g > 0 and status in REFUSALS:
+            self.hand.refuse(uid=uid, rid=rid, status=status, doc=doc, now=self.now)
         super().reply(uid=uid, rid=rid, status=status, doc=doc)
 
     def deposed(self, *, g: int) -> None:
@@ -200,7 +206,7 @@
             if len(edges) > FANOUT and b["u"] not in (fed := sorted(edges)[:FANOUT]):
                 body["via"] = ring(uid=b["u"], among=fed, n=2)
         if self.chief is not None and self.reps[0].serving():
-            body.update(self.chief.heart(b=b))
+            body.update(self.chief.heart(b=b), at=self.now)
             body["up"] = [u for u in self.members if self.alive(uid=u)]
             if body.get("own") or body.get("dis"):
                 self.reps[0].barrier(then=("send", b["u"], int(Kind.HEARTOK), body))
@@ -210,14 +216,16 @@
     def _heartok(self, *, uid: str, m: dict[str, Any]) -> None:
         if "t" in m:
             self.contact = self.now
-            if m.get("lease"):
-                self.lease = max(self.lease, m["t"] + LEASE_S)
         for u in m.get("up", []):
             self.roster[u] = self.now
         if "news" in m:
             self.take_news(doc=m["news"])
         if "t" in m:
             self.told(uid=uid, m=m)
+            if "at" in m:
+                self.echo = [m.get("by"), m["at"]]
+            if m.get("lease") and m.get("mods", -1) <= self.mods:      # with all evacuations that the primary knew of
+                self.lease = max(self.lease, m["t"] + LEASE_S)
         for mid, fence, info in m.get("own", []):
             self.agent.own(mid=mid, fence=fence, info=info)
         for mid in m.get("dis", []):
@@ -271,9 +279,9 @@
             self.note(event="stood-still", s=round(self.now - self.ticked, 2))
             self._thawed(slept=self.now - self.ticked)
         self.ticked = self.now
+        self.prove_own()
         self.beat_hearts()
         if self.chief is not None and self.reps[0].serving():
-            self.chief.resumed()
             if self.hearted == self.now:
                 self._self_heart()
             self.chief.tick()
@@ -289,7 +297,8 @@
         """The process stood still: what others may have said meanwhile is not silence of theirs."""
         for rep in self.reps.values():
             rep.thawed()
-        for at in (self.heard, self.roster, self.chief.last if self.chief is not None else {}):
+        chief = (self.chief.last, self.chief.echoed) if self.chief is not None else ()
+        for at in (self.heard, self.roster, *chief):
             for uid, when in at.items():
                 at[uid] = min(when + slept, self.now)
 
@@ -309,7 +318,7 @@
 
     def may_end(self) -> bool:
         """Others hold all that this process holds, as far as there are others."""
-        return all(may_end(hub=self, epoch=rep.epoch) for rep in self.reps.values())
+        return all(may_end(hub=self, epoch=rep.epoch, asked_s=rep.relief.asked_s()) for rep in self.reps.values())
 
     def only_copies(self) -> list[int]:
         """Groups of which this node knows no other live holder."""
@@ -335,7 +344,7 @@
 
     def checkpoint(self) -> list[bytes]:
         """Records that stand for all that this node keeps."""
-        out = [dump(body={"k": "id", "uid": self.uid})]
+        out = [dump(body={"k": "id", "uid": self.uid, "inc": self.boot})]
         for rep in self.reps.values():
             out += [dump(body=rec) for rec in rep.checkpoint()]
         return out
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -11,44 +11,24 @@
 from ..job.state import Jobs
 from ..place import Placer
 from ..record import Epoch, Replica
-from ..record.epoch import addr_of
 from ..wire.frame import Kind, dump
 from ..wire.http import Response
-from .base import JOB_GROUPS, NodeBase
+from .base import HEART_S, JOB_GROUPS
+from .calls import first_number
 from .chief import Chief
 from .control import BEAT_TTL, refusal
+from .members import MemberView
 
 OWNER_S = 3.0
-WITNESSES = 9
 
 
-def spread(*, order: list[str], zones: dict[str, str], size: int, most: int) -> list[str]:
-    """The first `size` of `order`, sorted, of which no zone has more than `most`; empty if there are none.
-
-    >>> zones = {"a": "x", "b": "x", "c": "x", "d": "y", "e": "z"}
-    >>> spread(order=list(zones), zones=zones, size=3, most=1)
-    ['a', 'd', 'e']
-    >>> spread(order=list(zones), zones=zones, size=5, most=2)
-    []
-    """
-    taken: dict[str, int] = {}
-    found: list[str] = []
-    for uid in order:
-        if len(found) < size and taken.get(zones[uid], 0) < most:
-            taken[zones[uid]] = taken.get(zones[uid], 0) + 1
-            found.append(uid)
-    return sorted(found) if len(found) == size else []
-
-
-class CoreHub(NodeBase):
+class CoreHub(MemberView):
     """Invariants: a replica's effects leave in the order of their events; a placer lives exactly while its group is
     served here; the agent acts only while `trusted`."""
 
     def __init__(self, *, startup: Startup, uid: str, boot: int, log: Log, first: bool, now: float,
                  rand: float = 0.5, defaults: Defaults | None = None) -> None:
-        super().__init__(startup=startup, uid=uid, boot=boot, kind="core", log=log)
-        self.now = now
-        self._rand = rand
+        super().__init__(startup=startup, uid=uid, boot=boot, log=log, now=now, rand=rand)
         self.reg = Registry()
         self.defaults = defaults or SHIPPED
         self.jobs = {g: Jobs(learn=self.defaults["learn"]["on"]) for g in self.groups()}
@@ -63,12 +43,14 @@
         self.chief: Chief | None = None
         hold = min(startup.bound(name="max-hold-ms", default=6000), max(3.0 * startup.beat_ms, 4000.0))
         self.agent = Agent(hub=self, hold_ms=int(hold), lag_ms=startup.beat_ms,
-                           stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)))
+                           stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)),
+                           first_lease=first_number(incarnation=boot) + 1)
         self.lease = -9.0
+        self.echo: list[Any] = []            # epoch and time of the last answer that came from group 0's primary
         self.listing = False                 # the chief wants to be told all that the agent holds
-        self.roster: dict[str, float] = {}
         self.owner: dict[str, tuple[str, float]] = {}
         self.before: dict[int, str] = {}
+        self.proved: dict[str, float] = {}   # when an answer to a call last carried the proof, by node
         self.ticked = now
 
     # -- what the state machines ask
@@ -83,82 +65,10 @@
         return {"n": 0, "p": seeds[g % n], "w": seeds, "t": "",
                 "b": [seeds[(g + i) % n] for i in range(1, min(self.startup.losses, n - 1) + 1)]}
 
-    def jitter(self) -> float:
-        """0 to 1, from a small generator of its own."""
-        self._rand = (self._rand * 997.0 + 0.123456789) % 1.0
-        return self._rand
-
     def write(self, *, rec: dict[str, Any], done: tuple[Any, ...]) -> None:
         """To disk."""
         self.out.writes.append((dump(body=rec), done))
 
-    def partners(self, *, first: list[str]) -> list[str]:
-        """Members that may be a backup: alive ones first, then one zone after another, beginning with those that are
-        not this node's; within a zone those in `first`, then the least loaded."""
-        load: dict[str, int] = {}
-        for e in self.eps.values():
-            for holder in (e["p"], *e["b"]):
-                load[holder] = load.get(holder, 0) + 1
-        zones = self.peers()
-        rank = {u: (not self.up(uid=u), u not in first, load.get(u, 0), u) for u in zones if u != self.uid}
-        taken = {self.startup.site: 1, "": 1}
-        order: list[str] = []
-        while rank:
-            best = min(rank, key=lambda u: (rank[u][0], taken.get(zones[u], 0), rank[u][1:]))
-            del rank[best]
-            order.append(best)
-            taken[zones[best]] = taken.get(zones[best], 0) + 1
-        return order
-
-    def other_zones(self, *, holders: list[str]) -> list[str]:
-        """If all of `holders` stand in one zone: live members of other zones. A zone not known yet proves nothing."""
-        zones = self.peers()
-        held = {zones.get(u, "") for u in holders}
-        if len(held) != 1 or "" in held:
-            return []
-        return [u for u, zone in zones.items() if zone and zone not in held and self.up(uid=u)]
-
-    def peers(self) -> dict[str, str]:
-        """Core nodes and their sites as far as known. After a restart of all there are no members yet, only what
-        epochs name and whose hearts are heard; a uid that gave way to another at its address does not count."""
-        named = {u for e in self.eps.values() for u in (*e["w"], e["p"], *e["b"]) if u}
-        heard = {u for u, i in self.info.items() if i["kind"] == "core" and self.alive(uid=u)} | {self.uid}
-        new = {addr_of(uid=u): u for u in heard}
-        out = {}
-        for u in sorted(named | heard | set(self.members)):
-            if new.get(addr_of(uid=u), u) == u:
-                row = self.members.get(u) or self.info.get(u) or {}
-                out[u] = str(row.get("site", ""))
-        return out
-
-    def losses(self) -> int:
-        """How many disks may be lost at once."""
-        return self.startup.losses
-
-    def up(self, *, uid: str) -> bool:
-        """Heard of lately."""
-        return self.alive(uid=uid) or self.now - self.roster.get(uid, -9.0) < 1.5
-
-    def witnesses(self, *, have: list[str]) -> list[str]:
-        """Widen to all core nodes, replace the absent by the present; an odd number of them, and never fewer, but for
-        a set of which one zone holds the majority while a smaller one, still enough for the budget, would not."""
-        zones = {u: str(row.get("site", "")) for u, row in self.members.items() if self.up(uid=u)}
-        order = [u for u in have if u in zones] + [u for u in sorted(zones) if u not in have]
-        size = min(len(order) - 1 + len(order) % 2, WITNESSES)
-        least = max(2 * self.losses() + 1, 3)
-        for fewer in range(size, least - 1, -2):
-            found = spread(order=order, zones=zones, size=fewer, most=fewer // 2)
-            if found and (fewer >= len(have) or all(u in zones for u in have)):
-                return found
-        if size < max(len(have), 3):
-            return have
-        rows = (spread(order=order, zones=zones, size=size, most=most) for most in range(size // 2, size + 1))
-        return next(found for found in rows if found)
-
-    def everyone(self) -> list[str]:
-        """All core members known."""
-        return sorted(self.peers())
-
     def elected(self, *, g: int) -> None:
         """This node now serves the group."""
         e = self.reps[g].epoch
@@ -190,6 +100,31 @@
         """The agent may act: group 0's primary gave its word lately, or is this node."""
         return self.now < self.lease or (self.chief is not None and self.reps[0].serving())
 
+    def prove_own(self) -> None:
+        """While this node serves group 0, it is itself the proof."""
+        epoch = self.reps[0].epoch
+        if self.chief is not None and epoch is not None and self.reps[0].serving():
+            self.freshness.prove(at=self.now, epoch=epoch["n"])
+
+    def proof(self) -> dict[str, Any]:
+        """What an answer tells of how new the configuration here is."""
+        self.prove_own()
+        return super().proof()
+
+    def stamp(self) -> int:
+        """The version of the configuration in force here; 0: none yet."""
+        return self.table.stamp if self.table is not None else 0
+
+    def select(self, *, host: str, path: str) -> str:
+        """The queue that a path belongs to by the configuration in force here; empty: none."""
+        route = self.table.select(host=host, path=path) if self.table is not None else None
+        return str(route["name"]) if route is not None else ""
+
+    def proof_age_ms(self) -> int | None:
+        """How old the proof of contact with group 0's primary is; None: there was none yet."""
+        fields = self.proof()
+        return round(fields["age"] * 1000) if fields else None
+
     def let_go(self, *, mids: list[str]) -> None:
         """The chief wants these given to others. Let go of are those in good order, with none on its way out: the
         next agent would have to find out anew that a minion is silent or about to leave."""
@@ -216,8 +151,14 @@
         self.calls.start(g=0, op="gone", b={"m": mid, "f": fence}, done=("none",), ttl=30.0)
 
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
-        """Answer a call of another node."""
-        self.send(uid=uid, kind=Kind.REPLY, body={"rid": rid, "s": status, "d": doc})
+        """Answer a call of another node; a few times a second the answer tells how new the configuration here is."""
+        body = {"rid": rid, "to": uid, "s": status, "d": doc}
+        if self.now - self.proved.get(uid, -9.0) > HEART_S:
+            if len(self.proved) > 4096:
+                self.proved.clear()
+            self.proved[uid] = self.now
+            body |= self.proof()
+        self.send(uid=uid, kind=Kind.REPLY, body=body)
 
     def learn(self, *, eps: list[Any]) -> None:
         """Epochs go to the replicas first, which report what is news."""
@@ -272,7 +213,13 @@
         elif op == "getconf":
             rep.barrier(then=("reply", uid, rid, 200 if self.reg.conf else 404, self.reg.conf or {}))
         elif op == "evac":
-            self.commit0(ev={"t": "evac", "site": b["site"], "on": b["on"]}, news=True)
+            try:
+                ev = self.reg.judge_evacuation(zone=b["site"], on=b["on"], known=b["mods"])
+            except YarrowError as err:
+                status, doc = refusal(err=err)
+                rep.barrier(then=("reply", uid, rid, status, doc))
+                return
+            self.commit0(ev=ev, news=True)
             rep.barrier(then=("reply", uid, rid, 200, {}))
         elif op == "who":
             chief.who(uid=uid, rid=rid, b=b)
@@ -280,10 +227,7 @@
             rep.commit(ev={"t": "gone", "m": b["m"], "f": b["f"]}, then=("reply", uid, rid, 200, {}))
         elif op == "leave":
             row = self.reg.minions.get(b["m"])
-            if row is None:
-                self.reply(uid=uid, rid=rid, status=200, doc={})
-            else:
-                self.send(uid=row["o"], kind=Kind.CALL, body={"rid": rid, "g": -1, "op": "leave", "b": b, "for": uid})
+            rep.barrier(then=("reply", uid, rid, 200, {} if row is None else {"o": row["o"]}))
 
     # -- beats
 
@@ -312,6 +256,8 @@
         if kind == "http":
             self.respond(call=done[1], res=Response.of(status, doc) if status else Response.of(
                 503, {"error": "no primary in reach"}))
+        elif kind == "leave":
+            self._leave_found(call=done[1], mid=done[2], until=done[3], status=status, doc=doc)
         elif kind == "who":
             _, call, mid, beat = done
             if status != 200:
@@ -338,6 +284,18 @@
                 doc = {**doc, "beat-target": ctl}
             self.respond(call=call, res=Response.of(200, doc))
 
+    def _leave_found(self, *, call: Any, mid: str, until: float, status: int, doc: Any) -> None:
+        """Group 0 told which agent a minion that ends is with: none (it has left before), this one or another."""
+        owner = doc.get("o") if status == 200 else ""
+        if status == 200 and owner is None:
+            self.respond(call=call, res=Response.of(200, {}))
+        elif owner == self.uid and mid in self.agent.minions and self.trusted():
+            self.agent.leave(mid=mid, call=call)
+        elif owner and owner != self.uid and until > self.now:
+            self.calls.start(g=-1, to=owner, op="leave", b={"m": mid}, done=("http", call), ttl=until - self.now)
+        else:
+            self.respond(call=call, res=Response(status=503))
+
     def respond(self, *, call: Any, res: Response) -> None:
         """Answer a call: over HTTP, or to the node that handed the beat over."""
         if isinstance(call, tuple) and call[0] == "far":
@@ -346,15 +304,12 @@
             super().respond(call=call, res=res)
 
     def _handed(self, *, uid: str, rid: int, op: str, b: dict[str, Any]) -> None:
-        if op == "leave":
-            if b["m"] in self.agent.minions:
-                self.agent.leave(mid=b["m"], call=("far", uid, rid))
-            else:
-                self.reply(uid=uid, rid=rid, status=200, doc={})
-        elif b["m"] in self.agent.minions and self.trusted():
-            self.agent_beat(mid=b["m"], doc=b["d"], call=("far", uid, rid))
-        else:
+        if b["m"] not in self.agent.minions or not self.trusted():
             self.reply(uid=uid, rid=rid, status=503, doc={})
+        elif op == "leave":
+            self.agent.leave(mid=b["m"], call=("far", uid, rid))
+        else:
+            self.agent_beat(mid=b["m"], doc=b["d"], call=("far", uid, rid))
 
     def effect(self, *, eff: tuple[Any, ...]) -> None:
         """Carry out an effect that is now durable."""
@@ -362,7 +317,7 @@
 
     def describe(self) -> dict[str, Any]:
         """A summary for the operator."""
-        return {"uid": self.uid, "site": self.startup.site, "config": self.table.stamp if self.table else 0,
+        return {"uid": self.uid, "site": self.startup.site, "config": self.stamp(), "proof-age-ms": self.proof_age_ms(),
                 "evacuated": sorted(self.evac), "members": self.members,
                 "groups": {str(g): {"role": r.role.value, "epoch": r.epoch, "serving": r.serving()}
                            for g, r in self.reps.items()},
--- a/yarrowloom/node/recovery.py
+++ b/yarrowloom/node/recovery.py
@@ -6,7 +6,6 @@
 that are left admit and refill it under the new one.
 """
 
-import orjson
 
 from ..base.defaults import Defaults
 from ..base.log import Log
@@ -14,6 +13,7 @@
 from ..record.replay import ReplayError
 from ..store import END
 from .core import CoreNode
+from .identity import FIRST, last_life
 
 _IDENTITY = b'{"k":"id",'      # how the first record of each snapshot begins
 
@@ -43,19 +43,11 @@
     return records[begin:]
 
 
-def identity(*, raw: bytes) -> str:
-    """The node's uid, from the record that begins a snapshot."""
-    uid = orjson.loads(raw).get("uid")
-    if not isinstance(uid, str) or "#" not in uid:
-        raise ReplayError(text=f"not the identity of a node: {uid!r}", number=0)
-    return uid
-
-
-def recover(*, startup: Startup, records: list[bytes], log: Log, boot: int, now: float, rand: float, token: str,
+def recover(*, startup: Startup, records: list[bytes], log: Log, now: float, rand: float, token: str,
             defaults: Defaults | None = None) -> CoreNode:
     """A core node with what its journal tells. `token` is random: it makes a new identity unlike all before it."""
-    def build(*, uid: str, first: bool) -> CoreNode:
-        return CoreNode(startup=startup, uid=uid, boot=boot, log=log, first=first, now=now, rand=rand,
+    def build(*, uid: str, first: bool, incarnation: int = FIRST) -> CoreNode:
+        return CoreNode(startup=startup, uid=uid, boot=incarnation, log=log, first=first, now=now, rand=rand,
                         defaults=defaults)
 
     address = f"{startup.ip}:{startup.ports[0]}"
@@ -63,10 +55,13 @@
     try:
         begin = last_snapshot(records=records)
         if begin >= 0:
-            node = build(uid=identity(raw=records[begin]), first=False)
+            life = last_life(records=[raw for raw in records if raw.startswith(_IDENTITY)])
+            if life is None or "#" not in life.uid:
+                raise ReplayError(text="not the identity of a node", number=0)
+            node = build(uid=life.uid, first=False, incarnation=life.next)
             node.restore(recs=counted(records=records, begin=begin))
             return node
-    except (ReplayError, ValueError) as err:
+    except (ReplayError, ValueError, KeyError, TypeError) as err:
         number = begin + err.number if isinstance(err, ReplayError) else begin
         log.warn("journal-unusable", cause=str(err), record=number, records=len(records))
         return build(uid=f"{address}#{token}", first=False)
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -23,6 +23,7 @@
 from ..wire.peer import Peers, Rows
 from .core import CoreNode
 from .edge import EdgeNode
+from .identity import FIRST
 from .recovery import recover
 from .tally import Tally
 from .turns import Input, Rank, Repeats, Turns, rank_of
@@ -326,7 +327,7 @@
     ring = Ring(folder=startup.data_dir, size=size, most=max(size, startup.disk_mb * (1 << 20) // 6))
     recs = ring.load()
     port = startup.ports[0]
-    node = recover(startup=startup, records=recs, boot=time.time_ns() // 1000, log=log, now=time.monotonic(),
+    node = recover(startup=startup, records=recs, log=log, now=time.monotonic(),
                    rand=secrets.randbelow(1 << 30) / (1 << 30), token=secrets.token_hex(4), defaults=load_defaults())
     head = [*node.checkpoint(), END]
     ring.rotate(need=ring.room(bodies=head))
@@ -338,7 +339,7 @@
     """An edge process."""
     port = startup.ports[0] + 1
     uid = f"{startup.ip}:{port}#{secrets.token_hex(4)}"
-    node = EdgeNode(startup=startup, uid=uid, boot=time.time_ns() // 1000, log=log)
+    node = EdgeNode(startup=startup, uid=uid, boot=FIRST, log=log)     # the uid is of this life alone
     return Shell(node=node, log=log, ring=None, port=port)
 
 
--- a/yarrowloom/record/replica.py
+++ b/yarrowloom/record/replica.py
@@ -4,7 +4,7 @@
 
 from ..wire.frame import Kind
 from .ballot import Campaign
-from .epoch import Epoch
+from .epoch import Epoch, check_epoch
 from .lease import Lease
 from .parts import MOVES, Hub, Reducer, Role
 from .relief import Relief
@@ -115,6 +115,7 @@
 
     def learn(self, epoch: Epoch) -> None:
         """Take note of a decided epoch."""
+        check_epoch(epoch=epoch)
         if not self.wit.learn(epoch):
             return
         self._save(done=("none",))
@@ -304,9 +305,7 @@
         elif kind is Kind.INSTALL:
             self._install(uid=uid, m=m)
         elif kind is Kind.CKPT:
-            if self.relief.leaving:
-                pass      # whoever asks tries the next member
-            elif self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
+            if self.wit.seen is None or m["inst"] > self.wit.seen["n"]:
                 rec = {"k": "ck", "g": self.g, "inst": m["inst"], "tag": m["tag"], "applied": int(m["applied"]),
                        "st": m["st"]}
                 self.keep(rec=rec)
--- a/yarrowloom/sim/cluster.py
+++ b/yarrowloom/sim/cluster.py
@@ -13,6 +13,7 @@
 from ..base.startup import Startup
 from ..node.core import CoreNode
 from ..node.edge import EdgeNode
+from ..node.identity import FIRST
 from ..node.recovery import recover
 from ..node.shell import TICK_CORE_S
 from ..node.turns import Input, Rank, Turns, rank_of
@@ -21,6 +22,7 @@
 from ..wire.http import Request, Response
 from ..wire.peer import MARK_S, OWED
 from .errors import SimError
+from .frames import Header
 from .process import Disk, Proc
 from .processor import Meter, cost
 
@@ -115,17 +117,16 @@
         core = ip.split(".")[2] != "1"
         st = self.startup(ip=ip, first=first)
         log = Log(name="sim", level="error")
-        boot = int(self.now * 1e6) + self.lives
         node: CoreNode | EdgeNode
         if core:
             disk = self.disks.setdefault(ip, Disk())
-            node = recover(startup=st, records=disk.synced, boot=boot, log=log, now=self.clock(ip),
-                           rand=self.rng.random(), token=f"{self.lives:x}x")
+            node = recover(startup=st, records=disk.synced, log=log, now=self.clock(ip), rand=self.rng.random(),
+                           token=f"{self.lives:x}x")
             uid = node.uid
             disk.synced = [*node.checkpoint(), END]
         else:
             uid = f"{ip}:7001#{self.lives:x}"
-            node = EdgeNode(startup=st, uid=uid, boot=boot, log=log)
+            node = EdgeNode(startup=st, uid=uid, boot=FIRST, log=log)
         self.uids[ip] = uid
         proc = Proc(node=node, life=self.lives)
         self.procs[ip] = proc
@@ -277,7 +278,8 @@
         lane = LANES[kind] if kind is not None else Lane.WORK
         key = (ip, dst, proc.life, lane)
         seq = self.seq[key] = self.seq.get(key, 0) + 1
-        boot, uid = proc.node.boot, proc.node.uid
+        head = Header(ip=ip, uid=proc.node.uid, boot=proc.node.boot, connection=proc.life, lane=lane, seq=seq)
+        uid = head.uid
         if ip != dst and ((ip, dst) in self.cuts or self.rng.random() < self.loss):
             if lane is Lane.WORK and dst not in proc.owing:
                 proc.owing.add(dst)
@@ -292,7 +294,7 @@
                 return
 
             def take() -> None:
-                fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+                fresh, lost = head.taken(seen=to.seen)
                 if not fresh:
                     return
                 if lost and lane is Lane.WORK and ip != dst:
@@ -304,13 +306,13 @@
             if to.turns is None:
                 self.step(dst, to, take)
             else:
-                self._queue(dst, to, (ip, uid, boot, seq, lane, kind, body))
+                self._queue(dst, to, head, kind, body)
         self.at(delay=due - self.now, fn=arrive)
 
-    def _queue(self, dst: str, to: Proc, frame: tuple[str, str, int, int, Lane, Kind | None, bytes]) -> None:
+    def _queue(self, dst: str, to: Proc, head: Header, kind: Kind | None, body: bytes) -> None:
         """A frame for a process that charges its time: as the shell takes it."""
-        ip, uid, boot, seq, lane, kind, body = frame
-        fresh, lost = to.seen.take(src=ip, lane=lane, boot=boot, seq=seq)
+        ip, uid, lane = head.ip, head.uid, head.lane
+        fresh, lost = head.taken(seen=to.seen)
         if lost and lane is Lane.WORK and ip != dst:
             node = self.core(dst)
             self.post(dst, to, lambda: node.gap_agent(uid=uid), rank=Rank.AGENT)
