--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,7 +7,6 @@
 import orjson
 import pytest
 
-from tests import simfleet
 from tests.ringsim import RingSim
 from tests.simfleet import Oracle, SimCaller, cluster, config
 from tests.simnet import Sim
@@ -18,6 +17,7 @@
 from yarrowloom.record.parts import Role
 from yarrowloom.record.replay import ReplayError
 from yarrowloom.record.stored import StoredCopy
+from yarrowloom.sim import minions
 from yarrowloom.store import END
 
 STAGES = [{"task-count": 3, "cpus": 300, "mem-mb": 100, "estimate-ms": 300}]
@@ -27,7 +27,7 @@
 def ringed(monkeypatch: pytest.MonkeyPatch, folder: pathlib.Path, seed: int, **kw: Any) -> tuple[
         RingSim, Oracle, SimCaller]:
     """A configured cluster on real ring files."""
-    monkeypatch.setattr(simfleet, "Sim", lambda **more: RingSim(folder=folder, **more))
+    monkeypatch.setattr(minions, "Sim", lambda **more: RingSim(folder=folder, **more))
     sim, oracle, caller, _ = cluster(seed=seed, **kw)
     assert isinstance(sim, RingSim)
     return sim, oracle, caller
--- a/yarrowloom/node/recovery.py
+++ b/yarrowloom/node/recovery.py
@@ -44,8 +44,9 @@
 
 
 def recover(*, startup: Startup, records: list[bytes], log: Log, now: float, rand: float, token: str,
-            defaults: Defaults | None = None) -> CoreNode:
-    """A core node with what its journal tells. `token` is random: it makes a new identity unlike all before it."""
+            blank: bool = True, defaults: Defaults | None = None) -> CoreNode:
+    """A core node with what its journal tells. `blank`: nothing was ever confirmed from this disk, else a node without
+    records does not start as one of the first. `token` is random: it makes a new identity unlike all before it."""
     def build(*, uid: str, first: bool, incarnation: int = FIRST) -> CoreNode:
         return CoreNode(startup=startup, uid=uid, boot=incarnation, log=log, first=first, now=now, rand=rand,
                         defaults=defaults)
@@ -65,5 +66,5 @@
         number = begin + err.number if isinstance(err, ReplayError) else begin
         log.warn("journal-unusable", cause=str(err), record=number, records=len(records))
         return build(uid=f"{address}#{token}", first=False)
-    first = startup.bootstrap
+    first = blank and startup.bootstrap
     return build(uid=f"{address}#0" if first else f"{address}#{token}", first=first)
