--- a/yarrowloom/sim/minions.py
+++ b/yarrowloom/sim/minions.py
@@ -14,15 +14,29 @@
 
 def config(*, version: int, guards: bool = False, tries: int = 3, more: int = 0) -> dict[str, Any]:
     """A configuration of two queues on one service."""
+
     def row(name: str, prefix: str, rank: int) -> dict[str, Any]:
-        return {"name": name, "host-name": HOST, "path-prefix": prefix, "route-kind": "mutating", "deadline-ms": 3000,
-                "target-ms": 2000, "rank": rank, "backend": "svc", "max-tries": tries, "stretch": 2.0}
+        return {
+            "name": name,
+            "host-name": HOST,
+            "path-prefix": prefix,
+            "route-kind": "mutating",
+            "deadline-ms": 3000,
+            "target-ms": 2000,
+            "rank": rank,
+            "backend": "svc",
+            "max-tries": tries,
+            "stretch": 2.0,
+        }
 
     routes = [row("fast", "/fast/", 0), row("slow", "/slow/", 1)]
     routes += [row(f"x{i}", f"/x{i}/", 2) for i in range(more)]
-    return {"config-version": version, "route-table": routes,
-            "service-table": [{"name": "svc", "conn-limit": 64, "guards": guards}],
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144}}
+    return {
+        "config-version": version,
+        "route-table": routes,
+        "service-table": [{"name": "svc", "conn-limit": 64, "guards": guards}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144},
+    }
 
 
 class Oracle:
@@ -101,8 +115,18 @@
 class SimMinion:
     """Behaves as PROTOCOL says: fences, holds on its own slow clock, ends kept until noted, one beat at a time."""
 
-    def __init__(self, *, sim: Sim, oracle: Oracle, mid: str, site: str, cap: tuple[int, int, int], work: float,
-                 labels: tuple[str, ...] = ("a", "r1"), fail: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        sim: Sim,
+        oracle: Oracle,
+        mid: str,
+        site: str,
+        cap: tuple[int, int, int],
+        work: float,
+        labels: tuple[str, ...] = ("a", "r1"),
+        fail: float = 0.0,
+    ) -> None:
         self.sim, self.oracle, self.mid, self.site, self.cap = sim, oracle, mid, site, cap
         self.labels, self.work, self.fail = labels, work, fail
         self.running: dict[str, dict[str, Any]] = {}
@@ -156,16 +180,26 @@
         def go() -> None:
             if mark == self.planned and not self.inflight:
                 self.beat()
+
         self.sim.at(delay=delay, fn=go)
 
     def account(self, *, seq: int, sent: float) -> dict[str, Any]:
         """What a beat tells."""
-        return {"backend": "svc", "address": f"{self.mid}:1", "zone": self.site, "config-version": "v1", "slots": 8,
-                "state": self.state, "cold-left-ms": 0, "call-seq": seq, "clock-ms": int(sent * 1000),
-                "capacity": {"cpus": self.cap[0], "mem-mb": self.cap[1], "gpus": self.cap[2]},
-                "labels": list(self.labels),
-                "running": [[t, r["run"], r.get("saved", ""), r["pct"](sent)] for t, r in self.running.items()],
-                "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500]}
+        return {
+            "backend": "svc",
+            "address": f"{self.mid}:1",
+            "zone": self.site,
+            "config-version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold-left-ms": 0,
+            "call-seq": seq,
+            "clock-ms": int(sent * 1000),
+            "capacity": {"cpus": self.cap[0], "mem-mb": self.cap[1], "gpus": self.cap[2]},
+            "labels": list(self.labels),
+            "running": [[t, r["run"], r.get("saved", ""), r["pct"](sent)] for t, r in self.running.items()],
+            "finished": [[n, *e[:4]] for n, e in sorted(self.ends.items())][:500],
+        }
 
     def beat(self) -> None:
         """Send a heartbeat."""
@@ -190,6 +224,7 @@
             if self.inflight == seq and self.up:
                 self.inflight = 0
                 self.miss()
+
         self.sim.at(delay=1.0, fn=late)
         self.sim.http(ip=dst, src=self.mid, method="PUT", path=f"/minions/{self.mid}", doc=doc, back=back)
 
@@ -218,8 +253,12 @@
         for task, run in doc.get("stopped", []):
             self.top[task] = max(self.top.get(task, 0), run)
             if task in self.running and self.running[task]["run"] == run:
-                self.sim.at(delay=0.2, fn=lambda task=task, run=run: self.finish(  # type: ignore[misc]
-                    task=task, run=run, how="stopped"))
+                self.sim.at(
+                    delay=0.2,
+                    fn=lambda task=task, run=run: self.finish(  # type: ignore[misc]
+                        task=task, run=run, how="stopped"
+                    ),
+                )
         for task, run, spec, saved in doc.get("started", []):
             if run <= self.top.get(task, 0):
                 continue
@@ -229,10 +268,18 @@
             how = "failed" if self.sim.rng.random() < self.fail else "done"
             dur = 1e9 if last else self.work * (0.5 + self.sim.rng.random())
             begun = self.sim.now
-            self.running[task] = {"run": run, "pct": (lambda at: 50) if last else (
-                lambda at, begun=begun, dur=dur: min(99, int(100 * (at - begun) / dur)))}
-            self.sim.at(delay=dur, fn=lambda task=task, run=run, how=how: self.finish(  # type: ignore[misc]
-                task=task, run=run, how=how))
+            self.running[task] = {
+                "run": run,
+                "pct": (lambda at: 50)
+                if last
+                else (lambda at, begun=begun, dur=dur: min(99, int(100 * (at - begun) / dur))),
+            }
+            self.sim.at(
+                delay=dur,
+                fn=lambda task=task, run=run, how=how: self.finish(  # type: ignore[misc]
+                    task=task, run=run, how=how
+                ),
+            )
 
     def finish(self, *, task: str, run: int, how: str) -> None:
         """End a run if it still goes on."""
@@ -276,32 +323,66 @@
                 state["done"] = True
                 if left:
                     self._send(jid=jid, queue=queue, doc=doc, left=left - 1)
-        self.sim.http(ip=ip, src="caller", method="POST", path=f"/{queue}/{jid}", doc=doc,
-                      headers={"host": HOST, "x-deadline-ms": "3000"}, back=back)
+
+        self.sim.http(
+            ip=ip,
+            src="caller",
+            method="POST",
+            path=f"/{queue}/{jid}",
+            doc=doc,
+            headers={"host": HOST, "x-deadline-ms": "3000"},
+            back=back,
+        )
         self.sim.at(delay=3.0, fn=late)
 
     def state(self, *, jid: str, queue: str = "fast") -> tuple[int, Any]:
         """Ask for a job's state."""
-        status, doc = self.sim.ask(ip=self.sim.edge_ips[0], method="GET", path=f"/{queue}/{jid}",
-                                   headers={"host": HOST, "x-deadline-ms": "3000"})
+        status, doc = self.sim.ask(
+            ip=self.sim.edge_ips[0],
+            method="GET",
+            path=f"/{queue}/{jid}",
+            headers={"host": HOST, "x-deadline-ms": "3000"},
+        )
         return status, doc["state"] if status == 200 else None
 
     def cancel(self, *, jid: str, queue: str = "fast") -> int:
         """Cancel a job."""
-        status, _ = self.sim.ask(ip=self.sim.edge_ips[0], method="DELETE", path=f"/{queue}/{jid}",
-                                 headers={"host": HOST, "x-deadline-ms": "3000"})
+        status, _ = self.sim.ask(
+            ip=self.sim.edge_ips[0],
+            method="DELETE",
+            path=f"/{queue}/{jid}",
+            headers={"host": HOST, "x-deadline-ms": "3000"},
+        )
         if status == 200:
             self.oracle.cancelled[jid] = self.sim.now
         return status
 
 
-def cluster(*, seed: int, minions: int = 6, work: float = 0.5, cap: tuple[int, int, int] = (4000, 8000, 0),
-            fail: float = 0.0, **kw: Any) -> tuple[Sim, Oracle, SimCaller, list[SimMinion]]:
+def cluster(
+    *,
+    seed: int,
+    minions: int = 6,
+    work: float = 0.5,
+    cap: tuple[int, int, int] = (4000, 8000, 0),
+    fail: float = 0.0,
+    **kw: Any,
+) -> tuple[Sim, Oracle, SimCaller, list[SimMinion]]:
     """A configured cluster with minions."""
     sim = Sim(seed=seed, **kw)
     oracle = Oracle(sim=sim)
-    fleet = [SimMinion(sim=sim, oracle=oracle, mid=f"i-{i}", site=f"z{i % len(sim.sites)}", cap=cap, work=work,
-                       labels=("a", f"r{i % len(sim.sites)}"), fail=fail) for i in range(minions)]
+    fleet = [
+        SimMinion(
+            sim=sim,
+            oracle=oracle,
+            mid=f"i-{i}",
+            site=f"z{i % len(sim.sites)}",
+            cap=cap,
+            work=work,
+            labels=("a", f"r{i % len(sim.sites)}"),
+            fail=fail,
+        )
+        for i in range(minions)
+    ]
     sim.run(seconds=1.0)
     for ip in sim.core_ips:
         status, _ = sim.ask(ip=ip, method="PUT", path="/config", doc=config(version=3), headers={"if-match": "0"})
--- a/yarrowloom/sim/network.py
+++ b/yarrowloom/sim/network.py
@@ -19,8 +19,10 @@
 
     def covers(self, *, src: str, dst: str) -> bool:
         """Whether what goes from one end to the other is hit."""
-        return bool((self.outward and src in self.inside and self._outside(dst))
-                    or (self.inward and dst in self.inside and self._outside(src)))
+        return bool(
+            (self.outward and src in self.inside and self._outside(dst))
+            or (self.inward and dst in self.inside and self._outside(src))
+        )
 
 
 class Cuts(set[tuple[str, str]]):
@@ -29,7 +31,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.whole: list[Cut] = []
-        self.everything = False     # while frames that were held are dropped
+        self.everything = False  # while frames that were held are dropped
 
     def __contains__(self, pair: object) -> bool:
         if self.everything or super().__contains__(pair):
--- a/yarrowloom/sim/operators.py
+++ b/yarrowloom/sim/operators.py
@@ -26,7 +26,7 @@
     outcome_of,
 )
 
-MARK = "x-order"            # among the limits: which order made a configuration
+MARK = "x-order"  # among the limits: which order made a configuration
 ROUTES = "route-table"
 
 
@@ -48,8 +48,17 @@
     def at(self, *, delay: float, fn: Callable[[], None]) -> None:
         """Do something later."""
 
-    def request(self, *, source: str, node: str, method: str, path: str, headers: dict[str, str], body: bytes,
-                answer: Callable[[Answer], None]) -> None:
+    def request(
+        self,
+        *,
+        source: str,
+        node: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        answer: Callable[[Answer], None],
+    ) -> None:
         """Send an HTTP request to a node; `answer` is called at most once, perhaps late, perhaps never."""
 
 
@@ -57,18 +66,18 @@
 class Habits:
     """How an operator works. Times are in seconds, the rest are shares of what it does."""
 
-    pause_s: float = 0.4            # between two things that it begins, on average
-    patience_s: float = 1.0         # silence after which a call is given up
-    retry_s: float = 0.1            # pause before a call is sent again; doubles with each, up to
+    pause_s: float = 0.4  # between two things that it begins, on average
+    patience_s: float = 1.0  # silence after which a call is given up
+    retry_s: float = 0.1  # pause before a call is sent again; doubles with each, up to
     retry_most_s: float = 0.8
-    evacuation_s: float = 4.0       # how long an evacuation order is sent again
+    evacuation_s: float = 4.0  # how long an evacuation order is sent again
     most_under_way: int = 4
     race: float = 0.15
     bad: float = 0.12
     read: float = 0.15
     repeat: float = 0.12
     evacuation: float = 0.06
-    whole: float = 0.3              # of its changes: PUT in place of PATCH
+    whole: float = 0.3  # of its changes: PUT in place of PATCH
 
 
 class Bad(enum.Enum):
@@ -120,8 +129,18 @@
     """Invariants: at most `most_under_way` tasks are under way; each call is recorded exactly once, by its answer,
     when it is given up, or by `close`; an answer that comes after its call was given up counts for nothing."""
 
-    def __init__(self, *, name: str, network: Network, nodes: list[str], zones: list[str], template: dict[str, Any],
-                 recorder: Recorder, rng: random.Random, habits: Habits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        network: Network,
+        nodes: list[str],
+        zones: list[str],
+        template: dict[str, Any],
+        recorder: Recorder,
+        rng: random.Random,
+        habits: Habits | None = None,
+    ) -> None:
         self.name = name
         self.network = network
         self.nodes = nodes
@@ -130,9 +149,9 @@
         self.recorder = recorder
         self.rng = rng
         self.habits = habits or Habits()
-        self.known: dict[str, Any] | None = None        # the newest configuration that was read
-        self.version = 0                                # the newest version that was confirmed or read
-        self.taken: list[Message] = []                  # orders that were confirmed
+        self.known: dict[str, Any] | None = None  # the newest configuration that was read
+        self.version = 0  # the newest version that was confirmed or read
+        self.taken: list[Message] = []  # orders that were confirmed
         self.under_way = 0
         self.working = False
         self._made = 0
@@ -168,8 +187,13 @@
 
     def _act(self) -> None:
         habits, pick = self.habits, self.rng.random()
-        for share, act in ((habits.read, self.read), (habits.bad, self._send_bad), (habits.repeat, self._repeat),
-                           (habits.evacuation, self._evacuate), (habits.race, self._race)):
+        for share, act in (
+            (habits.read, self.read),
+            (habits.bad, self._send_bad),
+            (habits.repeat, self._repeat),
+            (habits.evacuation, self._evacuate),
+            (habits.race, self._race),
+        ):
             if pick < share:
                 act()
                 return
@@ -189,8 +213,9 @@
     def _evacuate(self) -> None:
         on = self.rng.random() < 0.5
         zone = self.rng.choice(self.zones)
-        message = Message(argument=Evacuate(zone=zone, on=on), method="POST" if on else "DELETE",
-                          path=f"/evacuation/{zone}")
+        message = Message(
+            argument=Evacuate(zone=zone, on=on), method="POST" if on else "DELETE", path=f"/evacuation/{zone}"
+        )
         self._begin(message=message, until_s=self.network.now + self.habits.evacuation_s)
 
     # -- what it sends
@@ -201,8 +226,9 @@
 
     def _message(self, *, method: str, doc: dict[str, Any], identity: str, base: int) -> Message:
         order = Order(identity=identity, base=base, version=doc["config-version"])
-        return Message(argument=order, method=method, path="/config", headers={"if-match": f'"{base}"'},
-                       body=orjson.dumps(doc))
+        return Message(
+            argument=order, method=method, path="/config", headers={"if-match": f'"{base}"'}, body=orjson.dumps(doc)
+        )
 
     def _change(self, *, step: int) -> Message:
         """A valid order on top of what it knows."""
@@ -218,8 +244,12 @@
             rows = [row for row in whole[ROUTES] if row["name"] != route["name"]]
             doc = {**whole, "config-version": version, ROUTES: [*rows, route], "limits": limits}
             return self._message(method="PUT", doc=doc, identity=identity, base=base)
-        doc = {"config-version": version, "upserts": {ROUTES: [route]}, "limits": limits,
-               "removals": {ROUTES: [f"r{self.rng.randint(10, 19)}"]}}
+        doc = {
+            "config-version": version,
+            "upserts": {ROUTES: [route]},
+            "limits": limits,
+            "removals": {ROUTES: [f"r{self.rng.randint(10, 19)}"]},
+        }
         return self._message(method="PATCH", doc=doc, identity=identity, base=base)
 
     def _send_bad(self) -> None:
@@ -241,8 +271,15 @@
             whole["config-version"] = base
         body = orjson.dumps(whole)
         order = Order(identity=identity, base=base, version=whole["config-version"], valid=False)
-        self._begin(message=Message(argument=order, method="PUT", path="/config", headers={"if-match": str(base)},
-                                    body=body[:-7] if kind is Bad.CUT_SHORT else body))
+        self._begin(
+            message=Message(
+                argument=order,
+                method="PUT",
+                path="/config",
+                headers={"if-match": str(base)},
+                body=body[:-7] if kind is Bad.CUT_SHORT else body,
+            )
+        )
 
     # -- calls
 
@@ -253,8 +290,9 @@
 
     def _send(self, *, task: Task) -> None:
         network, message = self.network, task.message
-        task.node = self.rng.choice([node for node in self.nodes if node != task.node] if task.tries or not task.node
-                                    else [task.node])
+        task.node = self.rng.choice(
+            [node for node in self.nodes if node != task.node] if task.tries or not task.node else [task.node]
+        )
         task.tries += 1
         number, invoked_s = self.recorder.number(), network.now
         self._open[number] = (message, invoked_s)
@@ -262,16 +300,25 @@
         def ended(answer: Answer | None) -> None:
             if number not in self._open:
                 return
-            outcome = self._record(number=number, message=message, invoked_s=invoked_s, returned_s=network.now,
-                                   answer=answer)
+            outcome = self._record(
+                number=number, message=message, invoked_s=invoked_s, returned_s=network.now, answer=answer
+            )
             self._ended(task=task, outcome=outcome, answer=answer)
 
         network.at(delay=self.habits.patience_s, fn=partial(ended, None))
-        network.request(source=self.name, node=task.node, method=message.method, path=message.path,
-                        headers=message.headers, body=message.body, answer=ended)
-
-    def _record(self, *, number: int, message: Message, invoked_s: float, returned_s: float,
-                answer: Answer | None) -> Outcome:
+        network.request(
+            source=self.name,
+            node=task.node,
+            method=message.method,
+            path=message.path,
+            headers=message.headers,
+            body=message.body,
+            answer=ended,
+        )
+
+    def _record(
+        self, *, number: int, message: Message, invoked_s: float, returned_s: float, answer: Answer | None
+    ) -> Outcome:
         del self._open[number]
         status = answer.status if answer is not None else 0
         outcome = outcome_of(status=status)
@@ -279,8 +326,15 @@
         if isinstance(message.argument, ReadConfig) and answer is not None and status in (200, 404):
             seen = seen_in(doc=orjson.loads(answer.body) if status == 200 else None)
         operation: Operation[Any] = Operation(
-            number=number, process=self.name, argument=message.argument, invoked_s=invoked_s, returned_s=returned_s,
-            outcome=outcome, status=status, seen=seen)
+            number=number,
+            process=self.name,
+            argument=message.argument,
+            invoked_s=invoked_s,
+            returned_s=returned_s,
+            outcome=outcome,
+            status=status,
+            seen=seen,
+        )
         self.recorder.history.add(operation=operation)
         return outcome
 
--- a/yarrowloom/sim/play.py
+++ b/yarrowloom/sim/play.py
@@ -13,12 +13,12 @@
 from .workload import Day, task
 
 SITES = 3
-MINIONS_EACH = 3          # minions by core
-JOB_GAP_S = 0.5           # a cluster of three gets a job this often; larger ones in proportion more
-WORK_S = 1.2              # a usual task's length
-SETUP_S = 6.0             # the load begins so long after the start; what is told of before has a time below 0
-LOOK_S = 0.2              # breaches are looked for this often
-SETTLE_S = 45.0           # accepted jobs end within this time after the load
+MINIONS_EACH = 3  # minions by core
+JOB_GAP_S = 0.5  # a cluster of three gets a job this often; larger ones in proportion more
+WORK_S = 1.2  # a usual task's length
+SETUP_S = 6.0  # the load begins so long after the start; what is told of before has a time below 0
+LOOK_S = 0.2  # breaches are looked for this often
+SETTLE_S = 45.0  # accepted jobs end within this time after the load
 CANCEL_SHARE = 0.08
 
 
@@ -34,8 +34,13 @@
     @property
     def shape(self) -> Shape:
         """The deployment."""
-        return Shape(cores=self.size, edges=max(1, self.size // 3), minions=MINIONS_EACH * self.size,
-                     losses=1 if self.size < 7 else 2, seconds=self.seconds)
+        return Shape(
+            cores=self.size,
+            edges=max(1, self.size // 3),
+            minions=MINIONS_EACH * self.size,
+            losses=1 if self.size < 7 else 2,
+            seconds=self.seconds,
+        )
 
     def planned(self) -> tuple[Fault, ...]:
         """The faults of the run."""
@@ -64,10 +69,13 @@
     def lines(self) -> list[str]:
         """The report for a reader."""
         run = self.settings
-        return [f"seed {run.seed}, {run.size} cores, {run.seconds:g} s of load, {self.simulated_s:.1f} s simulated, "
-                f"{len(self.faults)} faults",
-                f"jobs {self.jobs}, finished {self.finished}; configuration changes {self.changes}; elections "
-                f"{self.elections}; breaches {len(self.breaches)}", *self.breaches]
+        return [
+            f"seed {run.seed}, {run.size} cores, {run.seconds:g} s of load, {self.simulated_s:.1f} s simulated, "
+            f"{len(self.faults)} faults",
+            f"jobs {self.jobs}, finished {self.finished}; configuration changes {self.changes}; elections "
+            f"{self.elections}; breaches {len(self.breaches)}",
+            *self.breaches,
+        ]
 
 
 class Run:
@@ -78,8 +86,14 @@
         self.story = Story()
         self.checks = checks
         shape = settings.shape
-        self.sim = TroubledSim(seed=settings.seed, sites=min(SITES, shape.cores), cores=shape.cores,
-                               edges=shape.edges, losses=shape.losses, checks=(self.story, *checks))
+        self.sim = TroubledSim(
+            seed=settings.seed,
+            sites=min(SITES, shape.cores),
+            cores=shape.cores,
+            edges=shape.edges,
+            losses=shape.losses,
+            checks=(self.story, *checks),
+        )
         self.sim.started_s = self.sim.now + SETUP_S
         self.judge = TellingJudge(sim=self.sim)
         self.day = Day(seed=settings.seed, minions=shape.minions, work=WORK_S, sim=self.sim, judge=self.judge)
@@ -108,9 +122,17 @@
                 raise
             self.problems.append(f"ENDLESS {err.text}")
         finished = sum(jid in self.judge.over for jid in self.day.jids)
-        return Report(settings=self.settings, faults=self.faults, jobs=len(self.day.jids), finished=finished,
-                      changes=self.operator.changes, elections=self.serving.elections,
-                      simulated_s=self.sim.now - self.sim.started_s, breaches=self.breaches(), story=self.story)
+        return Report(
+            settings=self.settings,
+            faults=self.faults,
+            jobs=len(self.day.jids),
+            finished=finished,
+            changes=self.operator.changes,
+            elections=self.serving.elections,
+            simulated_s=self.sim.now - self.sim.started_s,
+            breaches=self.breaches(),
+            story=self.story,
+        )
 
     def _load(self) -> None:
         end_s = self.sim.now + self.settings.seconds
@@ -131,7 +153,8 @@
             [task(n=2, cpus=1500, checkpoints=True, weight=4)],
             [task(n=3, cpus=500, anti_affinity=1)],
             [task(n=3, cpus=500, affinity=f"r{number % 3}")],
-            [task(n=2, cpus=500)]]
+            [task(n=2, cpus=500)],
+        ]
         stages = mix[number % len(mix)]
         queue = rng.choice(["fast", "slow"])
         if number % 7 == 0:
--- a/yarrowloom/sim/process.py
+++ b/yarrowloom/sim/process.py
@@ -29,10 +29,10 @@
         self.disk: list[tuple[bytes, tuple[Any, ...]]] = []
         self.inbox: list[Callable[[], None]] = []
         self.repeats = Repeats()
-        self.turns: Turns | None = None     # only where processor time is charged
+        self.turns: Turns | None = None  # only where processor time is charged
         self.busy = False
         self.woken = 0.0
         self.spent = 0.0
-        self.mark = (0, 0, 0)     # messages, bytes and HTTP calls that came with the step that runs
+        self.mark = (0, 0, 0)  # messages, bytes and HTTP calls that came with the step that runs
         self.seen = Seen()
-        self.owing: set[str] = set()     # peers that are still to learn of a loss
+        self.owing: set[str] = set()  # peers that are still to learn of a loss
--- a/yarrowloom/sim/processor.py
+++ b/yarrowloom/sim/processor.py
@@ -8,11 +8,11 @@
 # Measured on the development machine, as thread time: 760 ms for 699,000 and 799 ms for 760,000 counted calls of two
 # runs of this cluster (JSON of all messages with it); 12 us for frames and sockets of a message, both sides, with
 # eight in a frame; 223 us for a beat over a kept-alive connection, about 60 of which are the minion's.
-STEP_S = 6e-6         # taking a turn: queue, closure, clocks, outputs
-MESSAGE_S = 6e-6      # a message in or out, its share of a frame and of the sockets
-KB_S = 8e-6           # a KB of messages copied, sent, received
-HTTP_S = 170e-6       # an HTTP call: parsing, tasks, answer
-CALL_S = 1.05e-6      # a Python or C function called by the node's code, with what it does between calls
+STEP_S = 6e-6  # taking a turn: queue, closure, clocks, outputs
+MESSAGE_S = 6e-6  # a message in or out, its share of a frame and of the sockets
+KB_S = 8e-6  # a KB of messages copied, sent, received
+HTTP_S = 170e-6  # an HTTP call: parsing, tasks, answer
+CALL_S = 1.05e-6  # a Python or C function called by the node's code, with what it does between calls
 
 
 class Meter:
--- a/yarrowloom/sim/shrink.py
+++ b/yarrowloom/sim/shrink.py
@@ -38,10 +38,10 @@
     """Smaller lists, the smallest first: halves left out, then single entries, then entries that last half as long."""
     many = len(faults)
     if many > 3:
-        yield faults[many // 2:]
-        yield faults[:many // 2]
+        yield faults[many // 2 :]
+        yield faults[: many // 2]
     for i in range(many):
-        yield faults[:i] + faults[i + 1:]
+        yield faults[:i] + faults[i + 1 :]
     for i, fault in enumerate(faults):
         if fault.for_s > 2 * SHORTEST_S:
-            yield (*faults[:i], replace(fault, for_s=round(fault.for_s / 2, 3)), *faults[i + 1:])
+            yield (*faults[:i], replace(fault, for_s=round(fault.for_s / 2, 3)), *faults[i + 1 :])
--- a/yarrowloom/sim/troubled.py
+++ b/yarrowloom/sim/troubled.py
@@ -17,7 +17,7 @@
 from .process import Proc
 
 JOURNAL_RECORDS = 120  # a journal moves on to its next file after so many; a small disk's does under load
-RESTART_S = 1.0       # a process that ended by itself is started again after this long
+RESTART_S = 1.0  # a process that ended by itself is started again after this long
 
 
 def _reason(err: Exception) -> str:
@@ -48,15 +48,15 @@
 
     def __init__(self, *, seed: int, checks: tuple[Check, ...] = (), **kw: Any) -> None:
         self.checks = checks
-        self.started_s = 0.0            # simulated time that counts as 0 in events
+        self.started_s = 0.0  # simulated time that counts as 0 in events
         self.clocks: dict[str, SteadyClock] = {}
         self.holds: list[Hold] = []
         self.link_delay: dict[str, float] = {}
         self.disk_factor: dict[str, float] = {}
         self.refusing: set[str] = set()
-        self.journal: dict[tuple[str, int], int] = {}     # by process: records since its journal moved on
-        self.stand_still: dict[str, float] = {}     # seconds to stop after the next step, before its output
-        self.ended: list[str] = []                  # processes that ended by themselves, and why
+        self.journal: dict[tuple[str, int], int] = {}  # by process: records since its journal moved on
+        self.stand_still: dict[str, float] = {}  # seconds to stop after the next step, before its output
+        self.ended: list[str] = []  # processes that ended by themselves, and why
         super().__init__(seed=seed, **kw)
         self.cuts = Cuts()
 
@@ -92,7 +92,7 @@
             return
         try:
             super().step(ip, proc, fn)
-        except Exception as err:     # the product's fault, whatever it is
+        except Exception as err:  # the product's fault, whatever it is
             self._ended(ip, proc, err)
 
     def _stand_still(self, ip: str, proc: Proc, fn: Callable[[], None]) -> None:
@@ -106,7 +106,7 @@
             self._ended(ip, proc, err)
             return
         self.freeze(ip=ip, seconds=seconds)
-        super().step(ip, proc, lambda: None)     # frozen: the first thing to be done afterwards
+        super().step(ip, proc, lambda: None)  # frozen: the first thing to be done afterwards
 
     def _ended(self, ip: str, proc: Proc, err: Exception) -> None:
         self.ended.append(f"ENDED {ip} by itself: {_reason(err)}")
@@ -184,6 +184,7 @@
                     send()
             finally:
                 self._cuts().everything = False
+
         return release
 
     def _cuts(self) -> Cuts:
@@ -193,18 +194,47 @@
 
     # -- calls
 
-    def http(self, *, ip: str, src: str, method: str, path: str, doc: Any = None, body: bytes | None = None,
-             headers: dict[str, str] | None = None, back: Callable[[Response], None]) -> None:
+    def http(
+        self,
+        *,
+        ip: str,
+        src: str,
+        method: str,
+        path: str,
+        doc: Any = None,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        back: Callable[[Response], None],
+    ) -> None:
         """An HTTP call, shown to all checks with its answer."""
         number = self.ncall + 1
         if not src.startswith("i-"):
             raw = body if body is not None else b"" if doc is None else orjson.dumps(doc)
-            self.tell(Invocation(at_s=self.now - self.started_s, who=src, text=f"{method} {path} to {ip}",
-                                 number=number, to=ip, method=method, path=path, headers=headers or {}, body=raw))
+            self.tell(
+                Invocation(
+                    at_s=self.now - self.started_s,
+                    who=src,
+                    text=f"{method} {path} to {ip}",
+                    number=number,
+                    to=ip,
+                    method=method,
+                    path=path,
+                    headers=headers or {},
+                    body=raw,
+                )
+            )
 
         def answered(res: Response) -> None:
             if not src.startswith("i-"):
-                self.tell(Answer(at_s=self.now - self.started_s, who=src, text=f"{method} {path}: {res.status}",
-                                 number=number, response=res))
+                self.tell(
+                    Answer(
+                        at_s=self.now - self.started_s,
+                        who=src,
+                        text=f"{method} {path}: {res.status}",
+                        number=number,
+                        response=res,
+                    )
+                )
             back(res)
+
         super().http(ip=ip, src=src, method=method, path=path, doc=doc, body=body, headers=headers, back=answered)
--- a/yarrowloom/sim/watch.py
+++ b/yarrowloom/sim/watch.py
@@ -12,8 +12,8 @@
 from .troubled import TroubledSim
 
 LOOK_S = 0.1
-CHANGE_S = (0.5, 3.0)     # an operator rests this long between changes
-RETRY_S = 1.5             # an order without an answer is sent again, as it was
+CHANGE_S = (0.5, 3.0)  # an operator rests this long between changes
+RETRY_S = 1.5  # an order without an answer is sent again, as it was
 FIRST_VERSION = 3
 
 
@@ -102,9 +102,18 @@
             self._send(doc=self._doc(version=self.version + 1))
 
     def _doc(self, *, version: int) -> dict[str, Any]:
-        route = {"name": "extra", "host-name": HOST, "path-prefix": "/extra/", "route-kind": "mutating",
-                 "deadline-ms": 3000, "target-ms": 2000 + version, "rank": 2, "backend": "svc", "max-tries": 3,
-                 "stretch": 2.0}
+        route = {
+            "name": "extra",
+            "host-name": HOST,
+            "path-prefix": "/extra/",
+            "route-kind": "mutating",
+            "deadline-ms": 3000,
+            "target-ms": 2000 + version,
+            "rank": 2,
+            "backend": "svc",
+            "max-tries": 3,
+            "stretch": 2.0,
+        }
         return {"config-version": version, "upserts": {"route-table": [route]}}
 
     def _send(self, *, doc: dict[str, Any]) -> None:
@@ -120,22 +129,33 @@
                 self.sim.note(who="op", text=f"configuration {version} confirmed")
                 self.sim.at(delay=self.sim.rng.uniform(*CHANGE_S), fn=self._change)
             elif res.status == 412:
-                self.broken.append(f"CONFIG {version}, sent by the only operator on {version - 1}, refused at "
-                                   f"{self.sim.now:.2f}: {res.body.decode()[:200]}")
+                self.broken.append(
+                    f"CONFIG {version}, sent by the only operator on {version - 1}, refused at "
+                    f"{self.sim.now:.2f}: {res.body.decode()[:200]}"
+                )
 
         def late() -> None:
             if not answered or answered[0] not in (200, 412):
                 answered.append(0)
                 self._send(doc=doc)
-        self.sim.http(ip=self.sim.rng.choice(self.sim.core_ips), src="op", method="PATCH", path="/config", doc=doc,
-                      headers={"if-match": str(version - 1)}, back=back)
+
+        self.sim.http(
+            ip=self.sim.rng.choice(self.sim.core_ips),
+            src="op",
+            method="PATCH",
+            path="/config",
+            doc=doc,
+            headers={"if-match": str(version - 1)},
+            back=back,
+        )
         self.sim.at(delay=RETRY_S, fn=late)
 
     def read_back(self) -> None:
         """At the end the configuration holds what was confirmed."""
         for _ in range(20):
-            status, doc = self.sim.ask(ip=self.sim.rng.choice(self.sim.core_ips), method="GET", path="/config",
-                                       limit=1.0)
+            status, doc = self.sim.ask(
+                ip=self.sim.rng.choice(self.sim.core_ips), method="GET", path="/config", limit=1.0
+            )
             if status == 200:
                 self._compare(doc=orjson.loads(orjson.dumps(doc)))
                 return
--- a/yarrowloom/sim/worker.py
+++ b/yarrowloom/sim/worker.py
@@ -23,7 +23,7 @@
 
     work: float = 0.5
     fail: float = 0.0
-    doomed: set[str] = field(default_factory=set)        # jobs whose tasks fail by their own fault
+    doomed: set[str] = field(default_factory=set)  # jobs whose tasks fail by their own fault
     made: dict[str, float] = field(default_factory=dict)
     present: dict[tuple[str, int], dict[str, "Worker"]] = field(default_factory=dict)
 
@@ -32,15 +32,27 @@
     """Invariants: a gang's members make progress only while all of one run are present; nothing runs beyond the hold;
     room counts until the end is listed."""
 
-    def __init__(self, *, sim: Sim, judge: Judge, world: World, mid: str, site: str, cap: tuple[int, int, int],
-                 labels: tuple[str, ...], svc: str = "svc", guards: bool = False, addr: str = "") -> None:
+    def __init__(
+        self,
+        *,
+        sim: Sim,
+        judge: Judge,
+        world: World,
+        mid: str,
+        site: str,
+        cap: tuple[int, int, int],
+        labels: tuple[str, ...],
+        svc: str = "svc",
+        guards: bool = False,
+        addr: str = "",
+    ) -> None:
         self.judge, self.world, self.svc, self.guards = judge, world, svc, guards
         self.addr = addr or f"{mid}:1"
-        self.sick = ""             # "grey" fails all it starts, "hung" makes no progress
+        self.sick = ""  # "grey" fails all it starts, "hung" makes no progress
         self.speed = 1.0
-        self.mute = -1.0           # no beats until then
+        self.mute = -1.0  # no beats until then
         self.drained = 0.0
-        self.acked = 0.0           # when its draining was acknowledged
+        self.acked = 0.0  # when its draining was acknowledged
         self.restored = 0
         super().__init__(sim=sim, oracle=judge, mid=mid, site=site, cap=cap, work=world.work, labels=labels)
         judge.fleet.append(self)
@@ -107,9 +119,20 @@
         self.restored += bool(saved)
         dur = self.world.work * step.get("weight", 1) * (0.5 + self.sim.rng.random()) * far
         row: dict[str, Any] = {}
-        row |= {"pct": lambda _: min(99, int(100 * row["part"])), "run": run, "who": who, "step": step, "saved": saved,
-                "stop": 0.0, "at": self.sim.now, "part": self.world.made.get(saved, 0.0), "since": 0.0, "bad": bad,
-                "dur": dur, "work": self.sim.now + (RESTORE_S if saved else 0.0)}
+        row |= {
+            "pct": lambda _: min(99, int(100 * row["part"])),
+            "run": run,
+            "who": who,
+            "step": step,
+            "saved": saved,
+            "stop": 0.0,
+            "at": self.sim.now,
+            "part": self.world.made.get(saved, 0.0),
+            "since": 0.0,
+            "bad": bad,
+            "dur": dur,
+            "work": self.sim.now + (RESTORE_S if saved else 0.0),
+        }
         self.running[task] = row
         if step.get("gang"):
             self.world.present.setdefault((who, run), {})[task] = self
@@ -172,8 +195,7 @@
             self.end(task=task, how="stopped")
         elif self.sick == "grey" and now - row["at"] >= GREY_S:
             self.end(task=task, how="failed")
-        elif row["step"].get("gang") and len(
-                self.world.present[row["who"], row["run"]]) < row["step"]["task-count"]:
+        elif row["step"].get("gang") and len(self.world.present[row["who"], row["run"]]) < row["step"]["task-count"]:
             if now - row["at"] > GANG_WAIT_S:
                 self.end(task=task, how="alone")
         elif self.sick != "hung" and now >= row["work"]:
--- a/yarrowloom/sim/workload.py
+++ b/yarrowloom/sim/workload.py
@@ -24,9 +24,14 @@
         super()._send(jid=jid, queue=queue, doc=doc, left=left)
 
     def _call(self, *, method: str, jid: str, back: Any) -> None:
-        self.sim.http(ip=self.sim.rng.choice(self.sim.edge_ips), src="caller", method=method,
-                      path=f"/{self.judge.queue[jid]}/{jid}", headers={"host": HOST, "x-deadline-ms": "3000"},
-                      back=back)
+        self.sim.http(
+            ip=self.sim.rng.choice(self.sim.edge_ips),
+            src="caller",
+            method=method,
+            path=f"/{self.judge.queue[jid]}/{jid}",
+            headers={"host": HOST, "x-deadline-ms": "3000"},
+            back=back,
+        )
 
     def poll(self, *, jid: str) -> None:
         """Ask for a job's state."""
@@ -35,6 +40,7 @@
         def back(res: Response) -> None:
             state = orjson.loads(res.body)["state"] if res.status == 200 else ""
             self.judge.shown(jid=jid, status=res.status, state=state, sent=sent)
+
         self._call(method="GET", jid=jid, back=back)
 
     def drop(self, *, jid: str, left: int = 5) -> None:
@@ -50,6 +56,7 @@
         def late() -> None:
             if (not got or got[0] >= 500) and left:
                 self.drop(jid=jid, left=left - 1)
+
         self._call(method="DELETE", jid=jid, back=back)
         self.sim.at(delay=3.0, fn=late)
 
@@ -65,9 +72,21 @@
 class Day:
     """A configured cluster with workers, of which the last `aux` belong to another service."""
 
-    def __init__(self, *, seed: int, minions: int = 8, aux: int = 0, work: float = 0.5, guards: bool = False,
-                 tries: int = 3, cap: tuple[int, int, int] = (4000, 8000, 0), racks: int = 3, sim: Sim | None = None,
-                 judge: Judge | None = None, **kw: Any) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        minions: int = 8,
+        aux: int = 0,
+        work: float = 0.5,
+        guards: bool = False,
+        tries: int = 3,
+        cap: tuple[int, int, int] = (4000, 8000, 0),
+        racks: int = 3,
+        sim: Sim | None = None,
+        judge: Judge | None = None,
+        **kw: Any,
+    ) -> None:
         """`sim`, `judge`: to be used in place of the usual ones, which further arguments are for."""
         self.sim = sim = sim or Sim(seed=seed, **kw)
         self.judge = judge = judge or Judge(sim=sim, tries=tries)
@@ -76,50 +95,85 @@
         self.fleet: list[Worker] = []
         self.guards = guards
         for i in range(minions):
-            self.hire(mid=f"i-{i}", site=f"z{i % len(sim.sites)}", cap=cap, labels=("a", f"r{i % racks}"),
-                      svc="aux" if i >= minions - aux else "svc")
+            self.hire(
+                mid=f"i-{i}",
+                site=f"z{i % len(sim.sites)}",
+                cap=cap,
+                labels=("a", f"r{i % racks}"),
+                svc="aux" if i >= minions - aux else "svc",
+            )
         self.client = Client(sim=sim, judge=judge)
         self.jids: list[str] = []
         self.asks = True
         sim.run(seconds=1.0)
         doc = plan(version=3, guards=guards, tries=tries)
-        if not any(sim.ask(ip=ip, method="PUT", path="/config", doc=doc, headers={"if-match": "0"})[0] == 200
-                   for ip in sim.core_ips):
+        if not any(
+            sim.ask(ip=ip, method="PUT", path="/config", doc=doc, headers={"if-match": "0"})[0] == 200
+            for ip in sim.core_ips
+        ):
             raise SimError(text="no core node took the configuration")
         sim.run(seconds=2.0)
         sim.at(delay=0.2, fn=self._poll)
 
-    def hire(self, *, mid: str, site: str, cap: tuple[int, int, int], labels: tuple[str, ...], svc: str = "svc",
-             addr: str = "") -> Worker:
+    def hire(
+        self,
+        *,
+        mid: str,
+        site: str,
+        cap: tuple[int, int, int],
+        labels: tuple[str, ...],
+        svc: str = "svc",
+        addr: str = "",
+    ) -> Worker:
         """One more minion."""
-        m = Worker(sim=self.sim, judge=self.judge, world=self.world, mid=mid, site=site, cap=cap, labels=labels,
-                   svc=svc, guards=self.guards, addr=addr)
+        m = Worker(
+            sim=self.sim,
+            judge=self.judge,
+            world=self.world,
+            mid=mid,
+            site=site,
+            cap=cap,
+            labels=labels,
+            svc=svc,
+            guards=self.guards,
+            addr=addr,
+        )
         self.fleet.append(m)
         return m
 
     def flap(self, *, m: Worker, up: float, down: float, times: int, same: bool) -> None:
         """A minion goes down and comes back by turns, under a new id each time, at the same address or another."""
+
         def fall() -> None:
             self.judge.trouble()
             m.crash()
             self.sim.at(delay=down, fn=rise)
 
         def rise() -> None:
-            new = self.hire(mid=f"{m.mid}x", site=m.site, cap=m.cap, labels=m.labels, svc=m.svc,
-                            addr=m.addr if same else "")
+            new = self.hire(
+                mid=f"{m.mid}x", site=m.site, cap=m.cap, labels=m.labels, svc=m.svc, addr=m.addr if same else ""
+            )
             if times > 1:
                 self.flap(m=new, up=up, down=down, times=times - 1, same=same)
+
         self.sim.at(delay=up, fn=fall)
 
     def evacuate(self, *, site: str, on: bool) -> None:
         """The operator's order; it binds from its acknowledgement, and no longer once its taking back is sent."""
+
         def back(res: Response) -> None:
             if on and 200 <= res.status < 300:
                 self.judge.evac[site] = self.sim.now
+
         if not on:
             self.judge.evac.pop(site, None)
-        self.sim.http(ip=self.sim.rng.choice(self.sim.core_ips), src="op", method="POST" if on else "DELETE",
-                      path=f"/evacuation/{site}", back=back)
+        self.sim.http(
+            ip=self.sim.rng.choice(self.sim.core_ips),
+            src="op",
+            method="POST" if on else "DELETE",
+            path=f"/evacuation/{site}",
+            back=back,
+        )
 
     def _poll(self) -> None:
         live = [j for j in self.jids if self.judge.shows.get(j) in (None, "pending", "active")]
@@ -139,8 +193,11 @@
     def timed(self, *stages: dict[str, Any], first: float, period: float, count: int, queue: str = "fast") -> str:
         """Hand a repeated job in whose first time is due in so many seconds."""
         wall = self.sim.wall0 + self.sim.now
-        jid = self.client.submit(stages=list(stages), queue=queue, **{
-            "first-run-ms": int((wall + first) * 1000), "period-ms": int(period * 1000), "repeat-count": count})
+        jid = self.client.submit(
+            stages=list(stages),
+            queue=queue,
+            **{"first-run-ms": int((wall + first) * 1000), "period-ms": int(period * 1000), "repeat-count": count},
+        )
         self.jids.append(jid)
         return jid
 
@@ -153,6 +210,7 @@
 
         def left() -> list[str]:
             return [j for j in self.jids if j in judge.accepted and judge.shows.get(j) not in ENDS]
+
         while left() and sim.now < end and not judge.broken:
             for jid in left():
                 self.client.poll(jid=jid)
@@ -167,5 +225,10 @@
 
 def task(*, n: int = 3, cpus: int = 1000, **more: Any) -> dict[str, Any]:
     """A step; flags in Python's case."""
-    return {"task-count": n, "cpus": cpus, "mem-mb": 100, "estimate-ms": 500,
-            **{k.replace("_", "-"): v for k, v in more.items()}}
+    return {
+        "task-count": n,
+        "cpus": cpus,
+        "mem-mb": 100,
+        "estimate-ms": 500,
+        **{k.replace("_", "-"): v for k, v in more.items()},
+    }
--- a/yarrowloom/store/files.py
+++ b/yarrowloom/store/files.py
@@ -73,7 +73,7 @@
         os.lseek(handle, position, os.SEEK_SET)
         view = memoryview(data)
         while view:
-            view = view[os.write(handle, view):]
+            view = view[os.write(handle, view) :]
 
     def sync(self, *, handle: int) -> None:
         """Call fsync."""
--- a/yarrowloom/store/layout.py
+++ b/yarrowloom/store/layout.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from typing import Self
 
-_HEADER = struct.Struct("<8sQQII")   # magic, file number, newest durable file number, opening records, salt
+_HEADER = struct.Struct("<8sQQII")  # magic, file number, newest durable file number, opening records, salt
 _CHECKSUM = struct.Struct("<I")
-_RECORD = struct.Struct("<IIQ")      # length, checksum, record number
+_RECORD = struct.Struct("<IIQ")  # length, checksum, record number
 _MAGIC = b"YLRING02"
 HEADER_BYTES = _HEADER.size + _CHECKSUM.size
 RECORD_BYTES = _RECORD.size
@@ -37,7 +37,7 @@
     def seed(self) -> int:
         """Where the checksums of the records begin: the header's checksum (a checksum over that too is the same for
         all headers)."""
-        return zlib.crc32(self.pack()[:_HEADER.size])
+        return zlib.crc32(self.pack()[: _HEADER.size])
 
     @classmethod
     def parse(cls, *, raw: bytes) -> Self | None:
@@ -53,10 +53,10 @@
     def checks(*, raw: bytes) -> bool:
         """Whether the checksum fits."""
         (checksum,) = _CHECKSUM.unpack_from(raw, _HEADER.size)
-        return bool(checksum == zlib.crc32(raw[:_HEADER.size]))
+        return bool(checksum == zlib.crc32(raw[: _HEADER.size]))
 
 
-UNUSED = Header(number=0, durable=0).pack()    # content of a file that was made and never used
+UNUSED = Header(number=0, durable=0).pack()  # content of a file that was made and never used
 
 
 def pack_records(*, seed: int, first: int, bodies: list[bytes]) -> bytes:
@@ -74,7 +74,7 @@
     position = HEADER_BYTES
     while position + RECORD_BYTES <= len(raw):
         size, checksum, number = _RECORD.unpack_from(raw, position)
-        body = raw[position + RECORD_BYTES:position + RECORD_BYTES + size]
+        body = raw[position + RECORD_BYTES : position + RECORD_BYTES + size]
         if number == 0 or len(body) != size or checksum != zlib.crc32(body, (seed + number) & 0xFFFFFFFF):
             return
         yield number, body
@@ -89,7 +89,7 @@
     present: bool
     header: Header | None
     records: list[tuple[int, bytes]]
-    blank: bool               # missing, empty, zeros, or a part of an unused header
+    blank: bool  # missing, empty, zeros, or a part of an unused header
 
     @classmethod
     def parse(cls, *, index: int, files: int, raw: bytes | None) -> Self:
@@ -105,14 +105,17 @@
                 if records and number != records[-1][0] + 1:
                     break
                 records.append((number, body))
-        return cls(index=index, present=True, header=header, records=records,
-                   blank=header is None and _blank(raw=raw))
+        return cls(index=index, present=True, header=header, records=records, blank=header is None and _blank(raw=raw))
 
     @property
     def whole(self) -> bool:
         """Whether the file's first batch is there to its end."""
-        return (self.header is not None and self.header.number > 0 and self.header.opening > 0
-                and len(self.records) >= self.header.opening)
+        return (
+            self.header is not None
+            and self.header.number > 0
+            and self.header.opening > 0
+            and len(self.records) >= self.header.opening
+        )
 
     @property
     def unused(self) -> bool:
--- a/yarrowloom/store/retry.py
+++ b/yarrowloom/store/retry.py
@@ -14,8 +14,9 @@
 _Result = TypeVar("_Result")
 
 
-def until_taken(*, call: Callable[[], _Result], ring: Ring, log: Log,
-                sleep: Callable[[float], None] = time.sleep) -> _Result:
+def until_taken(
+    *, call: Callable[[], _Result], ring: Ring, log: Log, sleep: Callable[[float], None] = time.sleep
+) -> _Result:
     """Repeat `call` while the disk refuses it for a reason that may pass; other errors are raised."""
     while True:
         try:
--- a/yarrowloom/store/ring.py
+++ b/yarrowloom/store/ring.py
@@ -15,9 +15,9 @@
 from .files import FileSystem, OsFileSystem
 from .layout import HEADER_BYTES, RECORD_BYTES, Header, Slot, pack_records
 
-END = b'{"k":"none","end":true}'     # follows a checkpoint: what begins a file is whole
-_FEWEST = 3                          # the durable file, the one being written, the one that vouches for it
-_FIRST_SLOT = 1                      # file number 1 is the first to be used
+END = b'{"k":"none","end":true}'  # follows a checkpoint: what begins a file is whole
+_FEWEST = 3  # the durable file, the one being written, the one that vouches for it
+_FIRST_SLOT = 1  # file number 1 is the first to be used
 _SALT_BITS = 32
 _MIB = 1 << 20
 
@@ -25,9 +25,9 @@
 class Verdict(Enum):
     """What a disk shows about its journal."""
 
-    EMPTY = "empty"      # nothing was ever acknowledged from this disk
-    WHOLE = "whole"      # all that was acknowledged is there
-    LOST = "lost"        # something was acknowledged, or may have been, that is not there
+    EMPTY = "empty"  # nothing was ever acknowledged from this disk
+    WHOLE = "whole"  # all that was acknowledged is there
+    LOST = "lost"  # something was acknowledged, or may have been, that is not there
 
 
 def file_sizes(*, disk_mb: int) -> tuple[int, int]:
@@ -49,22 +49,30 @@
     records that no sync covers, and numbers go on from them. Where a file does not follow the one before all the same,
     it counts alone if its checkpoint is whole, else not at all."""
 
-    def __init__(self, *, folder: str, files: int = 4, size: int = 4 << 20, most: int = 0,
-                 file_system: FileSystem | None = None, salt: Callable[[], int] | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        folder: str,
+        files: int = 4,
+        size: int = 4 << 20,
+        most: int = 0,
+        file_system: FileSystem | None = None,
+        salt: Callable[[], int] | None = None,
+    ) -> None:
         if files < _FEWEST:
             raise ValueError(f"a ring has {_FEWEST} files or more, not {files}")
         self.folder = folder
         self.files = files
         self.size = size
-        self.most = max(size, most)       # files may grow to this where checkpoints need it
-        self.verdict = Verdict.EMPTY      # of the last `load`
+        self.most = max(size, most)  # files may grow to this where checkpoints need it
+        self.verdict = Verdict.EMPTY  # of the last `load`
         self._file_system: FileSystem = file_system or OsFileSystem()
         self._salt = salt or (lambda: secrets.randbits(_SALT_BITS))
         self._handle: int | None = None
-        self._file = 0                    # highest file number seen or tried
-        self._durable = 0                 # newest file number that is durable; the next file follows it
-        self._claimed = 0                 # highest file number that a header calls durable
-        self._opened = False              # whether the file's first batch is durable
+        self._file = 0  # highest file number seen or tried
+        self._durable = 0  # newest file number that is durable; the next file follows it
+        self._claimed = 0  # highest file number that a header calls durable
+        self._opened = False  # whether the file's first batch is durable
         self._seed = 0
         self._pos = 0
         self._next = 1
@@ -220,7 +228,7 @@
             self.close()
             raise
         self._pos += size
-        self._next += len(bodies)     # a number is used up only by what the disk took
+        self._next += len(bodies)  # a number is used up only by what the disk took
 
     def _write_batch(self, *, header: bytes, bodies: list[bytes]) -> int:
         handle = self._handle
--- a/yarrowloom/wire/http.py
+++ b/yarrowloom/wire/http.py
@@ -83,8 +83,8 @@
         self.stream = stream
         lim = server.limits
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=max(lim.header_bytes, 1024))
-        self.buf = bytearray()     # received and not yet used on the short way
-        self.horizon = 0.0         # of the request that is being read there
+        self.buf = bytearray()  # received and not yet used on the short way
+        self.horizon = 0.0  # of the request that is being read there
 
     async def run(self) -> None:
         first = True
@@ -123,8 +123,8 @@
                 if head is False or isinstance(head, Head) and head.end - head.start > lim.body_bytes:
                     return None
                 if isinstance(head, Head) and len(self.buf) >= head.end:
-                    body = bytes(self.buf[head.start:head.end])
-                    del self.buf[:head.end]
+                    body = bytes(self.buf[head.start : head.end])
+                    del self.buf[: head.end]
                     return Request(method=head.method, path=head.path, headers=head.headers, body=body)
             with trio.move_on_at(self.horizon) as scope:
                 data = await self.stream.receive_some(65536)
@@ -134,7 +134,7 @@
                     self.buf.clear()
                 return None
             if not data:
-                return None     # h11 says what is wrong with half a request
+                return None  # h11 says what is wrong with half a request
             if not began:
                 began = True
                 self.horizon = trio.current_time() + lim.header_ms / 1000
@@ -166,7 +166,7 @@
         wait = lim.header_ms if first else lim.idle_ms
         horizon = trio.current_time() + wait / 1000
         began = first
-        if self.buf:     # handed over: time goes on
+        if self.buf:  # handed over: time goes on
             self.buf.clear()
             horizon, began = self.horizon, True
         while True:
@@ -180,8 +180,9 @@
                     began = True
                     horizon = trio.current_time() + lim.header_ms / 1000
                 if self.conn.they_are_waiting_for_100_continue:
-                    await self.stream.send_all(self.conn.send(
-                        h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                    await self.stream.send_all(
+                        self.conn.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+                    )
                 with trio.move_on_at(horizon) as scope:
                     data = await self.stream.receive_some(65536)
                 if scope.cancelled_caught:
@@ -209,8 +210,12 @@
                 if sum(len(k) + len(v) + 4 for k, v in head.headers) > lim.header_bytes:
                     await self._refuse(status=431)
                     return None
-                return Request(method=head.method.decode(), path=head.target.decode("latin-1"), body=bytes(body),
-                               headers={k.decode(): v.decode("latin-1") for k, v in head.headers})
+                return Request(
+                    method=head.method.decode(),
+                    path=head.target.decode("latin-1"),
+                    body=bytes(body),
+                    headers={k.decode(): v.decode("latin-1") for k, v in head.headers},
+                )
             else:
                 return None
 
--- a/yarrowloom/wire/plain.py
+++ b/yarrowloom/wire/plain.py
@@ -56,8 +56,7 @@
     size = headers.get("content-length", "0")
     if "host" not in headers or _LENGTH.fullmatch(size) is None:
         return False
-    return Head(method=hit[1].decode(), path=hit[2].decode(), headers=headers, start=at + 4,
-                end=at + 4 + int(size))
+    return Head(method=hit[1].decode(), path=hit[2].decode(), headers=headers, start=at + 4, end=at + 4 + int(size))
 
 
 def write_head(*, status: int, headers: tuple[tuple[str, str], ...], closing: bool, size: int) -> bytes:
