--- a/docs/experiments/growth.py
+++ b/docs/experiments/growth.py
@@ -21,11 +21,11 @@
 
 from yarrowloom.place.evict import Evictor  # noqa: E402
 
-from tests.simfleet import SimCaller, cluster, config  # noqa: E402
-from tests.simnet import Sim  # noqa: E402
 from yarrowloom.node.core import CoreNode  # noqa: E402
 from yarrowloom.place.leases import Pool  # noqa: E402
 from yarrowloom.place.placer import Placer  # noqa: E402
+from yarrowloom.sim.cluster import Sim  # noqa: E402
+from yarrowloom.sim.minions import SimCaller, cluster, config  # noqa: E402
 from yarrowloom.wire.frame import Kind  # noqa: E402
 
 WORK_S = 2.0
--- a/docs/experiments/growth_collapse.py
+++ b/docs/experiments/growth_collapse.py
@@ -30,13 +30,14 @@
 from growth import CAP, NARROW, WORK_S, Meter, install, submit  # noqa: E402
 from yarrowloom.place.evict import Evictor  # noqa: E402
 
-from tests.simfleet import cluster  # noqa: E402
-from tests.simnet import Proc, Sim  # noqa: E402
 from yarrowloom.node import calls  # noqa: E402
 from yarrowloom.node.core import REC, CoreNode  # noqa: E402
 from yarrowloom.place.desk import Desk  # noqa: E402
 from yarrowloom.place.placer import Placer  # noqa: E402
 from yarrowloom.record.replica import Replica  # noqa: E402
+from yarrowloom.sim.cluster import Sim  # noqa: E402
+from yarrowloom.sim.minions import cluster  # noqa: E402
+from yarrowloom.sim.process import Proc
 from yarrowloom.wire.frame import Kind  # noqa: E402
 
 STATE: dict[str, Any] = {"on": False, "share": 0.62}
--- a/tests/ringsim.py
+++ b/tests/ringsim.py
@@ -3,9 +3,10 @@
 import pathlib
 from typing import Any
 
-from tests.simnet import Disk, Proc, Sim
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.turns import Rank
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.process import Disk, Proc
 from yarrowloom.store import END, Ring
 
 SIZE_BYTES = 256 << 10
--- a/tests/simcpu/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Processor time, under the name that tests know."""
-
-from yarrowloom.sim.processor import Meter, cost
-
-__all__ = ["Meter", "cost"]
--- a/tests/simops.py
+++ b/tests/simops.py
@@ -3,11 +3,11 @@
 import random
 from collections.abc import Callable
 
-from tests.simfleet import config
-from tests.simnet import Sim
+from yarrowloom.sim.cluster import Sim
 from yarrowloom.sim.history import Breach
 from yarrowloom.sim.judged import check_evacuations
 from yarrowloom.sim.linear import check_configuration
+from yarrowloom.sim.minions import config
 from yarrowloom.sim.operators import Answer, Habits, Operator, Recorder
 from yarrowloom.wire.http import Response
 
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from tests.simfleet import Oracle, SimCaller, cluster
-from tests.simnet import Proc, Sim
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import Oracle, SimCaller, cluster
+from yarrowloom.sim.process import Proc
 from yarrowloom.wire.frame import Kind
 
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
--- a/tests/test_busy.py
+++ b/tests/test_busy.py
@@ -5,12 +5,12 @@
 import orjson
 import pytest
 
-from tests.simfleet import cluster
-from tests.simnet import Sim
 from yarrowloom.node.base import JOB_GROUPS
 from yarrowloom.record import ballot
 from yarrowloom.record.parts import Reducer, decode, encode
 from yarrowloom.record.timing import DOUBT_S
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import cluster
 from yarrowloom.wire.frame import Kind
 
 
--- a/tests/test_call_identity.py
+++ b/tests/test_call_identity.py
@@ -4,10 +4,10 @@
 
 import orjson
 
-from tests.simfleet import cluster
-from tests.simnet import Sim
 from yarrowloom.base.log import Log
 from yarrowloom.node.core import CoreNode
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import cluster
 from yarrowloom.wire.frame import Kind
 
 ADDR = "10.9.0.9:7000"
--- a/tests/test_call_repeats.py
+++ b/tests/test_call_repeats.py
@@ -5,10 +5,10 @@
 import orjson
 import pytest
 
-from tests.simfleet import cluster
-from tests.simnet import Sim
 from yarrowloom.fleet.registry import Registry
 from yarrowloom.node.core import CoreNode
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import cluster
 from yarrowloom.wire.frame import Kind
 
 CALLER = "10.9.0.9:7000#0"
--- a/tests/test_chief.py
+++ b/tests/test_chief.py
@@ -6,13 +6,13 @@
 import pytest
 
 import yarrowloom.node.chief as chief
-from tests.simfleet import Oracle, SimCaller
-from tests.simherd import attached, back, herd, loads, serves
-from tests.simnet import Sim
 from yarrowloom.agent.minion import Phase, Run
 from yarrowloom.fleet.owners import Owners, Picker, Place, place, total
 from yarrowloom.fleet.registry import Registry
 from yarrowloom.node.hub import CoreHub
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.herd import attached, back, herd, loads, serves
+from yarrowloom.sim.minions import Oracle, SimCaller
 
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from tests.simfleet import Oracle, SimCaller, SimMinion, cluster
-from tests.simnet import Sim
 from yarrowloom.node.base import JOB_GROUPS
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import Oracle, SimCaller, SimMinion, cluster
 
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
 
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from tests.simfleet import cluster, config
-from tests.simnet import Sim
 from yarrowloom.node.base import JOB_GROUPS
 from yarrowloom.record.epoch import Epoch
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import cluster, config
 
 SETTLE_S = 6.0
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from tests.simfleet import HOST, config
-from tests.simlink import LinkSim, put
 from yarrowloom.node.edge import EdgeNode
+from yarrowloom.sim.links import LinkSim, put
+from yarrowloom.sim.minions import HOST, config
 from yarrowloom.wire.frame import Kind
 from yarrowloom.wire.http import Response
 
--- a/tests/test_frames_fuzz.py
+++ b/tests/test_frames_fuzz.py
@@ -10,10 +10,10 @@
 import trio
 import trio.testing
 
-from tests.simfleet import cluster
-from tests.simnet import Sim
 from yarrowloom.base.log import Log
 from yarrowloom.node.shell import Shell
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import cluster
 from yarrowloom.wire.frame import MAX_FRAME, Frame, Kind, Lane, bundle, pack
 from yarrowloom.wire.peer import Peers
 
--- a/tests/test_fresh.py
+++ b/tests/test_fresh.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from tests.simfleet import HOST, cluster, config
-from tests.simlink import LinkSim, put
-from tests.simnet import Sim
 from yarrowloom.node.edge import EdgeNode
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.links import LinkSim, put
+from yarrowloom.sim.minions import HOST, cluster, config
 from yarrowloom.wire.frame import Kind
 
 APPLY_S = 2.0  # `config-apply-ms` where the settings name none
--- a/tests/test_fresh_core.py
+++ b/tests/test_fresh_core.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from tests.simfleet import HOST, SimMinion, cluster, config
-from tests.simlink import LinkSim, put
-from tests.simnet import Sim
 from tests.test_fresh import APPLY_S, CUT_S, bystander, change, edge, island, settled
 from yarrowloom.node.chief import LEASE_S
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.node.fresh import Freshness
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.links import LinkSim, put
+from yarrowloom.sim.minions import HOST, SimMinion, cluster, config
 from yarrowloom.wire.frame import Kind
 
 
--- a/tests/test_history_runs.py
+++ b/tests/test_history_runs.py
@@ -6,11 +6,11 @@
 import orjson
 import pytest
 
-from tests.simfleet import HOST, Oracle, cluster
-from tests.simnet import Sim
 from yarrowloom.node.calls import Calls
+from yarrowloom.sim.cluster import Sim
 from yarrowloom.sim.history import Breach, History, JobCall, JobVerb, Operation, Outcome, outcome_of
 from yarrowloom.sim.judged import check_answers, check_jobs
+from yarrowloom.sim.minions import HOST, Oracle, cluster
 from yarrowloom.wire.http import Response
 
 PATIENCE_S = 3.0
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -6,12 +6,12 @@
 import orjson
 import pytest
 
-from tests.simfleet import Oracle, SimCaller, cluster
-from tests.simnet import Sim
 from tests.test_cluster import TASK, finish
 from yarrowloom.rig.hollow import Bounds, Hollow, How, Yard, mark
 from yarrowloom.rig.judge import Judge
 from yarrowloom.rig.work import write
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import Oracle, SimCaller, cluster
 from yarrowloom.wire.http import Response
 
 JID = "5c0e7a21d94b36f8"
--- a/tests/test_install.py
+++ b/tests/test_install.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from tests.simfleet import cluster
-from tests.simnet import Proc
 from yarrowloom.record.parts import Role
 from yarrowloom.record.timing import PROMISE_S
+from yarrowloom.sim.minions import cluster
+from yarrowloom.sim.process import Proc
 from yarrowloom.wire.frame import Kind
 
 LATE_S = 0.76  # the witnesses' answers come after the fourth INSTALL
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -9,10 +9,10 @@
 import trio
 import trio.testing
 
-from tests.simfleet import cluster
 from yarrowloom.base.log import Log
 from yarrowloom.node.calls import RESEND_MOST_S, Calls
 from yarrowloom.node.turns import TURNS_PER_CALL, Rank, Repeats, Turns, rank_of
+from yarrowloom.sim.minions import cluster
 from yarrowloom.wire.frame import Frame, Kind, Lane, bundle, pack, unbundle
 from yarrowloom.wire.peer import FRAME_BYTES, OWED, QUEUE_MOST, TRAIL, Line, Peers, Seen
 
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -1,7 +1,7 @@
 """Lives of a process: told apart without a clock, in whatever order their connections and frames come."""
 
-from tests.simfleet import config
-from tests.simnet import Sim
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import config
 
 
 def running(*, seed: int) -> Sim:
--- a/tests/test_lone.py
+++ b/tests/test_lone.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.simfleet import cluster
-from tests.simnet import Proc
+from yarrowloom.sim.minions import cluster
+from yarrowloom.sim.process import Proc
 from yarrowloom.wire.frame import Kind
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -12,12 +12,12 @@
 import pytest
 import trio
 
-from tests.simfleet import HOST, config
 from yarrowloom.base.errs import UsageError
 from yarrowloom.base.log import Log
 from yarrowloom.base.startup import ENV, check
 from yarrowloom.load import Load, report
 from yarrowloom.node.shell import open_core, open_edge
+from yarrowloom.sim.minions import HOST, config
 
 ADDR = f"127.{os.getpid() % 200 + 2}.{os.getpid() // 200 % 250}.2"  # of this process alone: ports are let go again
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -4,13 +4,14 @@
 
 import pytest
 
-from tests.simfleet import cluster
-from tests.simnet import Proc, Sim
 from tests.test_contact import holders, newest
 from tests.test_leaving import CATCH_UP_S, change, served, version
 from yarrowloom.node.base import JOB_GROUPS
 from yarrowloom.record.timing import DOUBT_S, PING_S, SILENCE_S, TURN_S
 from yarrowloom.sim import minions
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import cluster
+from yarrowloom.sim.process import Proc
 from yarrowloom.wire.frame import Kind
 
 SETTLE_S = 6.0
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from tests.simfleet import HOST, SimMinion, cluster, config
-from tests.simnet import Sim
 from yarrowloom.node.base import FANOUT
 from yarrowloom.node.edge import EdgeNode
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import HOST, SimMinion, cluster, config
 
 
 def edges(sim: Sim) -> list[EdgeNode]:
--- a/tests/test_orders_cluster.py
+++ b/tests/test_orders_cluster.py
@@ -5,8 +5,8 @@
 import orjson
 import pytest
 
-from tests.simfleet import config
-from tests.simnet import Sim
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import config
 from yarrowloom.wire.http import Response
 
 UNCLEAR = (0, 503)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,8 +8,6 @@
 import pytest
 
 from tests.ringsim import RingSim
-from tests.simfleet import Oracle, SimCaller, cluster, config
-from tests.simnet import Sim
 from yarrowloom.base.log import Log
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.recovery import counted, last_snapshot, recover
@@ -18,6 +16,8 @@
 from yarrowloom.record.replay import ReplayError
 from yarrowloom.record.stored import StoredCopy
 from yarrowloom.sim import minions
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import Oracle, SimCaller, cluster, config
 from yarrowloom.store import END
 
 STAGES = [{"task-count": 3, "cpus": 300, "mem-mb": 100, "estimate-ms": 300}]
--- a/tests/test_refused_calls.py
+++ b/tests/test_refused_calls.py
@@ -5,9 +5,9 @@
 import orjson
 import pytest
 
-from tests.simfleet import HOST, cluster
-from tests.simnet import Sim
 from yarrowloom.node.calls import NOT_PRIMARY, Calls
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import HOST, cluster
 from yarrowloom.wire.http import Response
 
 JOB = {"task-spec": "s", "stages": [{"task-count": 1, "cpus": 500, "mem-mb": 64, "estimate-ms": 300}]}
--- a/tests/test_same.py
+++ b/tests/test_same.py
@@ -5,8 +5,8 @@
 import subprocess
 import sys
 
-from tests.simnet import Sim
 from tests.simwork import Day, task
+from yarrowloom.sim.cluster import Sim
 
 ASK = "from tests.test_same import mark; print(mark())"
 
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -7,9 +7,10 @@
 import orjson
 import pytest
 
-from tests.simfleet import SimMinion, cluster, config
-from tests.simnet import Proc, Sim
 from tests.test_contact import holders, newest
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import SimMinion, cluster, config
+from yarrowloom.sim.process import Proc
 from yarrowloom.wire.frame import Kind
 from yarrowloom.wire.http import Response
 
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.simlink import LinkSim, large, patched, put
 from yarrowloom.node.base import FANOUT
+from yarrowloom.sim.links import LinkSim, large, patched, put
 from yarrowloom.wire.frame import Kind
 
 
--- a/tests/test_warm.py
+++ b/tests/test_warm.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from tests.simfleet import HOST, Oracle, SimCaller, SimMinion, cluster
-from tests.simnet import Sim
 from yarrowloom.base.defaults import SHIPPED, Defaults
 from yarrowloom.learn import History
 from yarrowloom.place.placer import Placer
+from yarrowloom.sim.cluster import Sim
+from yarrowloom.sim.minions import HOST, Oracle, SimCaller, SimMinion, cluster
 
 URGENT: dict[str, Any] = {"task-count": 2, "cpus": 4000, "mem-mb": 100, "estimate-ms": 500, "gang": True}
 FILL: dict[str, Any] = {"task-count": 4, "cpus": 2000, "mem-mb": 100, "estimate-ms": 3000}
