--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from yarrowloom.node.base import FANOUT
 from yarrowloom.node.edge import EdgeNode
+from yarrowloom.node.relays import FANOUT
 from yarrowloom.sim.cluster import Sim
 from yarrowloom.sim.minions import HOST, SimMinion, cluster, config
 
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from yarrowloom.node.base import FANOUT
+from yarrowloom.node.relays import FANOUT
 from yarrowloom.sim.links import LinkSim, large, patched, put
 from yarrowloom.wire.frame import Kind
 
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -1,63 +1,32 @@
 """The agent: holds minions' beats, grants their room as exclusive leases, carries orders out and ends back."""
 
-from typing import Any, Protocol
+from typing import Any
 
 from ..job.spec import group_of
 from ..job.state import split_name
 from ..wire.frame import Kind
 from ..wire.http import Response
-from .answer import answer, settle
+from .answer import LATE_S, answer, settle
 from .care import care
 from .choice import fits, named, pick
+from .environment import AgentEnvironment
 from .minion import Call, Lease, Minion, Phase, Run
 from .share import Share
 
 RETELL_S = 0.5
 LEFT_S = 1.5
+OVERDUE_S = 0.3  # beyond a beat interval after the time at which a beat was expected
 IDLE_S = 3.0  # a lease that its holder neither uses nor returns lapses; holders return far sooner
 
 
-class AgentHub(Protocol):
-    """What an agent needs of its node."""
-
-    now: float
-    uid: str
-
-    def send(self, *, uid: str, kind: Kind, body: dict[str, Any]) -> None:
-        """To another node, or to itself."""
-
-    def respond(self, *, call: Any, res: Response) -> None:
-        """Answer a beat."""
-
-    def trusted(self) -> bool:
-        """Group 0's primary still counts this agent in."""
-
-    def primary(self, *, g: int) -> tuple[str, int] | None:
-        """Uid of a group's primary and its epoch's number."""
-
-    def evacuated(self, *, site: str) -> bool:
-        """Nothing may start there."""
-
-    def groups(self) -> range:
-        """Job groups."""
-
-    def cores(self) -> list[str]:
-        """All core nodes."""
-
-    def note(self, *, event: str, **fields: object) -> None:
-        """Log."""
-
-    def gone(self, *, mid: str, fence: int) -> None:
-        """Tell group 0 that a minion is no more."""
-
-
 class Agent:
     """Invariants: room is granted by this agent alone and only for minions it owns; the leases on a minion never
     exceed its capacity; an order is taken only from the group's newest epoch, on a lease it holds; no two lives of
     its process number a lease alike."""
 
-    def __init__(self, *, hub: AgentHub, hold_ms: int, stop_ms: int, lag_ms: int, first_lease: int = 1) -> None:
+    def __init__(self, *, hub: AgentEnvironment, hold_ms: int, stop_ms: int, lag_ms: int, first_lease: int = 1) -> None:
         self.hub = hub
+        self.groups = tuple(hub.groups())
         self.hold_ms = hold_ms
         self.stop_ms = stop_ms
         self.lag_ms = lag_ms
@@ -158,7 +127,7 @@
             if parts is None or len(parts[0]) != 16:
                 m.acked.add(num)
                 continue
-            g = group_of(jid=parts[0], groups=len(self.hub.groups()))
+            g = group_of(jid=parts[0], groups=len(self.groups))
             if g not in m.att:
                 continue
             m.told[num] = now
@@ -258,16 +227,24 @@
         m.lend(les=les)
         return les
 
+    def attached(self, *, m: Minion) -> bool:
+        """Whether every group was attached once under the minion's fence."""
+        return len(m.met) == len(self.groups)
+
+    def overdue(self, *, m: Minion) -> bool:
+        """Whether a beat that should have come has not: the minion may be cut off or dead. A beat that waits for its
+        answer does so for LATE_S at most."""
+        return self.hub.now > m.heard + m.pause + max(self.lag_ms / 1000, LATE_S) + OVERDUE_S
+
     def open(self, *, m: Minion) -> bool:
         """Whether room of this minion may be granted."""
-        late = self.hub.now - m.heard > 2.0 * self.lag_ms / 1000 + 0.5
         return (
             m.phase is Phase.KNOWN
             and not m.draining
-            and not late
+            and not self.overdue(m=m)
             and self.hub.now >= m.grey
             and not self.hub.evacuated(site=m.site)
-            and all(g in m.met for g in self.hub.groups())
+            and self.attached(m=m)
         )
 
     def lease(self, *, uid: str, b: dict[str, Any]) -> None:
@@ -382,7 +359,7 @@
 
     def gap(self, *, uid: str) -> None:
         """Frames from a node were lost: what its groups said last is not known."""
-        for g in self.hub.groups():
+        for g in self.groups:
             prim = self.hub.primary(g=g)
             if prim is not None and prim[0] == uid:
                 for m in self.minions.values():
--- a/yarrowloom/agent/answer.py
+++ b/yarrowloom/agent/answer.py
@@ -45,7 +45,7 @@
             r.sent = False  # the order was not carried out: it goes out once more
         if r.miss >= GONE_BEATS and len(m.ends) < 400:
             agent.refuse(m=m, r=r)  # it ran, and runs no more, and no end of it is listed
-    attached = all(g in m.met for g in agent.hub.groups())
+    attached = agent.attached(m=m)
     m.strays = {t: row[0] for t, row in m.running.items() if t not in m.runs} if attached else {}
     if m.draining:
         _drain(agent=agent, m=m)
@@ -92,7 +92,7 @@
         hub.respond(call=call.key, res=Response(status=503))
         return
     shut = m.draining or hub.evacuated(site=m.site)
-    attached = all(g in m.met for g in hub.groups())
+    attached = agent.attached(m=m)
     if shut:
         for r in [r for r in m.runs.values() if not r.sent and not r.live]:
             agent.refuse(m=m, r=r)
@@ -126,4 +126,5 @@
         cpu, mem, gpu = m.free()
         wait = BUSY_MS if cpu * 8 > m.cap[0] and mem * 16 > m.cap[1] else FULL_MS
     out["retry-after-ms"] = wait
+    m.pause = now + wait / 1000 - m.heard
     hub.respond(call=call.key, res=Response.of(200, out))
--- a/yarrowloom/agent/care.py
+++ b/yarrowloom/agent/care.py
@@ -27,6 +27,7 @@
     if not agent.trust:
         return
     claims: dict[int, list[Any]] = {}
+    primaries = {g: primary for g in agent.groups if (primary := hub.primary(g=g)) is not None}
     whole = now - agent.scanned > SCAN_S
     if whole:
         agent.scanned = now
@@ -35,7 +36,7 @@
     else:
         look = [agent.minions[mid] for mid in sorted(agent.watch) if mid in agent.minions]
     for m in look:
-        if not whole and m.phase is Phase.KNOWN and len(m.att) == len(hub.groups()):
+        if not whole and m.phase is Phase.KNOWN and len(m.att) == len(agent.groups):
             if m.ends:
                 agent.tell(m=m)
             if m.call is not None and now >= m.call.horizon:
@@ -53,21 +54,17 @@
         if m.phase is Phase.LOST:
             _lose(agent=agent, m=m)
         elif m.phase is Phase.KNOWN:
-            _keep(agent=agent, m=m, claims=claims)
+            _keep(agent=agent, m=m, claims=claims, primaries=primaries)
     for g, rows in claims.items():
-        prim = hub.primary(g=g)
-        if prim is not None:
-            hub.send(uid=prim[0], kind=Kind.CLAIM, body={"g": g, "x": rows})
+        hub.send(uid=primaries[g][0], kind=Kind.CLAIM, body={"g": g, "x": rows})
     agent.share.tell()
 
 
-def _keep(*, agent: "Agent", m: Minion, claims: dict[int, list[Any]]) -> None:
+def _keep(*, agent: "Agent", m: Minion, claims: dict[int, list[Any]], primaries: dict[int, tuple[str, int]]) -> None:
+    """Look after a minion that answers. `primaries`: uid and epoch of each group's primary, as far as known."""
     now = agent.hub.now
-    for g in agent.hub.groups():
-        prim = agent.hub.primary(g=g)
-        if prim is None:
-            continue
-        if g in m.att and m.att[g][0] < prim[1]:
+    for g, (_, epoch) in primaries.items():
+        if g in m.att and m.att[g][0] < epoch:
             del m.att[g]
         if g not in m.att and now - m.claimed.get(g, -9.0) > CLAIM_S * (1 + m.asked):
             m.claimed[g] = now
@@ -79,17 +76,20 @@
             agent.share.stale.add(m.mid)
     if (m.mid in agent.share.shown) != agent.open(m=m):
         agent.share.stale.add(m.mid)
+    if m.runs and agent.overdue(m=m):  # what was never sent goes elsewhere, long before the minion counts as lost
+        for r in [r for r in m.runs.values() if not r.sent and not r.live]:
+            agent.refuse(m=m, r=r)
     if m.ends:
         agent.tell(m=m)
     if m.call is not None and now >= m.call.horizon:
         answer(agent=agent, m=m)
-    if m.ends or m.call is not None or any(g not in m.att for g in agent.hub.groups()):
+    if m.ends or m.call is not None or len(m.att) < len(agent.groups):
         agent.watch.add(m.mid)
 
 
 def _lose(*, agent: "Agent", m: Minion) -> None:
     now = agent.hub.now
-    left = [g for g in agent.hub.groups() if g not in m.lostok]
+    left = [g for g in agent.groups if g not in m.lostok]
     agent.watch.add(m.mid)
     if not left:
         agent.hub.gone(mid=m.mid, fence=m.fence)
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -105,6 +105,7 @@
     lostok: set[int] = field(default_factory=set)
     losing: float = 0.0
     call: Call | None = None
+    pause: float = 0.0  # seconds from the last beat to the next one, by what the last one was answered
     grey: float = 0.0
 
     def move(self, phase: Phase) -> None:
@@ -135,7 +136,7 @@
 
     def take(self, *, doc: dict[str, Any], now: float) -> None:
         """Take note of a beat's account; lists of the wrong shape count as empty."""
-        self.heard = now
+        self.heard, self.pause = now, 0.0
         self.seq = int(doc.get("call-seq", self.seq + 1))
         self.svc = str(doc.get("backend", self.svc))
         self.site = str(doc.get("zone", self.site))
--- a/yarrowloom/node/base.py
+++ b/yarrowloom/node/base.py
@@ -19,7 +19,6 @@
 HEART_S = 0.25
 ALIVE_S = 1.2
 WATCHERS = 4
-FANOUT = 24  # edges that a core feeds itself: 33 of them at 5 cores need no relays, with two cores lost either
 RESEND_S = 0.5  # news that a heart does not confirm within this time, and twice its own on the link, goes again
 ASK_S = 1.5  # a watcher that was asked for the whole configuration and has not sent it by then is passed over
 PROBES = 2  # core nodes asked besides the usual ones, in turn, while no answer proves contact with a primary
--- a/yarrowloom/node/calls.py
+++ b/yarrowloom/node/calls.py
@@ -184,6 +184,10 @@
         self._at[uid, rid] = (g, now)
         return True
 
+    def holds(self, *, uid: str, rid: int) -> bool:
+        """Whether a call was taken and is not answered yet."""
+        return (uid, rid) in self._at
+
     def drop(self, *, uid: str, rid: int) -> int:
         """It is answered; the group that it was for, -1 if it was for none or is not known."""
         return self._at.pop((uid, rid), (-1, 0.0))[0]
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -7,37 +7,22 @@
 from ..base.log import Log
 from ..base.startup import Startup
 from ..fleet.owners import total
+from ..record.kinds import RECORD_KINDS
 from ..record.relief import copied_elsewhere, may_end
 from ..record.replay import ReplayError
 from ..wire.frame import Kind, dump
 from ..wire.http import Request
-from .base import FANOUT, NodeBase
+from .base import NodeBase
 from .calls import NOT_PRIMARY, REFUSALS, InHand
 from .chief import LEASE_S
 from .control import dispatch
 from .hub import CoreHub
-from .outputs import ring
+from .relays import EdgeRelays
 from .turns import Input, Rank
 
-REC = frozenset(
-    {
-        Kind.PREP,
-        Kind.PROMISE,
-        Kind.ACCEPT,
-        Kind.ACCEPTED,
-        Kind.INSTALL,
-        Kind.INSTALLED,
-        Kind.CKPT,
-        Kind.CKPTOK,
-        Kind.LOG,
-        Kind.LOGOK,
-        Kind.PING,
-        Kind.PONG,
-        Kind.YIELD,
-    }
-)
 NODE_RECORDS = frozenset({"id", "none"})  # the kinds of records that are of no group
 THAW_S = 0.3
+OVERLOADED = {"error": "too busy to take it in time"}
 
 
 class CoreNode(CoreHub):
@@ -66,6 +51,7 @@
             defaults=defaults,
         )
         self.hand = InHand()
+        self.relays = EdgeRelays()
         self._effects: dict[str, Callable[..., None]] = {
             "near": self._near,
             "copied": self._copied,
@@ -151,7 +137,7 @@
 
     def on(self, *, uid: str, kind: Kind, m: Any) -> None:
         """One message from `uid`, parsed; it is the node's from now on."""
-        if kind in REC:
+        if kind in RECORD_KINDS:
             self.reps[m["g"]].on(uid=uid, kind=kind, m=m)
         elif kind is Kind.HEART:
             self._heart(b=m)
@@ -196,6 +182,15 @@
         else:
             self.placers[g].call(uid=uid, rid=rid, op=op, b=b)
 
+    def too_late(self, *, uid: str, m: dict[str, Any]) -> None:
+        """A call about jobs waited until its caller is about to give up: it is not taken and never will be, unless a
+        copy of it was. Told so, the caller may try again; told nothing, it could not know."""
+        rid = m["rid"]
+        if self.hand.holds(uid=uid, rid=rid):
+            return
+        self.hand.refuse(uid=uid, rid=rid, status=503, doc=OVERLOADED, now=self.now)
+        super().reply(uid=uid, rid=rid, status=503, doc=OVERLOADED)
+
     def reply(self, *, uid: str, rid: int, status: int, doc: Any) -> None:
         """Answer a call of another node."""
         g = self.hand.drop(uid=uid, rid=rid)
@@ -245,9 +240,9 @@
         self.hear(b=b)
         body = self.answer(b=b)
         if b["kind"] == "edge":
-            edges = [u for u, i in self.info.items() if i["kind"] == "edge" and self.alive(uid=u)]
-            if len(edges) > FANOUT and b["u"] not in (fed := sorted(edges)[:FANOUT]):
-                body["via"] = ring(uid=b["u"], among=fed, n=2)
+            via = self.relays.for_edge(uid=b["u"], now=self.now, nodes=self.info, alive=lambda uid: self.alive(uid=uid))
+            if via:
+                body["via"] = via
         if self.chief is not None and self.reps[0].serving():
             body.update(self.chief.heart(b=b), at=self.now)
             body["up"] = [u for u in self.members if self.alive(uid=u)]
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -12,7 +12,8 @@
 from ..job.spec import group_of, job_id, parse
 from ..wire.frame import Kind
 from ..wire.http import Limits, Request, Response
-from .base import ALIVE_S, FANOUT, JOB_GROUPS, NodeBase
+from .base import ALIVE_S, JOB_GROUPS, NodeBase
+from .relays import FANOUT
 
 MARGIN_S = 0.2  # an answer leaves this long before its caller's deadline, or a third of what is left before
 HAND_MIN, HAND_MAX = 64, 1024
--- a/yarrowloom/node/outputs.py
+++ b/yarrowloom/node/outputs.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 
 from ..wire.frame import Kind
@@ -28,6 +29,12 @@
     answers: list[tuple[Any, Response]] = field(default_factory=list)
 
 
+@lru_cache(maxsize=4096)
+def _place(uid: str) -> str:
+    """A node's place on the ring."""
+    return hashlib.sha256(uid.encode()).hexdigest()
+
+
 def ring(*, uid: str, among: list[str], n: int) -> list[str]:
     """The `n` successors of a node's place on the ring of `among`.
 
@@ -36,11 +43,7 @@
     >>> "a" in ring(uid="a", among=["a", "b", "c"], n=5)
     False
     """
-
-    def place(x: str) -> str:
-        return hashlib.sha256(x.encode()).hexdigest()
-
-    rows = sorted((place(x), x) for x in set(among) - {uid})
-    here = place(uid)
+    rows = sorted((_place(x), x) for x in set(among) - {uid})
+    here = _place(uid)
     after = [x for p, x in rows if p > here] + [x for p, x in rows if p <= here]
     return after[:n]
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -25,6 +25,7 @@
 from .core import CoreNode
 from .edge import EdgeNode
 from .identity import FIRST
+from .patience import patience_s
 from .recovery import recover
 from .tally import Tally
 from .turns import Input, Rank, Repeats, Turns, rank_of
@@ -87,9 +88,9 @@
                 wait[1].append(res)
                 wait[0].set()
 
-    def post(self, *, fn: Input, rank: Rank, until: float = math.inf) -> None:
+    def post(self, *, fn: Input, rank: Rank, until: float = math.inf, expired: Input | None = None) -> None:
         """Queue an input for the node; taken at once while there is credit for it."""
-        self.turns.put(fn=fn, rank=rank, until=until)
+        self.turns.put(fn=fn, rank=rank, until=until, expired=expired)
         self._drain()
 
     def _drain(self) -> None:
@@ -129,11 +130,11 @@
             if m is None:
                 continue
             rank = rank_of(kind=kind, m=m)
-            until = math.inf
-            if rank is Rank.LATE:
-                ttl = m.get("ttl")
-                until = time.monotonic() + (ttl if isinstance(ttl, int | float) else WAIT_S)
-            self.post(fn=partial(self._on, uid, kind, m), rank=rank, until=until)
+            until, expired = math.inf, None
+            if rank is Rank.LATE and isinstance(node, CoreNode):
+                until = time.monotonic() + patience_s(ttl=m.get("ttl"), default=WAIT_S)
+                expired = partial(node.too_late, uid=uid, m=m)
+            self.post(fn=partial(self._on, uid, kind, m), rank=rank, until=until, expired=expired)
 
     def _on(self, uid: str, kind: Kind, m: Any) -> None:
         try:
@@ -143,6 +144,9 @@
 
     def _tick(self) -> None:
         now = self.node.now
+        load = self.turns.load.report(now=now)
+        if load is not None:
+            self.log.info("busy", **load, waiting="/".join(map(str, self.turns.waiting().values())))
         if now - self.swept > 1.0:
             self.swept = now
             for event, _, until in list(self.waits.values()):
--- a/yarrowloom/node/turns.py
+++ b/yarrowloom/node/turns.py
@@ -4,9 +4,11 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from ..wire.frame import LANES, Kind, Lane
+from .load import Load
 
 Input = Callable[[], None]
 
@@ -22,11 +24,10 @@
     LATE = 3  # calls of callers: new work
 
 
-# Shares of the time while both have a backlog: beats are cheap and must not wait for placing.
-SHARES = {Rank.AGENT: 2.0, Rank.PLACE: 1.0}
-# While there is other work, one new job is taken on after this many turns of it: the longer the turns, that is, the
-# more there is to place, the slower.
-TURNS_PER_CALL = 16
+# Shares of the time while all have a backlog. Beats are cheap and must not wait for placing. Calls are cheap too, and
+# whoever calls gives up after seconds: a share of turns in place of time starved them while placing took long, so that
+# most callers got no answer at all. What is too much is refused when it is looked at (`place/admission.py`).
+SHARES = {Rank.AGENT: 2.0, Rank.PLACE: 1.0, Rank.LATE: 0.5}
 _PLACE = frozenset({Kind.CLAIM, Kind.ENDS, Kind.GRANT, Kind.LOST, Kind.NAK, Kind.VERDICT})
 
 
@@ -126,40 +127,52 @@
         self.due = now + max(self.gap, took)
 
 
+@dataclass(slots=True, kw_only=True)
+class _Row:
+    """An input that waits. `expired` takes its place from `until` on; `clock`: it came by time."""
+
+    fn: Input
+    clock: Clock | None = None
+    until: float = math.inf
+    expired: Input | None = None
+
+
 class Turns:
     """Invariants: what is urgent goes before a tick that is due, so that a tick judges silence only after all that
-    was heard; a due tick goes before the other classes; agent and placing share the time by `SHARES`; inside a class,
-    first come, first taken. Chores by time queue in their class: they too judge only after what was heard before."""
+    was heard; a due tick goes before the other classes, which share the time by `SHARES`; inside a class, first come,
+    first taken. Chores by time queue in their class: they too judge only after what was heard before."""
 
     def __init__(self, *, tick: Input, gap: float, chores: dict[Rank, Input] | None = None) -> None:
         self._tick = Clock(fn=tick, gap=gap)
         self._chores = {rank: Clock(fn=fn, gap=gap) for rank, fn in (chores or {}).items()}
         self._urgent: deque[Input] = deque()
-        self._rows: dict[Rank, deque[tuple[Input, Clock | None]]] = {rank: deque() for rank in SHARES}
-        self._late: deque[tuple[Input, float]] = deque()
-        self._run = 0  # turns since the last of `_late`
+        self._rows: dict[Rank, deque[_Row]] = {rank: deque() for rank in SHARES}
         self._used = dict.fromkeys(SHARES, 0.0)  # time by share; of a class that was empty, not below `_floor`
         self._floor = 0.0
         self._last: tuple[Rank, Clock | None, float] | None = None  # what runs, and since when
+        self.load = Load(classes=[rank.name.lower() for rank in Rank])
 
     def __len__(self) -> int:
-        return len(self._urgent) + len(self._late) + sum(map(len, self._rows.values()))
+        return len(self._urgent) + sum(map(len, self._rows.values()))
+
+    def waiting(self) -> dict[str, int]:
+        """How many inputs wait, by class."""
+        out = {rank.name.lower(): len(rows) for rank, rows in self._rows.items()}
+        return {Rank.URGENT.name.lower(): len(self._urgent), **out}
 
     @property
     def due(self) -> float:
         """When the next input by time comes."""
         return min(self._tick.due, *(c.due for c in self._chores.values())) if self._chores else self._tick.due
 
-    def put(self, *, fn: Input, rank: Rank, until: float = math.inf) -> None:
-        """Queue an input. After `until` nobody waits for it (late ones only)."""
+    def put(self, *, fn: Input, rank: Rank, until: float = math.inf, expired: Input | None = None) -> None:
+        """Queue an input. From `until` on it is of no use (late ones only): `expired` is run in its place."""
         if rank is Rank.URGENT:
             self._urgent.append(fn)
-        elif rank is Rank.LATE:
-            self._late.append((fn, until))
         else:
-            self._queue(rank, (fn, None))
+            self._queue(rank, _Row(fn=fn, until=until, expired=expired))
 
-    def _queue(self, rank: Rank, row: tuple[Input, Clock | None]) -> None:
+    def _queue(self, rank: Rank, row: _Row) -> None:
         if not self._rows[rank]:
             self._used[rank] = max(self._used[rank], self._floor)
         self._rows[rank].append(row)
@@ -175,6 +188,7 @@
         """
         self.ended(now=now)
         if self._urgent:
+            self._last = (Rank.URGENT, None, now)
             return self._urgent.popleft()
         if now >= self._tick.due:
             self._last = (Rank.URGENT, self._tick, now)
@@ -182,21 +196,18 @@
         for rank, clock in self._chores.items():
             if now >= clock.due:
                 clock.due = math.inf
-                self._queue(rank, (clock.fn, clock))
-        ranks = [r for r, rows in self._rows.items() if rows]
-        while self._late and (not ranks or self._run >= TURNS_PER_CALL):
-            fn, until = self._late.popleft()
-            if now < until:
-                self._run = 0
-                return fn
-        if not ranks:
-            return None
-        self._run += 1
-        rank = min(ranks, key=self._used.__getitem__)
-        self._floor = self._used[rank]
-        fn, due = self._rows[rank].popleft()
-        self._last = (rank, due, now)
-        return fn
+                self._queue(rank, _Row(fn=clock.fn, clock=clock))
+        while ranks := [r for r, rows in self._rows.items() if rows]:
+            rank = min(ranks, key=self._used.__getitem__)
+            self._floor = self._used[rank]
+            row = self._rows[rank].popleft()
+            if now >= row.until:
+                self.load.expired += 1
+            chosen = row.fn if now < row.until else row.expired
+            if chosen is not None:
+                self._last = (rank, row.clock, now)
+                return chosen
+        return None
 
     def ended(self, *, now: float) -> None:
         """What was taken last has ended."""
@@ -204,6 +215,7 @@
             return
         rank, clock, began = self._last
         self._last = None
+        self.load.ran(class_name=rank.name.lower(), seconds=now - began)
         if rank in self._used:
             self._used[rank] += (now - began) / SHARES[rank]
         if clock is not None:
--- a/yarrowloom/place/binding.py
+++ b/yarrowloom/place/binding.py
@@ -156,6 +156,11 @@
         self._settle(att=att)
         self.pump()
 
+    def silence(self, *, uid: str) -> None:
+        """An agent fell silent: what it told of its room counts no longer, and it is to tell all of it once it can."""
+        self.room.close(uid=uid)
+        self.hub.send(uid=uid, kind=Kind.ROOMGET, body={"g": self.g})
+
     def _landed(self, *, ask: LeaseAsk) -> None:
         """An ask is answered or given up: its room no longer flies."""
         ask.attempt.open -= 1
@@ -274,12 +279,18 @@
             self.void(rows=late)
 
     def give_up(self) -> None:
-        """Asks that were not answered in time count as refused."""
+        """Asks that were not answered in time count as refused. An agent that has said nothing since it was asked is
+        asked no more until it is heard again: at high load its minions seem to be the only ones with room."""
         now = self.hub.now
-        for rid, ask in list(self.asks.items()):
+        late: list[LeaseAsk] = []
+        for ask in self.asks.values():
             if now - ask.at <= ASK_S:
                 break
-            del self.asks[rid]
+            late.append(ask)
+        for uid in sorted({ask.agent for ask in late if self.room.heard.get(ask.agent, ask.at) < ask.at}):
+            self.silence(uid=uid)
+        for ask in late:
+            del self.asks[ask.rid]
             self._landed(ask=ask)
             ask.attempt.bad = True
             self._settle(att=ask.attempt)
--- a/yarrowloom/place/cycle.py
+++ b/yarrowloom/place/cycle.py
@@ -169,24 +169,29 @@
 
 
 def _by_rack(*, room: Room, ask: Ask) -> Decision:
-    """Placement algorithm: racks are the candidate subsets; of the feasible ones the fullest wins."""
-    best: tuple[tuple[int, int, str], Decision] | None = None
-    most, refused = 0, {"rack": 0}
-    for name, spots in room.racks(svc=ask.svc).items():
-        if not name:
+    """Placement algorithm: racks are the candidate subsets; of the feasible ones the fullest wins. What is left of a
+    rack is what is free there less what the group takes, so the first feasible one in the order of what is free is the
+    fullest. Only minions with room for a member are looked at, as the index gives them, the tightest fit first."""
+    spots: dict[str, list[Spot]] = {}
+    for spot in room.ordered(svc=ask.svc, size=ask.size):
+        spots.setdefault(spot.rack, []).append(spot)
+    spots.pop("", None)  # of no rack
+    racks = room.racks(svc=ask.svc)
+    most, refused = 0, {"rack": sum(len(rack.mids) for name, rack in racks.items() if name and name not in spots)}
+    for name in sorted(spots, key=lambda name: (racks[name].free.gpu, racks[name].free.cpu, name)):
+        rows = spots[name]
+        if racks[name].free.copies(ask.size) < ask.need or sum(s.free.copies(ask.size) for s in rows) < ask.need:
+            refused["rack"] += len(racks[name].mids)
             continue
-        if sum(s.free.copies(ask.size) for s in spots) < ask.need:
-            refused["rack"] += len(spots)
-            continue
-        snap = Snapshot(room=room)
-        order = sorted(spots, key=lambda s: (s.mid in ask.sore, s.free.gpu, s.free.cpu, s.mid))
-        got = _fill(snap=snap, ask=ask, spots=(s for s in order if not (ask.bar and s.mid in ask.sore)))
-        most = max(most, got.fit)
-        left = sum(max(snap.free(spot=s).gpu, 0) for s in spots), sum(max(snap.free(spot=s).cpu, 0) for s in spots)
-        if got.feasible and (best is None or (*left, name) < best[0]):
+        order = [s for s in rows if s.mid not in ask.sore]
+        if not ask.bar:
+            order += [s for s in rows if s.mid in ask.sore]
+        got = _fill(snap=Snapshot(room=room), ask=ask, spots=iter(order))
+        if got.feasible:
             got.rack = name
-            best = (*left, name), got
-    return best[1] if best is not None else Decision(placed=[], feasible=False, fit=most, refused=refused)
+            return got
+        most = max(most, got.fit)
+    return Decision(placed=[], feasible=False, fit=most, refused=refused)
 
 
 def run(*, room: Room, ask: Ask) -> Decision:
--- a/yarrowloom/place/desk.py
+++ b/yarrowloom/place/desk.py
@@ -17,6 +17,7 @@
 LIVE_MOST = 5000  # jobs in hand; what comes beyond is refused at once and never runs
 LATE = 3.0  # past this many aims a job earns nothing any more
 STOP_AGAIN_S = 1.0
+RANKING_KEYS = ("backend", "rank", "target-ms", "stretch")  # of a route: what a group's service and place rest on
 AGAIN_S = 1.0  # a claim repeated sooner gets the same attachment once more
 
 
@@ -34,6 +35,7 @@
         self.room = Room()
         self.pool = Pool(room=self.room)
         self.backlog = Backlog()
+        self.ranking: dict[str, tuple[Any, ...]] = {}  # by queue with a group: what its groups were ranked by
         self.preemptor = Preemptor(room=self.room)
         self.nominator = Nominator(room=self.room)
         self.held: dict[str, Held] = {}
@@ -113,6 +115,7 @@
         if group is None:
             step = job["steps"][int(key.split(".")[1])]
             prio, late_at = self.prio(jid=jid, key=key, seen=now)
+            self.ranking.setdefault(job["q"], self._ranking(queue=job["q"]))
             group = Group(
                 jid=jid,
                 key=key,
@@ -153,9 +156,20 @@
             self.nominator.drop(unit=(jid, key), now=self.hub.now)
             self.backlog.remove(jid=jid, key=key)
 
+    def _ranking(self, *, queue: str) -> tuple[Any, ...]:
+        route = self.hub.route(name=queue) or {}
+        return tuple(route.get(key) for key in RANKING_KEYS)
+
     def configured(self) -> None:
-        """A newer configuration: ranks, aims and services may differ."""
+        """A newer configuration: ranks, aims and services of some queues may differ; their groups move."""
+        ranking = {queue: self._ranking(queue=queue) for queue in self.ranking}
+        changed = {queue for queue, fields in ranking.items() if fields != self.ranking[queue]}
+        self.ranking = ranking
+        if not changed:
+            return
         for (jid, key), group in list(self.backlog.groups.items()):
+            if self.jobs.jobs[jid]["q"] not in changed:
+                continue
             prio, group.late_at = self.prio(jid=jid, key=key, seen=group.seen)
             self.backlog.rekey(group=group, prio=prio, svc=self.service(job=self.jobs.jobs[jid]))
 
@@ -251,25 +265,9 @@
     def gap(self, *, uid: str) -> None:
         """Frames from an agent were lost: attach its minions anew, and have it tell all its room."""
         for mid in sorted(self.room.of.get(uid, ())):
-            old = self.room.spots[mid]
             self.seq += 1
             self.pool.forget(mid=mid)
-            self.room.attach(
-                spot=Spot(
-                    mid=mid,
-                    agent=uid,
-                    fence=old.fence,
-                    seq=self.seq,
-                    svc=old.svc,
-                    site=old.site,
-                    labels=old.labels,
-                    cap=old.cap,
-                    streak=old.streak,
-                    last=old.last,
-                    shy=old.shy,
-                    since=self.hub.now,
-                )
-            )
+            self.room.attach(spot=self.room.spots[mid].attached_anew(seq=self.seq, now=self.hub.now))
             self.attach(spot=self.room.spots[mid])
         self.hub.send(uid=uid, kind=Kind.ROOMGET, body={"g": self.g})
 
--- a/yarrowloom/place/placer.py
+++ b/yarrowloom/place/placer.py
@@ -7,7 +7,6 @@
 from ..base.defaults import Defaults
 from ..job.state import ENDED, RUN, WAIT, State, split_name
 from ..learn import kind_key
-from ..wire.frame import Kind
 from . import cycle
 from .admission import Admission
 from .cycle import Ask, Decision
@@ -17,7 +16,9 @@
 from .preempt import AFTER_S, NOMINATE_AFTER_S
 from .warm import Warmer
 
-PASS_S = 0.008  # passes are at least this far apart
+PASS_S = 0.008  # slices of passes are at least this far apart
+CYCLE_COST_S = 0.0003  # what a cycle takes, with what follows from it,
+LOOK_COST_S = 2e-6  # and a visit of an index entry: a slice is followed by as much time for everything else
 LOOKS = 400  # groups looked at in one slice of a pass
 CYCLES = 24  # cycles run in one slice
 VISITS = 3000  # index entries visited in one slice
@@ -28,17 +29,17 @@
 BLOCK_S = 0.1  # work that has waited this long keeps what comes after it off its room
 BLOCK_MOST_S = 8.0  # if it finds no room even so long, it stops holding others back
 BAR_S = 4.0  # a group keeps off minions on which a member failed at least this long
-SILENT_S = 1.5  # rows of room from an agent silent this long no longer count
+SILENT_S = 0.9  # rows of room from an agent silent this long, over twice its usual pause, no longer count
 
 
 class Placer(Admission):
-    """Invariant: the work of one slice is bounded by LOOKS, CYCLES and VISITS, whatever waits; a pass goes on where it
-    stopped."""
+    """Invariants: the work of one slice is bounded by LOOKS, CYCLES and VISITS, whatever waits; a pass goes on where it
+    stopped; slices take no more than half of the time, by what they are known to cost, whoever asks for them."""
 
     def __init__(self, *, defaults: Defaults, **kw: Any) -> None:
         self.walks: dict[str, Walk] = {}
         self.holding: dict[str, dict[tuple[str, int], dict[tuple[str, str], float]]] = {}
-        self.passed = -9.0
+        self.next_slice = -9.0
         self.cycles = 0
         self.failed = 0
         super().__init__(**kw)
@@ -50,9 +51,9 @@
     def pump(self) -> None:
         """One slice of placing, if one is due."""
         now = self.hub.now
-        if now - self.passed < PASS_S or not self.rep.serving():
+        if now < self.next_slice or not self.rep.serving():
             return
-        self.passed = now
+        cycles, looks = self.cycles, self.room.looks
         self.nominator.sweep(now=now)
         for group in self.backlog.due(now=now)[:DUE]:
             self._requeue(group=group)
@@ -60,6 +61,8 @@
             self.walks.setdefault(svc, Walk()).grow(sizes=sizes)
         for svc in sorted(self.backlog.active.keys() | self.walks.keys()):
             self._slice(svc=svc)
+        took = (self.cycles - cycles) * CYCLE_COST_S + (self.room.looks - looks) * LOOK_COST_S
+        self.next_slice = now + max(PASS_S, 2 * took)
 
     def _requeue(self, *, group: Group) -> None:
         """Its backoff is over: its place may have changed."""
@@ -224,6 +227,8 @@
             row = self.warmer.report()
             self.hub.note(event="warm", **{k: row[k] for k in ("hits", "misses", "gone", "cold", "core-s-held")})
         self.give_up()
+        for uid in self.room.silent(now=now, after=SILENT_S):
+            self.silence(uid=uid)
         self.release(self.pool.expire(now=now))
         wall = self.hub.wall * 1000
         while self.timed and self.timed[0][0] <= wall:
@@ -245,8 +250,6 @@
 
     def _sweep(self) -> None:
         now = self.hub.now
-        for uid in self.room.silent(now=now, after=SILENT_S):
-            self.hub.send(uid=uid, kind=Kind.ROOMGET, body={"g": self.g})
         for svc, victim in self.preemptor.crawling(now=now):
             parts = split_name(task=victim.task)
             group = self.backlog.groups.get(parts[:2]) if parts is not None else None
--- a/yarrowloom/place/preempt.py
+++ b/yarrowloom/place/preempt.py
@@ -161,20 +161,20 @@
         taken = frozenset(mid for nom in self.by.values() for mid in nom.mids)
         best: tuple[float, str, list[str]] | None = None
         racks: dict[str, list[tuple[float, str, int]]] = {}
-        for rack, spots in self.room.racks(svc=group.svc).items():
-            for spot in spots:
+        for name, rack in self.room.racks(svc=group.svc).items():
+            for spot in self.room.of_rack(rack=rack):
                 top = spot.cap.copies(group.size)
                 if top and spot.mid not in taken and (not group.req or group.req in spot.labels):
                     used = sum(1 - have / cap for have, cap in zip(spot.free, spot.cap, strict=True) if cap)
-                    racks.setdefault(rack if group.tight else "", []).append((used / top, spot.mid, top))
-        for rack in sorted(racks):
+                    racks.setdefault(name if group.tight else "", []).append((used / top, spot.mid, top))
+        for name in sorted(racks):
             left, cost, mids = n, 0.0, []
-            for used, mid, top in sorted(racks[rack]):
+            for used, mid, top in sorted(racks[name]):
                 if left > 0:
                     mids.append(mid)
                     left, cost = left - top, max(cost, used)
             if left <= 0 and (best is None or cost < best[0]):
-                best = (cost, rack, mids)
+                best = (cost, name, mids)
         if best is None:
             self.rest[unit] = now + 1.0
             return None
--- a/yarrowloom/place/room.py
+++ b/yarrowloom/place/room.py
@@ -21,6 +21,14 @@
         """
         return Size(self.cpu + n * other.cpu, self.mem + n * other.mem, self.gpu + n * other.gpu)
 
+    def above_zero(self) -> "Size":
+        """This with 0 in place of what is below.
+
+        >>> Size(-1, 2, 0).above_zero()
+        Size(cpu=0, mem=2, gpu=0)
+        """
+        return Size(max(self.cpu, 0), max(self.mem, 0), max(self.gpu, 0))
+
     def holds(self, other: "Size") -> bool:
         """Whether another fits in."""
         return self.cpu >= other.cpu and self.mem >= other.mem and self.gpu >= other.gpu
@@ -67,19 +75,46 @@
     keep_till: float = 0.0
     shy: float = 0.0  # nothing new until then
 
+    def attached_anew(self, *, seq: int, now: float) -> "Spot":
+        """The same minion under a new attachment: what was known of its room, and leases on it, are void."""
+        return Spot(
+            mid=self.mid,
+            agent=self.agent,
+            fence=self.fence,
+            seq=seq,
+            svc=self.svc,
+            site=self.site,
+            labels=self.labels,
+            cap=self.cap,
+            streak=self.streak,
+            last=self.last,
+            shy=self.shy,
+            since=now,
+        )
+
     @property
     def rack(self) -> str:
         """By the published order, a minion's kind comes first and its rack second."""
         return self.labels[1] if len(self.labels) > 1 else ""
 
 
+@dataclass(slots=True)
+class Rack:
+    """The open minions of one rack and service. Invariant: `free` is the sum of what is free on them, where that is
+    above 0: no more than `free.copies(size)` tasks of a size fit in."""
+
+    mids: set[str] = field(default_factory=set)
+    free: Size = NONE
+
+
 @dataclass(slots=True)
 class Shelf:
     """The open minions of one service. Invariant: `levels` holds each exactly once, under its free accelerators,
-    sorted by its free cores; `total` is the sum of their capacities."""
+    sorted by its free cores, and `racks` by its rack; `total` is the sum of their capacities."""
 
     levels: dict[int, list[tuple[int, str]]] = field(default_factory=dict)
     by: dict[str, set[str]] = field(default_factory=dict)
+    racks: dict[str, Rack] = field(default_factory=dict)
     total: Size = NONE
     free: Size = NONE
     count: int = 0
@@ -132,14 +167,15 @@
                 self._refile(spot)
 
     def silent(self, *, now: float, after: float) -> list[str]:
-        """Agents not heard for `after` seconds: their rows no longer count."""
-        out = [uid for uid, at in self.heard.items() if now - at > after]
-        for uid in out:
-            del self.heard[uid]
-            for mid in self.of.get(uid, ()):
-                self.spots[mid].open = False
-                self._refile(self.spots[mid])
-        return out
+        """Agents whose rows count and that were not heard for `after` seconds."""
+        return [uid for uid, at in self.heard.items() if now - at > after]
+
+    def close(self, *, uid: str) -> None:
+        """The rows of an agent count no longer, until it tells them again."""
+        self.heard.pop(uid, None)
+        for mid in self.of.get(uid, ()):
+            self.spots[mid].open = False
+            self._refile(self.spots[mid])
 
     # -- what the placing node does
 
@@ -171,6 +207,10 @@
             shelf = self.shelves[spot.svc] = Shelf()
         if had is not None:
             shelf.free = shelf.free.plus(was, -1)
+            rack = shelf.racks[spot.rack]
+            rack.free = rack.free.plus(was.above_zero(), -1)
+            if key is None:
+                rack.mids.discard(spot.mid)
             row = shelf.levels[had[0]]
             if key != had:
                 del row[bisect_left(row, (had[1], spot.mid))]
@@ -183,6 +223,9 @@
                         shelf.by[label].discard(spot.mid)
         if key is not None:
             shelf.free = shelf.free.plus(free)
+            rack = shelf.racks.setdefault(spot.rack, Rack())
+            rack.free = rack.free.plus(free.above_zero())
+            rack.mids.add(spot.mid)
             if key != had:
                 insort(shelf.levels.setdefault(key[0], []), (key[1], spot.mid))
             if had is None:
@@ -253,15 +296,15 @@
         self.looks += len(out)
         return sorted(out, key=lambda s: (s.free.gpu, s.free.cpu, s.mid))
 
-    def racks(self, *, svc: str) -> dict[str, list[Spot]]:
-        """Open minions by rack."""
-        out: dict[str, list[Spot]] = {}
+    def racks(self, *, svc: str) -> dict[str, Rack]:
+        """Open minions by rack; some racks may have none."""
         shelf = self.shelves.get(svc)
-        for row in shelf.levels.values() if shelf is not None else ():
-            for _, mid in row:
-                spot = self.spots[mid]
-                out.setdefault(spot.rack, []).append(spot)
-        return out
+        return shelf.racks if shelf is not None else {}
+
+    def of_rack(self, *, rack: Rack) -> list[Spot]:
+        """The minions of a rack."""
+        self.looks += len(rack.mids)
+        return [self.spots[mid] for mid in rack.mids]
 
     def could(self, *, svc: str, size: Size, req: str, n: int) -> bool:
         """Whether the open minions, were they empty, could take `n` tasks at once."""
--- /dev/null
+++ b/yarrowloom/wire/accept.py
@@ -0,0 +1,69 @@
+"""Listening sockets whose waiting connections are accepted many at a time.
+
+A server that takes one connection per round of its tasks is bound by the length of a round: a busy process with rounds
+of 4 to 8 ms takes some 200 connections a second, so thousands that arrive together, as after the restart of a cluster,
+wait for many seconds.
+"""
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+BACKLOG = 2048  # connections that the system keeps until they are accepted; beyond, it drops the opening packet
+ACCEPTS_MOST = 64  # accepted in one round
+PAUSE_S = 0.1  # after an error for want of descriptors or memory
+_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
+
+StreamHandler = Callable[[trio.SocketStream], Awaitable[object]]
+
+
+def open_listener(*, addr: str, backlog: int = BACKLOG) -> socket.socket:
+    """Listen at HOST:PORT (IPv4). Raises OSError, as where the port is in use."""
+    host, port = addr.rsplit(":", 1)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind((host, int(port)))
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def accept_waiting(*, listener: socket.socket, most: int = ACCEPTS_MOST) -> list[socket.socket]:
+    """Accept up to `most` of the connections that wait now. Raises OSError only if it could accept none, for want of
+    descriptors or memory; a connection that its peer gave up meanwhile is passed over."""
+    accepted: list[socket.socket] = []
+    for _ in range(most):
+        try:
+            accepted.append(listener.accept()[0])
+        except BlockingIOError:
+            break
+        except OSError as err:
+            if err.errno not in _EXHAUSTED:
+                continue
+            if not accepted:
+                raise
+            break
+    return accepted
+
+
+async def serve(*, listener: socket.socket, handler: StreamHandler) -> None:
+    """Accept connections for ever; `handler` owns each of them in a task of its own."""
+    with listener:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.lowlevel.wait_readable(listener)
+                try:
+                    accepted = accept_waiting(listener=listener)
+                except OSError:
+                    await trio.sleep(PAUSE_S)
+                    continue
+                for connection in accepted:
+                    stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+                    nursery.start_soon(handler, stream)
+                await trio.lowlevel.checkpoint()
--- a/yarrowloom/wire/http.py
+++ b/yarrowloom/wire/http.py
@@ -11,6 +11,7 @@
 import orjson
 import trio
 
+from . import accept
 from .headers import Rule, screen
 from .plain import Head, read_head, write_head
 
@@ -238,8 +239,6 @@
             await self.stream.send_all(data)
 
 
-async def listen(*, addr: str, server: Server, backlog: int = 512) -> None:
+async def listen(*, addr: str, server: Server) -> None:
     """Accept connections at HOST:PORT for ever."""
-    host, port = addr.rsplit(":", 1)
-    lst = await trio.open_tcp_listeners(int(port), host=host, backlog=backlog)
-    await trio.serve_listeners(server.serve, lst)
+    await accept.serve(listener=accept.open_listener(addr=addr), handler=server.serve)
--- a/yarrowloom/wire/peer.py
+++ b/yarrowloom/wire/peer.py
@@ -9,12 +9,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, NamedTuple
 
 import orjson
 import trio
 
 from ..base.log import Log
+from . import accept
 from .frame import LANES, Frame, Kind, Lane, MalformedFrame, Sealer, Splitter, bundle, envelope_fault, unbundle
 
 _USER_TIMEOUT = 18  # TCP_USER_TIMEOUT, absent from the socket module on some builds
@@ -192,11 +194,10 @@
 
     async def run(self) -> None:
         """Serve for ever."""
-        host, port = self.addr.rsplit(":", 1)
+        listener = accept.open_listener(addr=self.addr)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            lst = await trio.open_tcp_listeners(int(port), host=host, backlog=256)
-            nursery.start_soon(trio.serve_listeners, self._take, lst)
+            nursery.start_soon(partial(accept.serve, listener=listener, handler=self._take))
             nursery.start_soon(self._mark)
 
     async def _mark(self) -> None:
