--- /dev/null
+++ b/tests/test_leaving_minions.py
@@ -0,0 +1,65 @@
+"""Minions that are to end: with a notice by a beat, or with nothing before their DELETE."""
+
+from typing import Any
+
+from yarrowloom.agent.care import CLOCK, SLACK_S
+from yarrowloom.agent.minion import Phase
+from yarrowloom.wire.frame import Kind
+
+from .test_agent import TASK, Rig
+
+HOLD_S = 4.0 * CLOCK + SLACK_S
+
+
+def running(rig: Rig) -> list[Any]:
+    """A task is started on the minion; what its beats list from now on."""
+    (lid, _, _), *_ = rig.ask(g=2)
+    rig.order(lid=lid)
+    assert rig.beat()["started"][0][0] == TASK
+    rows = [[TASK, 1, "", 10]]
+    rig.beat(running=rows)
+    return rows
+
+
+def test_a_minion_that_sends_delete_first_is_not_taken_for_gone_while_it_serves_on() -> None:
+    """It was called lost 1.5 s after its DELETE, and what it ran was started elsewhere while it still ran there."""
+    rig = Rig()
+    rows = running(rig)
+    for n in range(2):  # sent again after a lost answer
+        rig.agent.leave(mid="i", call=f"delete-{n}")
+    minion = rig.agent.minions["i"]
+    for percent in range(20, 90, 10):
+        rig.hub.now += 0.5
+        rows[0][3] = percent
+        rig.beat(running=rows)
+        assert minion.phase is Phase.KNOWN and rig.ask(g=2) == []
+    rig.beat(ends=[[1, TASK, 1, "done", ""]])
+    assert rig.hub.last(Kind.ENDS)["x"] == [[1, TASK, 1, "done", ""]]
+    assert not any(kind is Kind.LOST for _, kind, _ in rig.hub.sent)
+    silent = rig.hub.now
+    while minion.phase is not Phase.LOST:
+        rig.hub.now += 0.05
+        rig.agent.tick()
+    assert HOLD_S - 0.3 <= rig.hub.now - silent <= HOLD_S + 0.7
+
+
+def test_a_minion_that_drained_and_then_sends_delete_is_gone_soon() -> None:
+    rig = Rig()
+    rows = running(rig)
+    rig.beat(running=rows, state="draining")
+    rig.agent.leave(mid="i", call="delete")
+    left = rig.hub.now
+    while rig.agent.minions["i"].phase is not Phase.LOST:
+        rig.hub.now += 0.05
+        rig.agent.tick()
+    assert rig.hub.now - left < 2.0
+
+
+def test_a_late_beat_after_the_delete_makes_the_minion_no_candidate_again() -> None:
+    rig = Rig()
+    rig.agent.leave(mid="i", call="delete")
+    rig.beat()
+    assert rig.agent.minions["i"].draining and rig.ask(g=2) == []
+    rig.seq -= 1  # an earlier call that comes late
+    rig.beat()
+    assert rig.agent.minions["i"].draining and rig.ask(g=2) == []
--- a/yarrowloom/agent/agent.py
+++ b/yarrowloom/agent/agent.py
@@ -15,6 +15,7 @@
 
 RETELL_S = 0.5
 LEFT_S = 1.5
+DRAIN_MS = 2000  # a minion that is to end serves on this long at least
 OVERDUE_S = 0.3  # beyond a beat interval after the time at which a beat was expected
 IDLE_S = 3.0  # a lease that its holder neither uses nor returns lapses; holders return far sooner
 
@@ -24,11 +25,21 @@
     exceed its capacity; an order is taken only from the group's newest epoch, on a lease it holds; no two lives of
     its process number a lease alike."""
 
-    def __init__(self, *, hub: AgentEnvironment, hold_ms: int, stop_ms: int, lag_ms: int, first_lease: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        hub: AgentEnvironment,
+        hold_ms: int,
+        stop_ms: int,
+        lag_ms: int,
+        drain_ms: int = DRAIN_MS,
+        first_lease: int = 1,
+    ) -> None:
         self.hub = hub
         self.groups = tuple(hub.groups())
         self.hold_ms = hold_ms
         self.stop_ms = stop_ms
+        self.drain_ms = drain_ms
         self.lag_ms = lag_ms
         self.minions: dict[str, Minion] = {}
         self.next = first_lease
@@ -108,11 +119,16 @@
         answer(agent=self, m=m, fresh=True)
 
     def leave(self, *, mid: str, call: Any) -> None:
-        """A minion says that it ends."""
+        """A minion says that it ends. One that said before that it drains ends now. For another this is the notice: it
+        serves on for `drain-ms` or longer, and what it runs counts as running until an end is listed or its hold is
+        over."""
         m = self.minions.get(mid)
         if m is not None and m.phase is not Phase.LOST:
+            if m.warned:
+                m.losing = m.losing or self.hub.now + LEFT_S
+            elif not m.draining:
+                m.leave = self.hub.now + self.drain_ms / 1000
             m.draining = True
-            m.losing = m.losing or self.hub.now + LEFT_S
             self.share.stale.add(mid)
         self.hub.respond(call=call, res=Response.of(200, {}))
 
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -87,6 +87,7 @@
     cap: tuple[int, int, int] = (0, 0, 0)
     phase: Phase = Phase.NEW
     draining: bool = False
+    warned: bool = False  # it said itself, in a beat, that it drains
     leave: float = 0.0
     seq: int = -1
     seen: int = 0
@@ -144,7 +145,7 @@
         cap = doc.get("capacity", {})
         self.cap = (int(cap.get("cpus", 0)), int(cap.get("mem-mb", 0)), int(cap.get("gpus", 0)))
         if doc.get("state") == "draining":
-            self.draining = True
+            self.draining = self.warned = True
             self.leave = now + float(doc.get("leave-at-ms", 0) or 0) / 1000
         self.running = {}
         for row in doc.get("running", []):
--- a/yarrowloom/node/hub.py
+++ b/yarrowloom/node/hub.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..agent import Agent
+from ..agent.agent import DRAIN_MS
 from ..base.defaults import SHIPPED, Defaults
 from ..base.errs import YarrowError
 from ..base.log import Log
@@ -57,6 +58,7 @@
             hold_ms=int(hold),
             lag_ms=startup.beat_ms,
             stop_ms=int(startup.bound(name="stop-grace-ms", default=1000)),
+            drain_ms=int(startup.bound(name="drain-ms", default=DRAIN_MS)),
             first_lease=first_number(incarnation=incarnation) + 1,
         )
         self.lease = -9.0
--- a/yarrowloom/node/shell.py
+++ b/yarrowloom/node/shell.py
@@ -133,12 +133,17 @@
             until, expired = math.inf, None
             if rank is Rank.LATE and isinstance(node, CoreNode):
                 until = time.monotonic() + patience_s(ttl=m.get("ttl"), default=WAIT_S)
-                expired = partial(node.too_late, uid=uid, m=m)
+                expired = partial(self._guard, uid, kind, partial(node.too_late, uid=uid, m=m))
             self.post(fn=partial(self._on, uid, kind, m), rank=rank, until=until, expired=expired)
 
     def _on(self, uid: str, kind: Kind, m: Any) -> None:
+        m = self.repeats.taken(uid=uid, kind=kind, m=m)
+        self._guard(uid, kind, partial(self.node.on, uid=uid, kind=kind, m=m))
+
+    def _guard(self, uid: str, kind: Kind, fn: Input) -> None:
+        """Handle a message that may be malformed."""
         try:
-            self.node.on(uid=uid, kind=kind, m=self.repeats.taken(uid=uid, kind=kind, m=m))
+            fn()
         except (KeyError, IndexError, AttributeError, TypeError, ValueError) as err:
             self.log.warn("frame-malformed", kind=kind.name, peer=uid, why=repr(err))
 
