A call too late to be taken is answered, not refused, if the answer to its first copy got lost

Found by reading the change once more: a repeat of a call whose first copy was taken and answered, the answer lost, could wait until it was too late and be refused (503), though the job runs (REFUSED). Test in tests/test_size.py.

--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -189,3 +189,14 @@
     node.on(uid=edge, kind=Kind.CALL, m={**call, "rid": 8})
     node.too_late(uid=edge, m={**call, "rid": 8})
     assert answers(node=node) == []
+
+
+def test_a_call_too_late_is_not_refused_if_the_answer_to_its_first_copy_got_lost() -> None:
+    """The job runs: a refusal would tell its caller that it never will."""
+    sim, oracle, caller, _ = cluster(seed=3104)
+    jid = caller.submit(stages=[STEP])
+    assert sim.until(cond=lambda: jid in oracle.accepted, limit=3.0)
+    node = sim.core(sim.serving(g=1)[0])
+    node.out.sends.clear()
+    node.too_late(uid="10.0.1.1:7001#ff", m={"rid": 9, "g": 1, "op": "put", "b": {"id": jid, "q": "fast"}})
+    assert answers(node=node) == [(9, 200)]
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -184,10 +184,14 @@
 
     def too_late(self, *, uid: str, m: dict[str, Any]) -> None:
         """A call about jobs waited until its caller is about to give up: it is not taken and never will be, unless a
-        copy of it was. Told so, the caller may try again; told nothing, it could not know."""
+        copy of it was, whose answer may have got lost. Told so, the caller may try again; told nothing, it could not
+        know."""
         rid = m["rid"]
         if self.hand.holds(uid=uid, rid=rid):
             return
+        if m["op"] == "put" and m["b"]["id"] in self.jobs[m["g"]].jobs:
+            self._call(uid=uid, m=m)
+            return
         self.hand.refuse(uid=uid, rid=rid, status=503, doc=OVERLOADED, now=self.now)
         super().reply(uid=uid, rid=rid, status=503, doc=OVERLOADED)
 
