--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -326,6 +326,7 @@
     record: Record
     cores: int = 3
     edges: int = 2
+    disk_mb: int = 128
     nodes: list[Node] = field(default_factory=list)
     minions: list[Minion] = field(default_factory=list)
     starts: list[Start] = field(default_factory=list)
@@ -393,7 +394,7 @@
                 "memory-mb": 300,
                 "fd-limit": 4100,
                 "link-mbps": 1000.0,
-                "disk-mb": 128 if node.role == "core" else 0,
+                "disk-mb": self.disk_mb if node.role == "core" else 0,
             },
             "data-dir": str(node.folder / "data") if node.role == "core" else None,
             "discovery": "registry",
