--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from rig import BOUNDS, Rig, UnableError, configuration, job, main, route  # noqa: E402
 
--- a/review/lib/rig.py
+++ b/review/rig.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "counter.example"
 SERVICE = "reserva"
 ZONES = ("poa", "cwb", "fln")
