Jobs are found at their URL: a route with a new name answers 410 no more

Cause: jobs, calls and the count of waiting jobs were matched by the name of the route, which clients never see; the name also chose rank, service, target and attempts.

Ruled out: a late configuration (both edges and the scheduler had it), a lost record (the job ran on).

Change: jobs and calls carry host and prefix of their queue, as an optional field, so older records and edges are still read by name. Admission, the count, priorities and attempts go by the address; a route that moves under its name takes its jobs along; a scheduler that is behind the edge's configuration says 503 in place of 410.

Also looked at: tenants that are renamed (403, left), jobs of earlier releases (no address, found by name as before).

--- a/tests/support/binding_model.py
+++ b/tests/support/binding_model.py
@@ -15,6 +15,7 @@
 from yarrowloom.cluster_state.routing_table import Route, Tenant
 from yarrowloom.common.defaults import SHIPPED
 from yarrowloom.common.effects import Effect
+from yarrowloom.common.queue_identity import QueueIdentity
 from yarrowloom.common.records import Record, decode
 from yarrowloom.jobs.model import TaskState
 from yarrowloom.jobs.record_keys import parse_place_key
@@ -182,7 +183,7 @@
     def remove_lost_minion(self, *, minion_id: str, fence: int) -> None:
         require(False, "LOST", minion_id, "was called lost, but minions never fall silent here")
 
-    def route(self, *, name: str) -> Route | None:
+    def route_of(self, *, queue: QueueIdentity) -> Route | None:
         return ROUTE
 
     def tenant(self, *, name: str) -> Tenant | None:
--- a/yarrowloom/cluster_state/routing_table.py
+++ b/yarrowloom/cluster_state/routing_table.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import UNSET
+
+from ..common.queue_identity import QueueAddress, QueueIdentity, normalized_host
 from ..common.records import Record
 from ..common.resources import NO_RESOURCES, Resources
 
@@ -57,6 +60,11 @@
             is_public=bool(row.get("public", False)),
         )
 
+    @property
+    def address(self) -> QueueAddress:
+        """Where clients reach it."""
+        return QueueAddress(host=normalized_host(self.host_name), path_prefix=self.path_prefix)
+
 
 class Tenant(Record, frozen=True, kw_only=True):
     """Who submits jobs, and how much of them may run.
@@ -136,7 +144,7 @@
         config_version: The version that it was made of.
         routes: By name, in the order of the route table.
         limits: Limits on requests of clients.
-        hosts: By host name in lower case, its routes.
+        hosts: By normalized host name, its routes.
         tenants: By name.
         tenants_by_key: By the digest of each key, the name of its tenant.
     """
@@ -151,7 +159,7 @@
         self.tenants_by_key = {key_digest(key=key): row["name"] for row in tenant_rows for key in row["api-keys"]}
         self.hosts: dict[str, HostRoutes] = {}
         for route in self.routes.values():
-            host = self.hosts.setdefault(route.host_name.lower(), HostRoutes())
+            host = self.hosts.setdefault(route.address.host, HostRoutes())
             host.by_prefix.setdefault(route.path_prefix, route)
         for host in self.hosts.values():
             host.prefix_lengths = sorted({len(prefix) for prefix in host.by_prefix}, reverse=True)
@@ -163,7 +171,7 @@
             host: The request's Host header; a port is passed over, as is case.
             path: The request's path, without its query.
         """
-        host_routes = self.hosts.get(host.split(":", 1)[0].lower())
+        host_routes = self.hosts.get(normalized_host(host))
         if host_routes is None:
             return None
         for length in host_routes.prefix_lengths:
@@ -171,3 +179,22 @@
             if route is not None:
                 return route
         return None
+
+    def route_of(self, *, queue: QueueIdentity) -> Route | None:
+        """The route that serves a queue: the one at its address, whatever its name; else the one of its name, moved."""
+        if queue.address is not UNSET:
+            route = self._route_at(address=queue.address)
+            if route is not None:
+                return route
+        return self.routes.get(queue.name)
+
+    def _route_at(self, *, address: QueueAddress) -> Route | None:
+        host_routes = self.hosts.get(address.host)
+        if host_routes is None:
+            return None
+        bare_prefix = address.path_prefix.rstrip("/")
+        for prefix in (address.path_prefix, bare_prefix + "/", bare_prefix):
+            route = host_routes.by_prefix.get(prefix)
+            if route is not None:
+                return route
+        return None
--- a/yarrowloom/jobs/model.py
+++ b/yarrowloom/jobs/model.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..common.queue_identity import QueueAddress, QueueIdentity
 from .submission import AcceptedJob, Step
 
 
@@ -122,6 +123,7 @@
         "units": "u",
         "tenant": "tn",
         "is_beyond_share": "over",
+        "address": "ad",
     },
 ):
     """One job with all its tasks. An ended job of which nothing runs any more is trimmed to what callers ask for.
@@ -134,10 +136,12 @@
         repeat_count: How often it runs; 0: once, at once.
         service: The service on whose minions its tasks run while the queue has no route.
         max_attempts: Failed runs of a task that fail the job while the queue has no route; absent in old records.
-        queue: The queue it was submitted to. This, `accepted_at_ms` and `tenant` are copies of its submission entry.
+        queue: The name of the queue it was submitted to. This, `accepted_at_ms` and `tenant` are copies of its
+            submission entry.
         accepted_at_ms: Wall time in milliseconds at which it was accepted.
         tenant: The tenant that submitted it; empty: none.
         is_beyond_share: It is scheduled after jobs within their tenants' shares.
+        address: Where its queue was reached when it was submitted; absent in old records.
         state: Invariant: it changes by `TRANSITIONS` only.
         next_run: Number of the run that is due next, from 0.
         open_runs: Numbers of the runs that have begun and are not finished.
@@ -159,6 +163,7 @@
     units: dict[str, Unit] = {}
     tenant: str = ""
     is_beyond_share: bool = False
+    address: QueueAddress | msgspec.UnsetType = msgspec.UNSET
 
     @classmethod
     def accepted(cls, job: AcceptedJob) -> "Job":
@@ -175,8 +180,14 @@
             accepted_at_ms=job.accepted_at_ms,
             tenant=job.tenant,
             is_beyond_share=job.is_beyond_share,
+            address=job.address,
         )
 
+    @property
+    def queue_identity(self) -> QueueIdentity:
+        """What its queue is known by, whatever the route there is called now."""
+        return QueueIdentity(self.queue, self.address)
+
     @property
     def has_ended(self) -> bool:
         """Whether it is complete, failed or cancelled; tasks of it may still run."""
--- a/yarrowloom/jobs/state_machine.py
+++ b/yarrowloom/jobs/state_machine.py
@@ -5,6 +5,7 @@
 
 from msgspec import UNSET
 
+from ..common.queue_identity import QueueIdentity
 from ..common.records import decode
 from ..kv import ABSENT, KeyValueStore, PlaceEntry, SubmissionEntry, VersionedRecord
 from ..transactions import Change, TransactionConflictError, apply_commit_batch, wall_ms
@@ -43,7 +44,7 @@
         jobs: By job id. What the records say is copied here, for quick access.
         history: What is learned of the same events; None where none is kept.
         running_by_minion: An index: by minion id, the RUNNING tasks. Invariant: no entry is empty.
-        pending_by_queue: By queue, how many jobs are PENDING.
+        pending_by_queue: By queue, how many jobs are PENDING. Invariant: no count is 0.
     """
 
     def __init__(self, *, history: JobHistory | None = None) -> None:
@@ -52,7 +53,7 @@
         self.jobs: dict[str, Job] = {}
         self.history = history
         self.running_by_minion: dict[str, set[TaskAddress]] = {}
-        self.pending_by_queue: dict[str, int] = {}
+        self.pending_by_queue: dict[QueueIdentity, int] = {}
 
     # -- snapshots
 
@@ -93,7 +94,7 @@
         self.running_by_minion, self.pending_by_queue = {}, {}
         for job_id, job in self.jobs.items():
             if job.state is JobState.PENDING:
-                self._count_pending(queue=job.queue)
+                self._count_pending(job=job)
             for unit_key, unit in job.units.items():
                 for index in unit.indices(state=RUNNING):
                     addresses = self.running_by_minion.setdefault(unit.minion_ids[index], set())
@@ -136,7 +137,7 @@
             return []
         job = Job.accepted(event.job)
         self.jobs[event.job_id] = job
-        self._count_pending(queue=job.queue)
+        self._count_pending(job=job)
         if self.history is not None:
             self.history.note_job(
                 at_ms=job.accepted_at_ms,
@@ -392,12 +393,19 @@
     def _move(self, *, job: Job, to: JobState) -> None:
         assert to in TRANSITIONS[job.state], (job.state, to)
         if job.state is JobState.PENDING:
-            self.pending_by_queue[job.queue] -= 1
+            self._uncount_pending(job=job)
         job.state = to
 
-    def _count_pending(self, *, queue: str) -> None:
+    def _count_pending(self, *, job: Job) -> None:
+        queue = job.queue_identity
         self.pending_by_queue[queue] = self.pending_by_queue.get(queue, 0) + 1
 
+    def _uncount_pending(self, *, job: Job) -> None:
+        queue = job.queue_identity
+        self.pending_by_queue[queue] -= 1
+        if not self.pending_by_queue[queue]:
+            del self.pending_by_queue[queue]
+
     def _untrack(self, *, job_id: str, unit_key: str, unit: Unit, index: int) -> None:
         minion_id = unit.minion_ids[index]
         addresses = self.running_by_minion.get(minion_id)
--- a/yarrowloom/jobs/submission.py
+++ b/yarrowloom/jobs/submission.py
@@ -6,6 +6,7 @@
 from msgspec import UNSET, UnsetType
 
 from ..common.errors import Finding, InvalidInputError
+from ..common.queue_identity import QueueAddress
 from ..common.records import Record
 
 MAX_TASKS = 20_000  # of a job, over all its steps
@@ -110,6 +111,7 @@
         "accepted_at_ms": "at",
         "tenant": "tn",
         "is_beyond_share": "over",
+        "address": "ad",
     },
 ):
     """A submission with what the cluster adds as it accepts the job.
@@ -121,6 +123,7 @@
         accepted_at_ms: Wall time in milliseconds at which it was accepted.
         tenant: The tenant that submitted it; empty: none.
         is_beyond_share: Its tenant had used up its share of jobs a second: it is scheduled after all others.
+        address: Where the queue was reached; absent in old records.
     """
 
     service: str
@@ -129,6 +132,7 @@
     accepted_at_ms: int
     tenant: str = ""
     is_beyond_share: bool = False
+    address: QueueAddress | UnsetType = UNSET
 
 
 def is_job_id(*, text: str) -> bool:
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -209,6 +209,7 @@
         return JobCall(
             job_id=context.job_id,
             queue=context.route.name,
+            address=context.route.address,
             config_version=self.table.config_version,
             caller_route=UNSET if is_fresh else (context.host, context.path),
             submission=UNSET if submission is None else submission,
--- a/yarrowloom/node/node_base.py
+++ b/yarrowloom/node/node_base.py
@@ -9,6 +9,7 @@
 
 from ..cluster_state.routing_table import Route, RoutingTable, Tenant
 from ..common.log import Log
+from ..common.queue_identity import QueueIdentity
 from ..common.settings import NodeSettings
 from ..replication.epoch import Epoch, addr_of
 from ..transport.envelope import dump
@@ -121,10 +122,10 @@
         """The version of the configuration in force here; 0: none yet."""
         return self.dissemination.config_version
 
-    def route(self, *, name: str) -> Route | None:
-        """The route of a queue."""
+    def route_of(self, *, queue: QueueIdentity) -> Route | None:
+        """The route that serves a queue by the configuration in force here; None: there is none."""
         table = self.dissemination.table
-        return table.routes.get(name) if table is not None else None
+        return table.route_of(queue=queue) if table is not None else None
 
     def tenant(self, *, name: str) -> Tenant | None:
         """The row of a tenant."""
@@ -136,10 +137,9 @@
         table = self.dissemination.table
         return table.tenants_by_key.get(key_digest, "") if table is not None else ""
 
-    def select(self, *, host: str, path: str) -> str:
-        """The queue that a path belongs to by the configuration in force here; empty: none."""
-        route = self.table.select(host=host, path=path) if self.table is not None else None
-        return route.name if route is not None else ""
+    def select(self, *, host: str, path: str) -> Route | None:
+        """The route that a path belongs to by the configuration in force here; None: there is none."""
+        return self.table.select(host=host, path=path) if self.table is not None else None
 
     def apply_update(self, *, update: ClusterUpdate) -> None:
         """Take what is newer than what is here, and pass it on."""
--- a/yarrowloom/scheduling/admission.py
+++ b/yarrowloom/scheduling/admission.py
@@ -4,6 +4,7 @@
 
 from msgspec import UNSET, structs
 
+from ..cluster_state.routing_table import Route
 from ..common.records import MalformedRecordError, decode
 from ..jobs.events import JobCancelled, JobSubmitted
 from ..jobs.model import Job
@@ -56,8 +57,10 @@
             self._count_pending(node_id=node_id, request_id=request_id, call=call)
             return False
         job = self.context.jobs.jobs.get(call.job_id)
-        if job is None or job.queue != call.queue:
+        if job is None:
             self._respond(node_id=node_id, request_id=request_id, status=GONE, document={})
+        elif not self._is_reached(job=job, call=call):
+            self._deny_job(node_id=node_id, request_id=request_id, call=call)
         elif _is_of_another(call=call, tenant=job.tenant):
             self._reject(node_id=node_id, request_id=request_id, status=FORBIDDEN, document=OTHER_TENANT)
         elif operation == "get":
@@ -75,11 +78,22 @@
         """Respond at once: the response rests on nothing in the record."""
         self.context.environment.reply(node_id=node_id, request_id=request_id, status=status, document=document)
 
+    def _deny_job(self, *, node_id: str, request_id: int, call: JobCall) -> None:
+        """There is no such job in the queue, unless a newer configuration that the edge knows has moved it there."""
+        if self._is_newer(call=call):
+            self._reject(node_id=node_id, request_id=request_id, status=UNAVAILABLE, document=NO_QUEUE)
+        else:
+            self._respond(node_id=node_id, request_id=request_id, status=GONE, document={})
+
     def _count_pending(self, *, node_id: str, request_id: int, call: JobCall) -> None:
         if self._is_misrouted(call=call):
             self._reject_route(node_id=node_id, request_id=request_id, call=call)
             return
-        pending = self.context.jobs.pending_by_queue.get(call.queue, 0)
+        pending = sum(
+            count
+            for queue, count in self.context.jobs.pending_by_queue.items()
+            if self.context.policy.is_reached_at(queue=queue, called=call.queue_identity)
+        )
         self._respond(node_id=node_id, request_id=request_id, status=OK, document={"pending": pending})
 
     def _cancel(self, *, node_id: str, request_id: int, job_id: str, job: Job) -> None:
@@ -96,9 +110,9 @@
         if self._has_lost_key(call=call):
             self._reject(node_id=node_id, request_id=request_id, status=UNAUTHORIZED, document=UNKNOWN_KEY)
             return False
-        known = self.context.jobs.submission(job_id=call.job_id)
-        if known is not None:
-            is_repeat = known.queue == call.queue and not _is_of_another(call=call, tenant=known.tenant)
+        if self.context.jobs.submission(job_id=call.job_id) is not None:
+            known = self.context.jobs.jobs[call.job_id]
+            is_repeat = self._is_reached(job=known, call=call) and not _is_of_another(call=call, tenant=known.tenant)
             status = OK if is_repeat else CONFLICT
             self._respond(node_id=node_id, request_id=request_id, status=status, document={})
             return False
@@ -107,7 +121,7 @@
             return False
         submission = call.submission if call.submission is not UNSET else {}
         document = {**submission, "q": call.queue, "at": self.context.wall_now_ms}
-        accepted = decode(document, into=AcceptedJob)
+        accepted = structs.replace(decode(document, into=AcceptedJob), address=call.address)
         if accepted.tenant and not self.context.quotas.takes_share(tenant=accepted.tenant):
             accepted = structs.replace(accepted, is_beyond_share=True)
         reason = self._rejection(job=Job.accepted(accepted))
@@ -131,7 +145,7 @@
         environment = self.context.environment
         if call.key_digest is UNSET or not call.tenant or not self._is_older(call=call):
             return False
-        route = environment.route(name=call.queue)
+        route = environment.route_of(queue=call.queue_identity)
         is_public = route is not None and route.is_public
         return not is_public and environment.tenant_of_key(key_digest=call.key_digest) != call.tenant
 
@@ -139,26 +153,34 @@
         """Whether the edge's configuration was older than the one in force here."""
         return call.config_version is not UNSET and self.context.environment.config_version() > call.config_version
 
+    def _is_newer(self, *, call: JobCall) -> bool:
+        """Whether the edge's configuration was newer than the one in force here."""
+        return call.config_version is not UNSET and self.context.environment.config_version() < call.config_version
+
     def _is_misrouted(self, *, call: JobCall) -> bool:
         """Whether the edge routed a call by an older configuration than this node's, and wrongly.
 
-        That is so if the queue is gone, or if the path (told while the edge's configuration may be out of date) is
-        not the queue's.
+        That is so if the queue is gone or was moved, or if the path (told while the edge's configuration may be out of
+        date) is not the queue's.
         """
-        environment = self.context.environment
         if not self._is_older(call=call):
             return False
-        if environment.route(name=call.queue) is None:
+        route = self.context.environment.route_of(queue=call.queue_identity)
+        if route is None or (call.address is not UNSET and not route.address.has_same_urls(call.address)):
             return True
-        return call.caller_route is not UNSET and self._queue_of(call.caller_route) != call.queue
+        return call.caller_route is not UNSET and self._route_of(call.caller_route) != route
 
-    def _queue_of(self, caller_route: tuple[str, str]) -> str:
+    def _route_of(self, caller_route: tuple[str, str]) -> Route | None:
         host, path = caller_route
         return self.context.environment.select(host=host, path=path)
 
+    def _is_reached(self, *, job: Job, call: JobCall) -> bool:
+        """Whether a job is the one that a call names by its URL."""
+        return self.context.policy.is_reached_at(queue=job.queue_identity, called=call.queue_identity)
+
     def _reject_route(self, *, node_id: str, request_id: int, call: JobCall) -> None:
         """404 where the path leads nowhere for sure; else the caller is to ask again."""
-        leads_nowhere = call.caller_route is not UNSET and not self._queue_of(call.caller_route)
+        leads_nowhere = call.caller_route is not UNSET and self._route_of(call.caller_route) is None
         status = NOT_FOUND if leads_nowhere else UNAVAILABLE
         self._reject(node_id=node_id, request_id=request_id, status=status, document=NO_QUEUE)
 
--- a/yarrowloom/scheduling/calls.py
+++ b/yarrowloom/scheduling/calls.py
@@ -4,6 +4,7 @@
 
 from msgspec import UNSET, UnsetType
 
+from ..common.queue_identity import QueueAddress, QueueIdentity
 from ..common.records import Record
 
 
@@ -15,6 +16,7 @@
     rename={
         "job_id": "id",
         "queue": "q",
+        "address": "ad",
         "config_version": "cv",
         "caller_route": "at",
         "submission": "j",
@@ -27,6 +29,7 @@
     Attributes:
         job_id: The job; empty in a call about a queue.
         queue: The queue that the edge routed the call to.
+        address: Where clients reach that queue; absent in calls of edges of releases that did not tell it.
         config_version: The version of the configuration by which it did.
         caller_route: Host and path that the caller named; absent while the edge's configuration is up to date.
         submission: The job's record, without what the scheduler adds; absent in calls that submit nothing.
@@ -36,8 +39,14 @@
 
     job_id: str = ""
     queue: str
+    address: QueueAddress | UnsetType = UNSET
     config_version: int | UnsetType = UNSET
     caller_route: tuple[str, str] | UnsetType = UNSET
     submission: dict[str, Any] | UnsetType = UNSET
     tenant: str = ""
     key_digest: str | UnsetType = UNSET
+
+    @property
+    def queue_identity(self) -> QueueIdentity:
+        """What the queue is known by."""
+        return QueueIdentity(self.queue, self.address)
--- a/yarrowloom/scheduling/environment.py
+++ b/yarrowloom/scheduling/environment.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from ..cluster_state.routing_table import Route, Tenant
+from ..common.queue_identity import QueueIdentity
 from ..transport.message import Message
 
 
@@ -22,8 +23,8 @@
     def send_message(self, *, node_id: str, message: Message) -> None:
         """Send a message to another node, or to this one."""
 
-    def route(self, *, name: str) -> Route | None:
-        """The row of a queue in the newest configuration; None if there is none."""
+    def route_of(self, *, queue: QueueIdentity) -> Route | None:
+        """The row that serves a queue in the newest configuration; None if there is none."""
 
     def tenant(self, *, name: str) -> Tenant | None:
         """The row of a tenant in the newest configuration; None if there is none."""
@@ -34,8 +35,8 @@
     def config_version(self) -> int:
         """The version of the configuration in force here."""
 
-    def select(self, *, host: str, path: str) -> str:
-        """The queue that a path belongs to; empty: none."""
+    def select(self, *, host: str, path: str) -> Route | None:
+        """The row that a path belongs to in the newest configuration; None if there is none."""
 
     def reply(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
         """Answer a call of another node."""
--- a/yarrowloom/scheduling/job_queue.py
+++ b/yarrowloom/scheduling/job_queue.py
@@ -4,6 +4,7 @@
 
 from ..agent.messages import StoppedRun
 from ..common.effects import Effect
+from ..common.queue_identity import QueueIdentity
 from ..jobs.effects import JobEnded, JobTimed, StopTask, UnitReady
 from ..jobs.events import JobEvent, JobsForgotten, RunDue, TaskEnded
 from ..jobs.model import WAITING, Job
@@ -32,7 +33,7 @@
         self.live_jobs = 0
         self.repeated = RepeatedJobs(jobs=context.jobs)
         self.ended = EndedJobs(jobs=context.jobs, retention_s=retention_s)
-        self.priority_fields: dict[str, tuple[Any, ...]] = {}
+        self.priority_fields: dict[QueueIdentity, tuple[Any, ...]] = {}
         for job_id, job in context.jobs.jobs.items():
             self._adopt(job_id=job_id, job=job)
 
@@ -70,8 +71,9 @@
         policy, now = self.context.policy, self.context.environment.now
         step = job.step_of(unit_key=unit_key)
         priority, worthless_after = policy.priority(job=job, job_id=job_id, unit_key=unit_key, first_seen=now)
-        if job.queue not in self.priority_fields:
-            self.priority_fields[job.queue] = policy.priority_fields(queue=job.queue)
+        queue_identity = job.queue_identity
+        if queue_identity not in self.priority_fields:
+            self.priority_fields[queue_identity] = policy.priority_fields(queue=queue_identity)
         group = PodGroup(
             job_id=job_id,
             unit_key=unit_key,
@@ -130,7 +132,7 @@
             return
         for (job_id, unit_key), group in list(self.context.queue.groups.items()):
             job = jobs[job_id]
-            if job.queue in changed:
+            if job.queue_identity in changed:
                 priority, group.worthless_after = policy.priority(
                     job=job, job_id=job_id, unit_key=unit_key, first_seen=group.first_seen
                 )
