A job is pending until a task is known to have begun; an order begins nothing

Cause: a job became active with the record of its first start, before the order left; nothing took that back when the order was given up (VOID). An order lost on its way to a minion that dies is the same, and is known as void only after the minion's longest hold.

Ruled out: the edge's sum over groups; a job that turns pending again on VOID (tried on paper: it leaves the second form for over ten seconds).

Change: starts no longer move the job. Agents are told which jobs are pending and tell the group when a heartbeat lists a run of one; that (event `begun`) or the end of a run that had begun makes it active. Attachments ask again.

--- a/tests/agent/test_messages.py
+++ b/tests/agent/test_messages.py
@@ -51,6 +51,17 @@
         Kind.TASK_ORDERS,
         {"g": 1, "n": 2, "sp": {"j": "spec"}, "x": [["i", 3, 9, "j.0.0.0", 1, "", 500]]},
     ),
+    (
+        messages.AttachMinion,
+        Kind.ATTACH_MINION,
+        {"g": 1, "n": 2, "seq": 3, "m": "i", "f": 5, "x": [["j.0.0.0", 1, 1000, 10, 0, -1]], "pj": ["j"]},
+    ),
+    (
+        messages.TaskOrders,
+        Kind.TASK_ORDERS,
+        {"g": 1, "n": 2, "sp": {"j": "spec"}, "x": [["i", 3, 9, "j.0.0.0", 1, "", 500]], "pj": ["j"]},
+    ),
+    (messages.TasksBegun, Kind.TASKS_BEGUN, {"g": 1, "m": "i", "x": [["j.0.0.0", 1]]}),
     (messages.OrdersRejected, Kind.ORDERS_REJECTED, {"g": 1, "n": 2, "x": [["i", 3, "j.0.0.0", 1]]}),
     (messages.StopTasks, Kind.STOP_TASKS, {"g": 1, "x": [["i", "j.0.0.0", 1]]}),
     (messages.TaskEndsReport, Kind.TASK_ENDS, {"g": 1, "m": "i", "f": 5, "x": [[1, "j.0.0.0", 1, "done", ""]]}),
--- a/tests/agent/test_task_runs.py
+++ b/tests/agent/test_task_runs.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tests.support.agent_harness import MINION, TASK, AgentHarness
-from yarrowloom.agent.messages import StopTasks
+from tests.support.agent_harness import FENCE, JOB, MINION, TASK, AgentHarness
+from yarrowloom.agent.messages import AttachMinion, StopTasks, TaskOrders
 from yarrowloom.transport.message_kinds import Kind
 
 RECORDED = [TASK, 1, 1000, 10, 0, 500]
@@ -73,3 +73,39 @@
     if reason != "not trusted":
         assert harness.environment.last(Kind.ORDERS_REJECTED)["x"][0][2] == TASK
         assert harness.request_leases(group_id=1) == []
+
+
+def order_of_pending_job(harness: AgentHarness) -> None:
+    row = [MINION, 1, harness.request_lease(), TASK, 1, "", 500]
+    harness.deliver(TaskOrders, {"g": 2, "n": 1, "sp": {JOB: "spec"}, "x": [row], "pj": [JOB]})
+
+
+def test_the_begin_of_a_pending_job_is_told_once_a_heartbeat_lists_it(harness: AgentHarness) -> None:
+    order_of_pending_job(harness)
+    assert "started" in harness.heartbeat()
+    assert not harness.environment.has_sent(Kind.TASKS_BEGUN)  # the order is on its way, and may be lost
+    harness.heartbeat(running=[[TASK, 1, "", 0]])
+    assert harness.environment.last(Kind.TASKS_BEGUN) == {"g": 2, "m": MINION, "x": [[TASK, 1]]}
+    harness.environment.sent.clear()
+    harness.heartbeat(running=[[TASK, 1, "", 1]])
+    assert not harness.environment.has_sent(Kind.TASKS_BEGUN)
+
+
+@pytest.mark.parametrize("is_pending", [True, False])
+def test_a_new_attachment_asks_again_for_begins_that_may_have_been_lost(
+    harness: AgentHarness, is_pending: bool
+) -> None:
+    order_of_pending_job(harness)
+    harness.heartbeat()
+    harness.heartbeat(running=[[TASK, 1, "", 0]])
+    harness.environment.sent.clear()
+    attached = {"g": 2, "n": 1, "seq": 2, "m": MINION, "f": FENCE, "x": [RECORDED]}
+    harness.deliver(AttachMinion, {**attached, "pj": [JOB]} if is_pending else attached)
+    assert harness.environment.has_sent(Kind.TASKS_BEGUN) is is_pending
+
+
+def test_begins_of_active_jobs_are_not_told(harness: AgentHarness) -> None:
+    harness.order(lease_id=harness.request_lease())
+    harness.heartbeat()
+    harness.heartbeat(running=[[TASK, 1, "", 0]])
+    assert not harness.environment.has_sent(Kind.TASKS_BEGUN)
--- a/tests/jobs/test_events.py
+++ b/tests/jobs/test_events.py
@@ -10,6 +10,7 @@
 from yarrowloom.jobs.events import (
     JobCancelled,
     JobEvent,
+    JobsBegun,
     JobsForgotten,
     JobSubmitted,
     MinionLost,
@@ -88,6 +89,13 @@
     ),
     (MinionLost(minion_id="m", runs=None, saved_progress={}), {"t": "lost", "m": "m", "x": None, "v": {}}),
     (JobCancelled(job_id="a", cancelled_at_ms=9), {"t": "cancel", "id": "a", "at": 9}),
+    (
+        PlacementsChanged(
+            batch=CommitBatch(transaction_id="1.7.4", committed_at=12, writes=[]), ends=[], is_begin_reported=True
+        ),
+        {"t": "tx", "b": {"id": "1.7.4", "tc": 12, "w": []}, "e": [], "br": True},
+    ),
+    (JobsBegun(job_ids=["a", "b"]), {"t": "begun", "ids": ["a", "b"]}),
     (JobsForgotten(job_ids=["a", "b"]), {"t": "forget", "ids": ["a", "b"]}),
 ]
 
--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -11,6 +11,7 @@
 from yarrowloom.jobs.effects import JobEnded, JobTimed, StopTask, UnitReady
 from yarrowloom.jobs.events import (
     JobCancelled,
+    JobsBegun,
     JobsForgotten,
     JobSubmitted,
     MinionLost,
@@ -21,6 +22,7 @@
     TaskStart,
 )
 from yarrowloom.jobs.model import JobState, TaskState
+from yarrowloom.jobs.placements import PlacementClient
 from yarrowloom.jobs.state_machine import Jobs
 from yarrowloom.jobs.submission import AcceptedJob, parse_submission
 from yarrowloom.prediction import History
@@ -78,6 +80,45 @@
     )
 
 
+def ordered(jobs: Jobs, *, run_id: int) -> None:
+    """A task is ordered as today's release does it: who begins is told later."""
+    client = PlacementClient(name=f"test-{run_id}", state=jobs)
+    starts = [TaskStart(index=0, run_id=run_id, minion_id="m")]
+    jobs.apply_event(client.bind(job_id=JOB_ID, unit_key=UNIT_KEY, starts=starts, wall_ms=1.0))
+
+
+@pytest.mark.parametrize("outcome", ["void", "lost", "refused"])
+def test_an_order_that_was_not_carried_out_leaves_its_job_pending(jobs: Jobs, outcome: str) -> None:
+    jobs.apply_event(submitted(stages=[{"task-count": 1}]))
+    ordered(jobs, run_id=1)
+    assert jobs.jobs[JOB_ID].state is JobState.PENDING
+    assert jobs.apply_event(ended(run_id=1, outcome=outcome)) == [READY]
+    assert jobs.jobs[JOB_ID].state is JobState.PENDING
+    assert list(jobs.pending_by_queue.values()) == [1]
+
+
+@pytest.mark.parametrize("outcome", ["failed", "stopped", "lapsed", "alone", "broken"])
+def test_an_end_of_what_had_begun_makes_its_job_active(jobs: Jobs, outcome: str) -> None:
+    jobs.apply_event(submitted(stages=[{"task-count": 1}]))
+    ordered(jobs, run_id=1)
+    jobs.apply_event(ended(run_id=1, outcome=outcome))
+    assert jobs.jobs[JOB_ID].state is JobState.ACTIVE
+    assert jobs.pending_by_queue == {}
+
+
+def test_a_job_is_active_once_it_is_known_to_have_begun_and_completes_without_that(jobs: Jobs) -> None:
+    jobs.apply_event(submitted(stages=[{"task-count": 1}]))
+    ordered(jobs, run_id=1)
+    assert jobs.apply_event(JobsBegun(job_ids=[JOB_ID, "unknown"])) == []
+    assert jobs.jobs[JOB_ID].state is JobState.ACTIVE
+    jobs.apply_event(ended(run_id=1, outcome="void"))
+    assert jobs.jobs[JOB_ID].state is JobState.ACTIVE
+    ordered(jobs, run_id=2)
+    assert jobs.apply_event(ended(run_id=2, outcome="done")) == [ENDED]
+    assert jobs.apply_event(JobsBegun(job_ids=[JOB_ID])) == []
+    assert jobs.jobs[JOB_ID].state is JobState.COMPLETE
+
+
 @pytest.mark.parametrize("outcome", ["lost", "void", "stopped", "lapsed", "a newer release's word"])
 def test_only_failures_count_against_the_budget(jobs: Jobs, outcome: str) -> None:
     jobs.apply_event(submitted(stages=[{"task-count": 1}]))
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -15,6 +15,7 @@
     Kind.ATTACHMENT_VERDICT: ({"g": 1, "n": 1, "seq": 1, "m": "i-1", "f": 1, "x": [["a.0.0.0", None]]}, "$.x[0][1]"),
     Kind.LEASE_GRANT: ({"g": 1, "rid": "1", "x": [], "to": "", "r": [], "size": [1, 1, 0]}, "$.rid"),
     Kind.TASK_ENDS: ({"g": 1, "m": 5, "f": 1, "x": []}, "$.m"),
+    Kind.TASKS_BEGUN: ({"g": 1, "m": "i-1", "x": [["a.0.0.0", "one"]]}, "$.x[0][1]"),
     Kind.MINION_LOST: ({"g": 1, "m": "i-1", "f": 1, "v": []}, "$.v"),
     Kind.ORDERS_REJECTED: ({"g": 1, "n": 1}, "`x`"),
     Kind.CAPACITY_REPORT: ({"g": 1, "u": "a", "x": [["i-1", 1000, "much", 0]], "shut": []}, "$.x[0][2]"),
--- a/tests/storage/test_stored_data.py
+++ b/tests/storage/test_stored_data.py
@@ -15,6 +15,7 @@
 
 REGISTRY_GROUP = 0
 CASES = [
+    "begun",
     "cluster-0",
     "cluster-1",
     "cluster-2",
@@ -147,6 +148,13 @@
     assert any(len(event["e"]) > 1 for event in transactions)
 
 
+def test_data_holds_jobs_that_wait_after_an_order_that_was_not_carried_out() -> None:
+    (state,) = [row["st"] for row in expectation(case="begun")["snapshot"] if row["k"] == "st" and row["g"] == 1]
+    jobs = state["jobs"]
+    assert [jobs[f"{number:016x}"]["st"] for number in (1, 2, 3, 4)] == ["active", "active", "pending", "active"]
+    assert ["ad" in jobs[f"{number:016x}"] for number in (1, 2, 3, 4)] == [True, True, True, False]
+
+
 def test_data_holds_every_way_a_run_ends() -> None:
     ends = [event for event in all_events(registry=False) if event["t"] == "end"]
     assert {event["how"] for event in ends} >= {"done", "failed", "void", "stopped", "lapsed", "alone"}
--- a/yarrowloom/agent/messages.py
+++ b/yarrowloom/agent/messages.py
@@ -8,6 +8,7 @@
 from typing import Annotated, ClassVar
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from ..common.records import Record
 from ..common.resources import Resources
@@ -80,6 +81,7 @@
         "minion_id": "m",
         "fence": "f",
         "runs": "x",
+        "pending_jobs": "pj",
     },
 ):
     """Scheduler to agent: the minion is attached; these runs are recorded on it.
@@ -88,6 +90,7 @@
         epoch_number: Number of the epoch in which the scheduler serves its group.
         attachment: Number of this attachment; rises within an epoch. Leases granted and orders sent under an earlier
             attachment of the minion are void.
+        pending_jobs: Jobs of `runs` of which no task is known to have begun; unset: none, or an earlier release.
     """
 
     KIND: ClassVar[Kind] = Kind.ATTACH_MINION
@@ -98,6 +101,7 @@
     minion_id: str
     fence: int
     runs: list[RecordedRun]
+    pending_jobs: list[str] | UnsetType = UNSET
 
 
 class UnstartedRun(Record, frozen=True, kw_only=True, array_like=True):
@@ -314,12 +318,13 @@
     Message,
     frozen=True,
     kw_only=True,
-    rename={"group_id": "g", "epoch_number": "n", "specs": "sp", "orders": "x"},
+    rename={"group_id": "g", "epoch_number": "n", "specs": "sp", "orders": "x", "pending_jobs": "pj"},
 ):
     """Scheduler to agent: start these runs.
 
     Attributes:
         specs: The task specification of each job that an order belongs to, by job.
+        pending_jobs: Those of them of which no task is known to have begun; unset: none, or an earlier release.
     """
 
     KIND: ClassVar[Kind] = Kind.TASK_ORDERS
@@ -328,6 +333,7 @@
     epoch_number: int
     specs: dict[str, str]
     orders: list[TaskOrder]
+    pending_jobs: list[str] | UnsetType = UNSET
 
 
 class RejectedOrder(Record, frozen=True, kw_only=True, array_like=True):
@@ -353,6 +359,26 @@
     orders: list[RejectedOrder]
 
 
+class BegunRun(Record, frozen=True, kw_only=True, array_like=True):
+    """A run that a heartbeat of its minion has listed."""
+
+    task: str
+    run: int
+
+
+class TasksBegun(Message, frozen=True, kw_only=True, rename={"group_id": "g", "minion_id": "m", "runs": "x"}):
+    """Agent to scheduler: these runs, of jobs that the scheduler called pending, have begun.
+
+    Sent once under an attachment; a new attachment names the jobs that are pending still.
+    """
+
+    KIND: ClassVar[Kind] = Kind.TASKS_BEGUN
+
+    group_id: int
+    minion_id: str
+    runs: list[BegunRun]
+
+
 class StoppedRun(Record, frozen=True, kw_only=True, array_like=True):
     """A run that is to be stopped."""
 
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -78,6 +78,7 @@
         is_sent: The order was put into a response to a heartbeat.
         is_running: A heartbeat listed the run.
         is_stop_requested: It is to be stopped, or not to start any more.
+        is_begin_awaited: Its scheduler is to be told once a heartbeat lists it.
         running_since: When it was first listed (monotonic seconds).
         percent: Progress when it was last listed.
         first_percent: Progress when it was first listed; a run restored from a checkpoint begins above 0.
@@ -95,6 +96,7 @@
     is_sent: bool = False
     is_running: bool = False
     is_stop_requested: bool = False
+    is_begin_awaited: bool = False
     running_since: float = 0.0
     percent: float = 0.0
     first_percent: float = 0.0
--- a/yarrowloom/agent/task_runs.py
+++ b/yarrowloom/agent/task_runs.py
@@ -1,16 +1,21 @@
 """The runs that groups' records have on the agent's minions: attached, ordered, stopped, compared with heartbeats."""
 
+from msgspec import UNSET
+
 from ..common.resources import Resources
+from ..jobs.task_name import job_id_of
 from .leases import LeaseManager
 from .messages import (
     AttachmentVerdict,
     AttachMinion,
+    BegunRun,
     OrdersRejected,
     RecordedRun,
     RejectedOrder,
     StoppedRun,
     TaskOrder,
     TaskOrders,
+    TasksBegun,
     UnstartedRun,
 )
 from .minion import NOT_ATTACHED, Attachment, Minion, Phase, TaskRun
@@ -62,6 +67,7 @@
             for recorded in message.runs
             if self._has_never_started(minion, group_id=group_id, recorded=recorded)
         ]
+        self._await_begins(minion, message=message)
         verdict = AttachmentVerdict(
             group_id=group_id,
             epoch_number=message.epoch_number,
@@ -73,6 +79,13 @@
         self._table.environment.send_message(node_id=node_id, message=verdict)
         return minion
 
+    def _await_begins(self, minion: Minion, *, message: AttachMinion) -> None:
+        """What was told under an earlier attachment may have been lost."""
+        pending_jobs = frozenset(message.pending_jobs if message.pending_jobs is not UNSET else ())
+        for run in minion.runs.values():
+            if run.group_id == message.group_id:
+                run.is_begin_awaited = job_id_of(run.task) in pending_jobs
+
     def _is_from_old_epoch(self, *, group_id: int, epoch_number: int) -> bool:
         primary = self._table.environment.primary(group_id=group_id)
         return primary is not None and primary[1] > epoch_number
@@ -169,12 +182,14 @@
         ):
             return False
         lease.task = order.task
+        job_id = job_id_of(order.task)
         minion.runs[order.task] = TaskRun(
             task=order.task,
             run=order.run,
             group_id=message.group_id,
             lease_id=order.lease_id,
-            spec=message.specs[order.task.split(".", 1)[0]],
+            spec=message.specs[job_id],
+            is_begin_awaited=message.pending_jobs is not UNSET and job_id in message.pending_jobs,
             checkpoint=order.checkpoint,
             estimate_ms=order.estimate_ms,
         )
@@ -250,9 +265,27 @@
             if self._table.was_attached_by_all(minion)
             else {}
         )
+        self._tell_begun(minion)
         if minion.is_draining:
             self._stop_what_cannot_end(minion)
 
+    def _tell_begun(self, minion: Minion) -> None:
+        """Tell schedulers of the runs that they wait for and that heartbeats list."""
+        begun: dict[int, list[TaskRun]] = {}
+        for run in minion.runs.values():
+            if run.is_begin_awaited and run.is_running:
+                begun.setdefault(run.group_id, []).append(run)
+        environment = self._table.environment
+        for group_id, runs in begun.items():
+            primary = environment.primary(group_id=group_id)
+            if primary is None:
+                continue  # the next heartbeat tries again
+            rows = [BegunRun(task=run.task, run=run.run) for run in runs]
+            message = TasksBegun(group_id=group_id, minion_id=minion.minion_id, runs=rows)
+            environment.send_message(node_id=primary[0], message=message)
+            for run in runs:
+                run.is_begin_awaited = False
+
     def _stop_what_cannot_end(self, minion: Minion) -> None:
         """Stop runs that cannot end before a draining minion leaves, so that they go on elsewhere."""
         now = self._table.environment.now
--- a/yarrowloom/jobs/events.py
+++ b/yarrowloom/jobs/events.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from msgspec import UNSET, UnsetType
+
 from ..common.records import Record, TaggedDecoder
 from ..transactions import CommitBatch
 from .submission import AcceptedJob
@@ -17,7 +19,21 @@
     LOST = "lost"  # its minion is gone
     VOID = "void"  # its order never reached the minion: it never started
     ALONE = "alone"  # a gang's member that waited for the others in vain
-    BROKEN = "broken"  # the minion could not run it
+    BROKEN = "broken"  # another member of its gang ended
+
+
+# Outcomes of runs that minions had begun. A run that is LOST or VOID, or was refused, may never have begun.
+BEGUN_OUTCOMES = frozenset(
+    outcome.value
+    for outcome in (
+        RunOutcome.DONE,
+        RunOutcome.FAILED,
+        RunOutcome.STOPPED,
+        RunOutcome.LAPSED,
+        RunOutcome.ALONE,
+        RunOutcome.BROKEN,
+    )
+)
 
 
 class JobEventRecord(Record, frozen=True, kw_only=True, tag_field="t"):
@@ -72,16 +88,31 @@
     has_end_time: bool
 
 
-class PlacementsChanged(JobEventRecord, frozen=True, kw_only=True, tag="tx", rename={"batch": "b", "ends": "e"}):
+class PlacementsChanged(
+    JobEventRecord,
+    frozen=True,
+    kw_only=True,
+    tag="tx",
+    rename={"batch": "b", "ends": "e", "is_begin_reported": "br"},
+):
     """A transaction on place entries and debits of tenants: runs of tasks begin and end by it and by nothing else.
 
     Attributes:
         batch: The commit.
         ends: How the runs ended whose place entries it deletes, in the order of these in the write set.
+        is_begin_reported: Its starts are orders that may yet be carried out or not: `JobsBegun` or an end tells that
+            a task has begun. Unset: a start makes its job active, as in logs of releases without `JobsBegun`.
     """
 
     batch: CommitBatch
     ends: list[RunEnd]
+    is_begin_reported: bool | UnsetType = UNSET
+
+
+class JobsBegun(JobEventRecord, frozen=True, kw_only=True, tag="begun", rename={"job_ids": "ids"}):
+    """Minions were seen to run tasks of these jobs; jobs that are not pending are passed over."""
+
+    job_ids: list[str]
 
 
 class TasksStarted(
@@ -180,10 +211,26 @@
 
 
 JobEvent = (
-    JobSubmitted | RunDue | PlacementsChanged | TasksStarted | TaskEnded | MinionLost | JobCancelled | JobsForgotten
+    JobSubmitted
+    | RunDue
+    | PlacementsChanged
+    | JobsBegun
+    | TasksStarted
+    | TaskEnded
+    | MinionLost
+    | JobCancelled
+    | JobsForgotten
 )
 _DECODER: TaggedDecoder[JobEvent] = TaggedDecoder(
-    JobSubmitted, RunDue, PlacementsChanged, TasksStarted, TaskEnded, MinionLost, JobCancelled, JobsForgotten
+    JobSubmitted,
+    RunDue,
+    PlacementsChanged,
+    JobsBegun,
+    TasksStarted,
+    TaskEnded,
+    MinionLost,
+    JobCancelled,
+    JobsForgotten,
 )
 
 
--- a/yarrowloom/jobs/model.py
+++ b/yarrowloom/jobs/model.py
@@ -11,7 +11,7 @@
 class JobState(str, enum.Enum):
     """Where a job stands, as callers are shown it."""
 
-    PENDING = "pending"
+    PENDING = "pending"  # no task is known to have begun, though some may be ordered
     ACTIVE = "active"
     COMPLETE = "complete"
     FAILED = "failed"
@@ -198,6 +198,10 @@
         """Whether it has ended, nothing of it runs, and its steps and units are dropped."""
         return not self.steps
 
+    def has_placed_task(self) -> bool:
+        """Whether a run of any of its tasks was ever placed on a minion."""
+        return any(run_id for unit in self.units.values() for run_id in unit.run_ids)
+
     def step_of(self, *, unit_key: str) -> Step:
         """The step whose tasks a unit holds."""
         return self.steps[int(unit_key.split(".")[1])]
--- a/yarrowloom/jobs/placements.py
+++ b/yarrowloom/jobs/placements.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from msgspec import structs
+
 from ..common.resources import Resources
 from ..kv import KeyValueStore, PlaceEntry, TenantDebit
 from ..transactions import HybridClock, Transaction, batch_of
@@ -64,9 +66,24 @@
         """What a tenant's tasks hold now."""
         return _read_debit(self.begin(wall_ms=wall_ms), tenant=tenant)
 
-    def bind(self, *, job_id: str, unit_key: str, starts: Iterable[TaskStart], wall_ms: float) -> PlacementsChanged:
+    def bind(
+        self,
+        *,
+        job_id: str,
+        unit_key: str,
+        starts: Iterable[TaskStart],
+        wall_ms: float,
+        is_begin_reported: bool = True,
+    ) -> PlacementsChanged:
         """The commit that starts tasks of one unit.
 
+        Args:
+            job_id: The unit's job.
+            unit_key: The unit: "run.step".
+            starts: Its tasks that start.
+            wall_ms: Wall time in milliseconds.
+            is_begin_reported: See `PlacementsChanged`; False: the starts make their job active.
+
         Raises:
             TransactionConflictError: Another transaction has prepared one of the records.
         """
@@ -77,7 +94,8 @@
             transaction.write(key=key, value=PlaceEntry(minion_id=start.minion_id, run_id=start.run_id))
             count += 1
         _charge(transaction, job=job, unit_key=unit_key, tasks=count)
-        return self._commit(transaction, ends=[], wall_ms=wall_ms)
+        bound = self._commit(transaction, ends=[], wall_ms=wall_ms)
+        return structs.replace(bound, is_begin_reported=True) if is_begin_reported else bound
 
     def release(self, *, ends: Iterable[TaskEnded], wall_ms: float) -> PlacementsChanged | None:
         """The commit that ends runs; None: none of them is the newest run of its task and may be alive.
--- a/yarrowloom/jobs/state_machine.py
+++ b/yarrowloom/jobs/state_machine.py
@@ -12,8 +12,10 @@
 from ..transactions.clock import TICKS_PER_MS
 from .effects import JobEffect, JobEnded, JobTimed, StopTask, UnitReady
 from .events import (
+    BEGUN_OUTCOMES,
     JobCancelled,
     JobEvent,
+    JobsBegun,
     JobsForgotten,
     JobSubmitted,
     MinionLost,
@@ -119,6 +121,8 @@
                 return self._submit(event)
             case RunDue():
                 return self._begin_due_run(event)
+            case JobsBegun():
+                return self._note_begun(event)
             case JobCancelled():
                 return self._cancel(event)
             case JobsForgotten():
@@ -209,25 +213,40 @@
             entry = change.record.value
             if isinstance(entry, PlaceEntry):
                 self._start_task(address, entry=entry, started_at_ms=wall_ms(time=change.record.valid_from))
+                if event.is_begin_reported is UNSET:
+                    self._mark_begun(self.jobs[address.job_id])
             else:
                 effects += self._end_task(_end_of(address, change=change, end=next(ends)))
         return effects
 
     def _start_task(self, address: TaskAddress, *, entry: PlaceEntry, started_at_ms: int) -> None:
-        job = self.jobs[address.job_id]
-        unit = job.units[address.unit_key]
-        if job.state is JobState.PENDING:
-            self._move(job=job, to=JobState.ACTIVE)
+        unit = self.jobs[address.job_id].units[address.unit_key]
         assert unit.task_states[address.task_index] is WAITING
         assert entry.run_id > unit.run_ids[address.task_index]
         show_running(unit, index=address.task_index, entry=entry, started_at_ms=started_at_ms)
         self.running_by_minion.setdefault(entry.minion_id, set()).add(address)
 
+    def _note_begun(self, event: JobsBegun) -> list[JobEffect]:
+        for job_id in event.job_ids:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                self._mark_begun(job)
+        return []
+
+    def _mark_begun(self, job: Job) -> None:
+        """A task of a job has begun."""
+        if job.state is JobState.PENDING:
+            self._move(job=job, to=JobState.ACTIVE)
+
     def _bind_logged(self, event: TasksStarted) -> list[JobEffect]:
         """Starts in the log of a release that had no transactions."""
         self._log_client.last_number = self.store.last_etag
         bound = self._log_client.bind(
-            job_id=event.job_id, unit_key=event.unit_key, starts=event.starts, wall_ms=event.started_at_ms
+            job_id=event.job_id,
+            unit_key=event.unit_key,
+            starts=event.starts,
+            wall_ms=event.started_at_ms,
+            is_begin_reported=False,
         )
         return self._change_placements(bound)
 
@@ -242,6 +261,8 @@
         unit = job.units.get(event.unit_key) if job is not None else None
         if job is None or unit is None or not unit.is_running(index=event.index, run_id=event.run_id):
             return []
+        if event.outcome in BEGUN_OUTCOMES:
+            self._mark_begun(job)
         step = job.step_of(unit_key=event.unit_key)
         self._untrack(job_id=event.job_id, unit_key=event.unit_key, unit=unit, index=event.index)
         started_at_ms = unit.started_at_ms.pop(event.index, 0) if unit.started_at_ms is not UNSET else 0
@@ -366,8 +387,8 @@
     def _end_early(self, *, job_id: str, state: JobState, at_ms: int) -> list[JobEffect]:
         """End a job that is not complete; what still runs is to be stopped."""
         job = self.jobs[job_id]
-        if job.state is JobState.PENDING and state is JobState.FAILED:
-            self._move(job=job, to=JobState.ACTIVE)
+        if state is JobState.FAILED:
+            self._mark_begun(job)
         self._move(job=job, to=state)
         self._note_end_of_job(job_id=job_id, job=job, at_ms=at_ms)
         effects: list[JobEffect] = [JobEnded(job_id=job_id)]
--- a/yarrowloom/jobs/task_name.py
+++ b/yarrowloom/jobs/task_name.py
@@ -32,6 +32,15 @@
     return f"{job_id}.{unit_key}.{index}"
 
 
+def job_id_of(name: str) -> str:
+    """The job that the name of a task begins with.
+
+    >>> job_id_of("ab.0.1.3")
+    'ab'
+    """
+    return name.partition(".")[0]
+
+
 def parse_task_name(name: str) -> TaskAddress | None:
     """The task that a name stands for, None if it is no name of a task.
 
--- a/yarrowloom/node/input_scheduler.py
+++ b/yarrowloom/node/input_scheduler.py
@@ -41,6 +41,7 @@
     {
         Kind.CLAIM_MINIONS,
         Kind.TASK_ENDS,
+        Kind.TASKS_BEGUN,
         Kind.LEASE_GRANT,
         Kind.MINION_LOST,
         Kind.ORDERS_REJECTED,
--- a/yarrowloom/scheduling/attachment.py
+++ b/yarrowloom/scheduling/attachment.py
@@ -1,5 +1,7 @@
 """Attachment of minions: an agent claims its minions and is told what the record has on each."""
 
+from msgspec import UNSET
+
 from ..agent.messages import (
     AttachMinion,
     CapacityRequest,
@@ -10,6 +12,7 @@
     RecordedRun,
     StoppedRun,
 )
+from ..jobs.model import JobState
 from ..jobs.task_name import task_name
 from ..transport.effects import SendMessage
 from .capacity import MinionCapacity
@@ -76,6 +79,7 @@
         """Tell the agent what the record has on a minion."""
         runs: list[RecordedRun] = []
         stops: list[StoppedRun] = []
+        pending_jobs: set[str] = set()
         for address in sorted(self.context.jobs.running_by_minion.get(minion.minion_id, ())):
             job_id, unit_key, index = address.job_id, address.unit_key, address.task_index
             job = self.context.jobs.jobs[job_id]
@@ -92,6 +96,8 @@
                 )
             )
             self.context.leases.by_task.pop(task, None)
+            if job.state is JobState.PENDING:
+                pending_jobs.add(job_id)
             if job.has_ended:
                 stops.append(StoppedRun(minion_id=minion.minion_id, task=task, run=run))
         message = AttachMinion(
@@ -101,6 +107,7 @@
             minion_id=minion.minion_id,
             fence=minion.fence,
             runs=runs,
+            pending_jobs=sorted(pending_jobs) if pending_jobs else UNSET,
         )
         self.context.environment.send_message(node_id=minion.agent_id, message=message)
         if stops:
--- a/yarrowloom/scheduling/binding.py
+++ b/yarrowloom/scheduling/binding.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from msgspec import structs
+from msgspec import UNSET, structs
 
 from ..agent.messages import LeaseGrant, LeaseRequest, MinionCount, RejectedOrder, TaskOrder, TaskOrders
 from ..common.resources import NO_RESOURCES, Resources
@@ -406,7 +406,7 @@
     def _use_warm_capacity(self, *, group: PodGroup) -> None:
         """A job's first tasks use up the capacity kept warm for it."""
         job = self.context.jobs.jobs[group.job_id]
-        if self.warm.is_on and group.unit_key.startswith("0.") and job.state is JobState.PENDING:
+        if self.warm.is_on and group.unit_key.startswith("0.") and not job.has_placed_task():
             self.warm.job_started(
                 queue=job.queue,
                 kind=kind_key(queue=job.queue, steps=job.steps),
@@ -435,6 +435,7 @@
         """Starts are durable: order the runs, unless something came in between."""
         orders: dict[str, list[TaskOrder]] = {}
         specs: dict[str, dict[str, str]] = {}
+        pending_jobs: dict[str, set[str]] = {}
         cancelled: list[RejectedOrder] = []
         for started in runs:
             lease = started.lease
@@ -454,12 +455,15 @@
                 continue
             orders.setdefault(minion.agent_id, []).append(order)
             specs.setdefault(minion.agent_id, {})[started.job_id] = job.spec
+            if job.state is JobState.PENDING:
+                pending_jobs.setdefault(minion.agent_id, set()).add(started.job_id)
         for node_id, agent_orders in orders.items():
             message = TaskOrders(
                 group_id=self.context.group_id,
                 epoch_number=self.context.replica.state_epoch,
                 specs=specs[node_id],
                 orders=agent_orders,
+                pending_jobs=sorted(pending_jobs[node_id]) if node_id in pending_jobs else UNSET,
             )
             self.context.environment.send_message(node_id=node_id, message=message)
         if cancelled:
--- a/yarrowloom/scheduling/scheduler.py
+++ b/yarrowloom/scheduling/scheduler.py
@@ -12,6 +12,7 @@
     OrdersRejected,
     RejectedOrder,
     TaskEndsReport,
+    TasksBegun,
 )
 from ..cluster_state.routing_table import DEFAULT_RANK
 from ..common.defaults import Defaults
@@ -22,6 +23,7 @@
 from ..transport.message_kinds import Kind
 from .admission import Admission
 from .attachment import Attachments
+from .begun_jobs import BegunJobs
 from .binding import Binding
 from .context import SchedulerContext
 from .effects import OrderRuns, StopRuns
@@ -46,6 +48,7 @@
         job_queue: Events, and the groups that follow from them.
         attachments: Minions that come and go.
         task_ends: Ends of runs.
+        begun_jobs: Runs that have begun.
         warm: Capacity kept for predicted jobs.
         binding: Lease requests, starts and orders.
         admission: Calls of edges.
@@ -89,6 +92,7 @@
         self.job_queue = JobQueue(context=self.context, retention_s=retention_s)
         self.attachments = Attachments(context=self.context, job_queue=self.job_queue)
         self.task_ends = TaskEnds(context=self.context, job_queue=self.job_queue)
+        self.begun_jobs = BegunJobs(context=self.context, job_queue=self.job_queue)
         self.warm = WarmCapacity(capacity=self.context.capacity, history=history, settings=defaults["warm"])
         self.binding = Binding(
             context=self.context,
@@ -142,6 +146,9 @@
         self.task_ends.report(node_id=node_id, report=message)
         self.passes.run_slice()
 
+    def _on_tasks_begun(self, node_id: str, message: TasksBegun) -> None:
+        self.begun_jobs.report(message)
+
     def _on_minion_lost(self, node_id: str, message: MinionLostReport) -> None:
         self.attachments.minion_lost(node_id=node_id, report=message)
         self.passes.run_slice()
@@ -282,6 +289,7 @@
     Kind.ATTACHMENT_VERDICT: (AttachmentVerdict, Scheduler._on_verdict),
     Kind.LEASE_GRANT: (LeaseGrant, Scheduler._on_grant),
     Kind.TASK_ENDS: (TaskEndsReport, Scheduler._on_ends),
+    Kind.TASKS_BEGUN: (TasksBegun, Scheduler._on_tasks_begun),
     Kind.MINION_LOST: (MinionLostReport, Scheduler._on_minion_lost),
     Kind.ORDERS_REJECTED: (OrdersRejected, Scheduler._on_orders_rejected),
     Kind.CAPACITY_REPORT: (CapacityReport, Scheduler._on_capacity_report),
--- a/yarrowloom/testbed/slopes.py
+++ b/yarrowloom/testbed/slopes.py
@@ -44,6 +44,7 @@
         "CLAIM_MINIONS",
         "LEASE_GRANT",
         "TASK_ENDS",
+        "TASKS_BEGUN",
         "MINION_LOST",
         "ORDERS_REJECTED",
         "ATTACHMENT_VERDICT",
--- a/yarrowloom/transport/message_kinds.py
+++ b/yarrowloom/transport/message_kinds.py
@@ -7,7 +7,7 @@
     """Kinds of messages. The numbers are those on the wire and never change.
 
     1 to 3 keep the nodes of a cluster in touch, 10 to 22 replicate a group's state, 30 and 31 carry calls to the node
-    that serves a group, 40 to 54 go between agents and schedulers.
+    that serves a group, 40 to 55 go between agents and schedulers.
     """
 
     HEARTBEAT = 1
@@ -43,6 +43,7 @@
     CAPACITY_REPORT = 52
     ORDERS_REJECTED = 53
     CAPACITY_REPORT_REQUEST = 54
+    TASKS_BEGUN = 55
 
 
 class Lane(enum.IntEnum):
