Configuration: routes that claim one request, and times that are none, are refused

The route with a port could never be reached, as requests' hosts count without it.

Cause: the check compared hosts with their ports, the look-up without; any number above 0 was a time.

Times from a thousandth of a millisecond on are taken: clocks tell no shorter ones apart.

--- a/tests/cluster_state/test_config.py
+++ b/tests/cluster_state/test_config.py
@@ -43,6 +43,10 @@
         {"route-table": [{**CONF["route-table"][0], "backend": "none"}]},  # type: ignore[index]
         {"route-table": [CONF["route-table"][0], {**CONF["route-table"][0], "name": "c"}]},  # type: ignore[index]
         {"route-table": [{**CONF["route-table"][0], "deadline-ms": 0}]},  # type: ignore[index]
+        {"route-table": [{**CONF["route-table"][0], "deadline-ms": 1e-300}]},  # type: ignore[index]
+        {"route-table": [{**CONF["route-table"][0], "deadline-ms": float("nan")}]},  # type: ignore[index]
+        {"route-table": [{**CONF["route-table"][0], "deadline-ms": float("inf")}]},  # type: ignore[index]
+        {"route-table": [{**CONF["route-table"][0], "target-ms": 1e-300}]},  # type: ignore[index]
         {"config-version": 0},
         {"service-table": None},
         {"limits": {"max-body-bytes": 0}},
@@ -54,6 +58,16 @@
         config.check(document={**CONF, **change})
 
 
+# Guards against two routes for one request, of which the one with a port in its host could never be reached.
+@pytest.mark.parametrize("host", ["counter.example:80", "Counter.Example", "COUNTER.example:8080"])
+def test_routes_that_can_claim_the_same_request_are_refused(host: str) -> None:
+    first = {**CONF["route-table"][0], "host-name": "counter.example"}  # type: ignore[index]
+    rows = [first, {**first, "name": "other", "host-name": host}]
+    with pytest.raises(InvalidInputError) as caught:
+        config.check(document={**CONF, "route-table": rows})
+    assert [str(finding) for finding in caught.value.findings] == ["route-table[1]: shares host and prefix with [0]"]
+
+
 def test_all_findings_are_reported_together_in_the_order_of_the_document() -> None:
     rows = [{"name": "a", "path-prefix": "x", "deadline-ms": 0, "backend": "none", "rank": -1}, 7]
     with pytest.raises(InvalidInputError) as caught:
--- a/yarrowloom/cluster_state/config.py
+++ b/yarrowloom/cluster_state/config.py
@@ -8,8 +8,10 @@
 from typing import Any, TypeGuard
 
 from ..common.errors import Finding, InvalidInputError
+from ..common.queue_identity import normalized_host
 
 MAX_NUMBER = 2**53 - 1  # every JSON reader takes it for the same whole number, and every writer writes it
+MIN_TIME_MS = 0.001  # the clocks of a process tell no shorter times apart
 MAX_NESTING_DEPTH = 64  # of lists and objects: what can be read can be written again
 _TABLES = frozenset({"route-table", "service-table", "tenant-table"})
 _CHANGE_FIELDS = frozenset({"config-version", "upserts", "removals", "limits"})
@@ -65,6 +67,10 @@
     return _is_number(value) and 0 < value <= MAX_NUMBER
 
 
+def _is_no_tiny_time(value: object) -> bool:
+    return not _is_number(value) or not 0 < value < MIN_TIME_MS
+
+
 def _is_not_negative(value: object) -> bool:
     return _is_number(value) and 0 <= value <= MAX_NUMBER
 
@@ -100,6 +106,10 @@
         FieldCheck(key=key, is_valid=_is_not_negative, text="not a number from 0 to 2^53")
         for key in ("target-ms", "rank", "max-tries", "stretch")
     ),
+    *(
+        FieldCheck(key=key, is_valid=_is_no_tiny_time, text=f"above 0 and below {MIN_TIME_MS}")
+        for key in ("deadline-ms", "target-ms")
+    ),
 )
 _ROUTE_FLAG_CHECKS = (
     FieldCheck(key="public", is_valid=lambda value: isinstance(value, bool), text="not true or false"),
@@ -180,7 +190,8 @@
     for index, row in enumerate(routes):
         place = f"route-table[{index}]"
         yield from _route_findings(row=row, place=place, services=services)
-        host_and_prefix = (str(row.get("host-name")).lower(), str(row.get("path-prefix")))
+        # A request's host counts without its port and in any case.
+        host_and_prefix = (normalized_host(str(row.get("host-name"))), str(row.get("path-prefix")))
         first_index = first_indexes.setdefault(host_and_prefix, index)
         if first_index != index:
             yield Finding(place=place, text=f"shares host and prefix with [{first_index}]")
