Signals that come while a process starts are kept, and do what they do later

Cause: the handlers came with the runtime, after the imports that take time; until then a signal had the system's default effect.

Change: the program's first import keeps SIGHUP and SIGTERM until the runtime takes them up, and has SIGINT end the process with its own code. What comes before the interpreter runs the first line can't be caught (docs/operators.md).

--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from ..common import early_signals
 from ..common.errors import SettingsError
 from ..common.log import Log
 from ..common.settings import load as load_settings
@@ -254,16 +255,28 @@
     # -- settings and signals
 
     async def watch_signals(self, scope: trio.CancelScope) -> None:
-        """SIGTERM drains the node and ends the process; SIGHUP reads the settings again."""
+        """SIGTERM drains the node and ends the process; SIGHUP reads the settings again.
+
+        Signals that came while the process started are handled first.
+        """
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            for number in early_signals.take():
+                if await self._on_signal(number):
+                    scope.cancel()
+                    return
             async for number in signals:
-                if number == signal.SIGHUP:
-                    self.reload_settings()
-                    continue
-                self.log.info("drain-started")
-                await self.drain()
-                scope.cancel()
-                return
+                if await self._on_signal(number):
+                    scope.cancel()
+                    return
+
+    async def _on_signal(self, number: int) -> bool:
+        """Handle a signal; true: the process is to end."""
+        if number == signal.SIGHUP:
+            self.reload_settings()
+            return False
+        self.log.info("drain-started")
+        await self.drain()
+        return True
 
     async def drain(self) -> None:
         """Let other nodes take over what they can."""
--- a/yarrowloom/node/startup.py
+++ b/yarrowloom/node/startup.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..common import early_signals
 from ..common.defaults import load as load_defaults
 from ..common.errors import SettingsError
 from ..common.log import Log
@@ -64,4 +65,5 @@
     settings = load_settings()
     log = Log(name=kind, level=level)
     runtime = open_core(settings=settings, log=log) if kind == "core" else open_edge(settings=settings, log=log)
+    early_signals.restore_interrupt()
     trio.run(runtime.run)
