No input of others ends a process: one guard for requests, heartbeats and messages

Cause: urlsplit raises for what looks like an unfinished IPv6 address, and HTTP calls were handled without a guard: an error went through the loop of inputs into the process's nursery. Messages of peers had one that took errors of this program for malformed input and let others through.

Ruled out: h11 and the short way of reading plain heads.

Malformed input gets 400, or between nodes ends its connection; an error of this program gets 500 and a log event with call, cause and line; the process serves on. A handler of replication that fails half way leaves a group's state in doubt and ends the process on purpose. The path is cut out of the target by hand.

--- /dev/null
+++ b/tests/node/test_hostile_input.py
@@ -0,0 +1,173 @@
+"""No input ends a process: whatever comes, it answers the next sound request.
+
+Few examples in CI, always the same; by hand `HOSTILE_EXAMPLES=50000 pytest tests/node/test_hostile_input.py
+--hypothesis-seed=1` plays as many of each property, drawn from the seed.
+"""
+
+import os
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+
+from tests.support.hostile_input import (
+    HEARTBEAT,
+    JOB,
+    SimulatedRuntime,
+    answers_soundly,
+    control_calls,
+    encoded,
+    exchange,
+    job_calls,
+    lanes,
+    peer_messages,
+    raw_requests,
+    request,
+    runtimes,
+    statuses,
+)
+from yarrowloom.common.errors import InvalidInputError, StateInDoubtError
+from yarrowloom.transport.http_server import Request
+from yarrowloom.transport.message_kinds import Kind, Lane
+
+CI_EXAMPLES = 40
+EXAMPLES = int(os.environ.get("HOSTILE_EXAMPLES", CI_EXAMPLES))
+PEER = "10.1.0.2:7000#0"
+SOUND = Request(method="GET", path="/state", headers={})
+hostile = settings(
+    max_examples=EXAMPLES,
+    derandomize=EXAMPLES == CI_EXAMPLES,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large, HealthCheck.large_base_example],
+)
+
+
+def took(runtime: SimulatedRuntime, data: bytes) -> None:
+    """A process gets these bytes on a connection, answers in whole responses if at all, and serves on."""
+    runtime.warnings.clear()
+    exchange(runtime=runtime, data=data)
+    failures = [fields for event, fields in runtime.warnings if event == "request-failed"]
+    assert failures == []
+    assert answers_soundly(runtime)
+
+
+@hostile
+@given(data=raw_requests)
+def test_no_bytes_of_a_client_end_an_edge(data: bytes) -> None:
+    took(runtimes()[1], data)
+
+
+@hostile
+@given(data=job_calls)
+def test_no_submission_ends_an_edge(data: bytes) -> None:
+    took(runtimes()[1], data)
+
+
+@hostile
+@given(data=raw_requests)
+def test_no_bytes_of_a_caller_end_a_core(data: bytes) -> None:
+    took(runtimes()[0], data)
+
+
+@hostile
+@given(data=control_calls)
+def test_no_heartbeat_and_no_configuration_ends_a_core(data: bytes) -> None:
+    took(runtimes()[0], data)
+
+
+@hostile
+@given(message=peer_messages, lane=lanes)
+def test_no_message_of_a_peer_ends_a_core(message: tuple[Kind, Any], lane: Lane) -> None:
+    core = runtimes()[0]
+    core.warnings.clear()
+    core.receive_frames(PEER, lane, [message], False)
+    failures = [fields for event, fields in core.warnings if event == "message-failed"]
+    assert failures == []
+    assert answers_soundly(core)
+
+
+@pytest.mark.parametrize("index", [0, 1], ids=["core", "edge"])
+def test_a_sound_message_that_is_cut_at_any_byte_ends_nothing(index: int) -> None:
+    runtime = runtimes()[index]
+    path, document = (("/minions/i-9", HEARTBEAT), ("/fast/00000000000000bb", JOB))[index]
+    whole = request(method="PUT" if index == 0 else "POST", path=path, body=encoded(document))
+    for end in range(len(whole)):
+        exchange(runtime=runtime, data=whole[:end])
+    assert answers_soundly(runtime)
+
+
+# Guards against the line that ended an edge: the standard library takes `//[x` for an address of IPv6 without an end.
+def test_a_path_that_looks_like_an_unfinished_address_gets_404() -> None:
+    edge = runtimes()[1]
+    answer = exchange(runtime=edge, data=request(method="GET", path="//[x"))
+    assert statuses(answer)[0] in (404, 503)
+    assert answers_soundly(edge)
+
+
+@pytest.mark.parametrize(
+    ("error", "status", "event"),
+    [
+        (InvalidInputError(text="odd"), 400, "request-malformed"),
+        (RuntimeError("ours"), 500, "request-failed"),
+        (AssertionError("ours"), 500, "request-failed"),
+    ],
+)
+def test_an_error_in_a_handler_is_answered_and_told_and_the_connection_goes_on(
+    error: Exception, status: int, event: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    core = runtimes()[0]
+    is_first = [True]
+    handle: Callable[..., None] = core.node.on_http_request
+
+    def fail_once(**arguments: Any) -> None:
+        if is_first.pop() if is_first else False:
+            raise error
+        handle(**arguments)
+
+    core.warnings.clear()
+    monkeypatch.setattr(core.node, "on_http_request", fail_once)
+    data = request(method="GET", path="/state?x", close=False) + request(method="GET", path="/state")
+    assert statuses(exchange(runtime=core, data=data)) == [status, 200]
+    ((seen, fields),) = core.warnings
+    assert (seen, fields["call"]) == (event, "GET /state?x")
+
+
+def test_a_malformed_message_ends_its_connection_and_an_error_of_ours_does_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    core = runtimes()[0]
+    closed: list[tuple[str, Lane]] = []
+    monkeypatch.setattr(core.guard, "_close_connection", lambda node_id, lane: closed.append((node_id, lane)))
+    core.warnings.clear()
+    core.receive_frames(PEER, Lane.WORK, [(Kind.TASK_ORDERS, {"g": "one"})], False)
+    assert [event for event, _ in core.warnings] == ["frame-malformed"]
+    assert closed == [(PEER, Lane.WORK)]
+
+    def fail(**_: Any) -> None:
+        raise RuntimeError("ours")
+
+    monkeypatch.setattr(core.node, "on_message", fail)
+    core.receive_frames(PEER, Lane.WORK, [(Kind.TASK_ORDERS, {"g": 1})], False)
+    assert [event for event, _ in core.warnings] == ["frame-malformed", "message-failed"]
+    assert closed == [(PEER, Lane.WORK)]
+
+
+def test_a_handler_of_replication_that_fails_ends_the_process_on_purpose(monkeypatch: pytest.MonkeyPatch) -> None:
+    core = runtimes()[0]
+    replica = core.node.replicas[1]  # type: ignore[union-attr]
+
+    def fail(*_: Any, **__: Any) -> None:
+        raise RuntimeError("half way")
+
+    monkeypatch.setattr(replica.acceptor, "prepare", fail)
+    message = {"g": 1, "n": 1, "bal": [1, PEER, 1]}
+    with pytest.raises(StateInDoubtError, match="half way"):
+        core.receive_frames(PEER, Lane.URGENT, [(Kind.PREPARE, message)], False)
+    with pytest.raises(StateInDoubtError):
+        core.guard.run_request(request=SOUND, run=fail_in_doubt, respond=lambda _: None)
+    with pytest.raises(StateInDoubtError):
+        core.error_response(SOUND, StateInDoubtError(text="of a commit"))
+
+
+def fail_in_doubt() -> None:
+    raise StateInDoubtError(text="of a commit")
--- a/yarrowloom/common/errors.py
+++ b/yarrowloom/common/errors.py
@@ -80,6 +80,12 @@
     exit_code = 74
 
 
+class StateInDoubtError(YarrowError):
+    """What this member holds of a group's state can't be told any more: the process ends, and starts anew."""
+
+    code = "state-in-doubt"
+
+
 class UsageError(YarrowError):
     """A command was called wrongly, or its target cannot be reached."""
 
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -7,8 +7,9 @@
 from ..agent.messages import AGENT_MESSAGES, CapacitySummary
 from ..common.defaults import Defaults
 from ..common.effects import Effect, NoEffect
+from ..common.errors import StateInDoubtError
 from ..common.log import Log
-from ..common.records import decode
+from ..common.records import MalformedRecordError, decode
 from ..common.settings import NodeSettings
 from ..replication.effects import BatchSynced, SnapshotSynced
 from ..replication.handover import is_held_elsewhere, may_end
@@ -182,7 +183,20 @@
         self.calls.on_reply(node_id=node_id, reply=decode(body, into=GroupReply))
 
     def _on_group_message(self, *, node_id: str, body: dict[str, Any], kind: Kind) -> None:
-        self.replicas[body["g"]].on(node_id=node_id, kind=kind, body=body)
+        """A message of replication.
+
+        Raises:
+            MalformedRecordError: It isn't one; the replica is as it was, or has discarded its state.
+            StateInDoubtError: Its handler failed, perhaps half way.
+        """
+        replica = self.replicas[body["g"]]
+        try:
+            replica.on(node_id=node_id, kind=kind, body=body)
+        except MalformedRecordError:
+            raise
+        except Exception as error:
+            text = f"group {replica.group_id}, {kind.name} of {node_id}: {error!r}"
+            raise StateInDoubtError(text=text) from error
 
     def on_frames_lost(self, *, node_id: str) -> None:
         """Frames of another node were lost."""
--- a/yarrowloom/node/edge_filters.py
+++ b/yarrowloom/node/edge_filters.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
-from urllib.parse import urlsplit
 
 from ..cluster_state.routing_table import Route, RoutingTable, key_digest
 from ..common.errors import InvalidInputError
@@ -88,10 +87,23 @@
     return None
 
 
+def path_of(target: str) -> str:
+    """The path of a request's target, without its query; of a target in absolute form, what follows the authority.
+
+    >>> [path_of(target) for target in ("/a/b?c", "//[x", "http://h:80/a?b", "http://h", "*")]
+    ['/a/b', '//[x', '/a', '/', '*']
+    """
+    if not target.startswith("/"):
+        scheme, separator, rest = target.partition("://")
+        if separator and scheme.isalpha():
+            target = "/" + rest.partition("/")[2]
+    return target.partition("?")[0].partition("#")[0]
+
+
 def match_route(environment: FilterEnvironment, context: RequestContext) -> Response | None:
     """Find the queue that host and path belong to."""
     assert environment.table is not None
-    context.path = urlsplit(context.request.path).path
+    context.path = path_of(context.request.path)
     context.route = environment.table.select(host=context.host, path=context.path)
     if context.route is None:
         return _if_fresh(environment, Response.of(404, {"error": "no such queue"}))
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -12,7 +12,7 @@
 import trio
 
 from ..common import early_signals
-from ..common.errors import SettingsError
+from ..common.errors import SettingsError, StateInDoubtError
 from ..common.log import Log
 from ..common.settings import load as load_settings
 from ..storage import RingJournal
@@ -26,6 +26,7 @@
 from .draining import drain_core, drain_edge
 from .edge import EdgeNode
 from .http_exchanges import EXCHANGE_MOST_S, HttpExchanges
+from .input_guard import InputGuard
 from .input_scheduler import DuplicateFilter, Input, InputClass, InputScheduler, ParsedBody, classify_message
 
 TICK_CORE_S = 0.05
@@ -39,8 +40,6 @@
 CONTROL_IDLE_MS = 60000
 COUNTERS_PATH = "/tally"
 READINESS_PATH = "/readiness"
-_MALFORMED_ERRORS = (KeyError, IndexError, AttributeError, TypeError, ValueError)
-
 Node = CoreNode | EdgeNode
 
 
@@ -78,6 +77,7 @@
         else:
             self.inputs = InputScheduler(tick=self.tick, interval_s=TICK_EDGE_S)
         self.duplicates = DuplicateFilter()
+        self.guard = InputGuard(log=log, close_connection=self.peers.close_incoming)
         self.exchanges = HttpExchanges()
         self.counters = Counters()
         self.servers: list[Server] = []
@@ -183,21 +183,18 @@
             wait_s = admission_deadline_s(ttl_s=message.get("ttl"), default_s=EXCHANGE_MOST_S)
             expires_at = time.monotonic() + wait_s
             on_expired = partial(
-                self._run_guarded, node_id, kind, partial(node.on_call_expired, node_id=node_id, body=message)
+                self.guard.run_message,
+                node_id=node_id,
+                kind=kind,
+                run=partial(node.on_call_expired, node_id=node_id, body=message),
             )
         run = partial(self._handle_message, node_id, kind, message)
         self.post(run=run, input_class=input_class, expires_at=expires_at, on_expired=on_expired)
 
     def _handle_message(self, node_id: str, kind: Kind, message: ParsedBody) -> None:
         message = self.duplicates.release(node_id=node_id, kind=kind, message=message)
-        self._run_guarded(node_id, kind, partial(self.node.on_message, node_id=node_id, kind=kind, body=message))
-
-    def _run_guarded(self, node_id: str, kind: Kind, run: Input) -> None:
-        """Handle a message that may be malformed: that ends no process."""
-        try:
-            run()
-        except _MALFORMED_ERRORS as error:
-            self.log.warn("frame-malformed", kind=kind.name, peer=node_id, why=repr(error))
+        run = partial(self.node.on_message, node_id=node_id, kind=kind, body=message)
+        self.guard.run_message(node_id=node_id, kind=kind, run=run)
 
     # -- time and disk
 
@@ -232,11 +229,30 @@
             return self.counters_response()
         key = self.exchanges.begin(now=time.monotonic())
         try:
-            self.post(run=partial(self.node.on_http_request, call=key, request=request), input_class=InputClass.AGENT)
+            run = partial(
+                self.guard.run_request,
+                request=request,
+                run=partial(self.node.on_http_request, call=key, request=request),
+                respond=partial(self._respond, key),
+            )
+            self.post(run=run, input_class=InputClass.AGENT)
             return await self.exchanges.response(key=key)
         finally:
             self.exchanges.discard(key=key)
 
+    def _respond(self, key: int, response: Response) -> None:
+        self.exchanges.respond(key=key, response=response)
+
+    def error_response(self, request: Request, error: Exception) -> Response:
+        """The answer to a request whose handler raised.
+
+        Raises:
+            StateInDoubtError: The process must end.
+        """
+        if isinstance(error, StateInDoubtError):
+            raise error
+        return self.guard.error_response(request=request, error=error)
+
     def counters_response(self) -> Response:
         """What this process has done since its start."""
         table = self.node.table
@@ -322,14 +338,14 @@
         node, addresses = self.node, self.node.settings.binds
         if isinstance(node, EdgeNode):
             if "front" in addresses:
-                front = Server(handler=self.handle_request, limits=node.limits)
+                front = Server(handler=self.handle_request, on_error=self.error_response, limits=node.limits)
                 self.servers.append(front)
                 await nursery.start(partial(listen, address=addresses["front"], server=front))
             if "ready" in addresses:
-                probes = Server(handler=self.handle_probe)
+                probes = Server(handler=self.handle_probe, on_error=self.error_response)
                 await nursery.start(partial(listen, address=addresses["ready"], server=probes))
         elif "control" in addresses:
             limits = Limits(body_bytes=CONTROL_BODY_BYTES, header_bytes=CONTROL_HEADER_BYTES, idle_ms=CONTROL_IDLE_MS)
-            control = Server(handler=self.handle_request, limits=limits)
+            control = Server(handler=self.handle_request, on_error=self.error_response, limits=limits)
             self.servers.append(control)
             await nursery.start(partial(listen, address=addresses["control"], server=control))
--- a/yarrowloom/transport/http_server.py
+++ b/yarrowloom/transport/http_server.py
@@ -70,6 +70,11 @@
 
 
 Handler = Callable[[Request], Awaitable[Response]]
+ErrorHandler = Callable[[Request, Exception], Response]
+
+
+def _internal_error(_request: Request, _error: Exception) -> Response:
+    return Response(status=500)
 
 
 @dataclass(kw_only=True)
@@ -78,11 +83,13 @@
 
     Attributes:
         handler: Answers a request.
+        on_error: Makes the answer to a request whose handler raised.
         closing: Each response is the last of its connection.
         busy: Requests that are being answered.
     """
 
     handler: Handler
+    on_error: ErrorHandler = _internal_error
     limits: Limits = field(default_factory=Limits)
     closing: bool = False
     busy: int = 0
@@ -92,6 +99,8 @@
         self.busy += 1
         try:
             return await self.handler(request)
+        except Exception as error:
+            return self.on_error(request, error)
         finally:
             self.busy -= 1
 
--- a/yarrowloom/transport/peer_connections.py
+++ b/yarrowloom/transport/peer_connections.py
@@ -74,6 +74,8 @@
         self._outgoing: dict[tuple[str, Lane], _Outgoing] = {}
         self._tracker = SequenceTracker()
         self._accepted = 0  # connections so far
+        self._receiving: dict[int, trio.CancelScope] = {}  # by connection: what ends it
+        self._newest: dict[tuple[str, Lane], int] = {}  # by node and lane: the connection of its last good frame
         self._checked: dict[int, tuple[int, str, str, int]] = {}  # by connection: the last good envelope
         self._reported: dict[int, None] = {}  # connections with frames of a retired incarnation
         self._nursery: trio.Nursery | None = None
@@ -188,13 +190,29 @@
         connection = self._accepted
         challenge = MAGIC + secrets.token_bytes(CHALLENGE_BYTES - len(MAGIC))
         try:
-            with suppress(trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError, OSError), trio.CancelScope() as scope:
+                self._receiving[connection] = scope
                 await stream.send_all(challenge)
                 await self._receive_frames(stream=stream, connection=connection, challenge=challenge)
         finally:
-            self._checked.pop(connection, None)
+            self._forget_connection(connection)
             await trio.aclose_forcefully(stream)
 
+    def _forget_connection(self, connection: int) -> None:
+        del self._receiving[connection]
+        envelope = self._checked.pop(connection, None)
+        if envelope is None:
+            return
+        lane_number, _, node_id, _ = envelope
+        if self._newest.get((node_id, Lane(lane_number))) == connection:
+            del self._newest[node_id, Lane(lane_number)]
+
+    def close_incoming(self, node_id: str, lane: Lane) -> None:
+        """End the connection on which a node's frames of a lane come; what it still holds is lost."""
+        connection = self._newest.get((node_id, lane))
+        if connection is not None:
+            self._receiving[connection].cancel()
+
     async def _receive_frames(self, *, stream: trio.SocketStream, connection: int, challenge: bytes) -> None:
         """Take what one connection brings until it ends or brings what cannot be read."""
         rest = await self._read_opening(stream=stream, challenge=challenge)
@@ -206,7 +224,8 @@
             except MalformedFrameError as error:
                 frames, malformed = error.frames, str(error)
             for frame in frames:
-                self._deliver(frame, connection=connection)
+                if not self._deliver(frame, connection=connection):
+                    return
             if malformed is not None:
                 self.log.warn("peer-malformed", why=malformed)
                 return
@@ -225,8 +244,12 @@
                 return None
         return bytes(opening[CHALLENGE_BYTES:])
 
-    def _deliver(self, frame: Frame, *, connection: int) -> None:
-        """Hand a frame's messages to the sink, unless it is malformed, repeated or of a retired incarnation."""
+    def _deliver(self, frame: Frame, *, connection: int) -> bool:
+        """Hand a frame's messages to the sink, unless it is malformed, repeated or of a retired incarnation.
+
+        Returns:
+            Whether it is well formed.
+        """
         # Reading a protobuf field is not cheap: each is read once.
         lane_number, source, node_id = frame.lane, frame.source, frame.node_id
         incarnation, sequence = frame.incarnation, frame.sequence
@@ -237,8 +260,9 @@
             )
             if fault:
                 self.log.warn("frame-malformed", peer=node_id, why=fault)
-                return
+                return False
             self._checked[connection] = envelope
+            self._newest[node_id, Lane(lane_number)] = connection
         is_new, is_gap = self._tracker.take(
             source=source,
             lane=lane_number,
@@ -248,21 +272,24 @@
             connection=connection,
         )
         if is_new:
-            self._hand_over(node_id=node_id, lane=Lane(lane_number), body=frame.body, is_gap=is_gap)
-        else:
-            self._report_retired(source=source, identity=SenderIdentity(node_id, incarnation), connection=connection)
+            return self._hand_over(node_id=node_id, lane=Lane(lane_number), body=frame.body, is_gap=is_gap)
+        self._report_retired(source=source, identity=SenderIdentity(node_id, incarnation), connection=connection)
+        return True
 
-    def _hand_over(self, *, node_id: str, lane: Lane, body: bytes, is_gap: bool) -> None:
+    def _hand_over(self, *, node_id: str, lane: Lane, body: bytes, is_gap: bool) -> bool:
+        """Hand over what a frame holds; false: its body cannot be read, which counts as a loss."""
+        is_readable = True
         unknown: set[int] = set()
         try:
             messages = split_messages(body=body, unknown=unknown)
         except (ValueError, TypeError) as error:
             self.log.warn("frame-malformed", peer=node_id, why=repr(error))
-            lane, messages, is_gap = Lane.WORK, [], True
+            lane, messages, is_gap, is_readable = Lane.WORK, [], True, False
         if unknown:
             self.log.warn("frame-kind-unknown", peer=node_id, kinds=sorted(unknown)[:8])
         if messages or is_gap:
             self.sink(node_id, lane, messages, is_gap)
+        return is_readable
 
     def _report_retired(self, *, source: str, identity: SenderIdentity, connection: int) -> None:
         """Log, once for each connection, that its frames are those of an incarnation that does not count any more."""
