--- a/tests/replication/test_backup_selection.py
+++ b/tests/replication/test_backup_selection.py
@@ -111,3 +111,16 @@
     backups.on_stored(node_id="b")
     assert backups.stored_by == ["d", "b"]
     assert backups.usable() == ["b"]
+
+
+def test_a_member_that_started_anew_is_sent_the_snapshot_again_and_counts_as_untried() -> None:
+    backups = selection(FakeEnvironment(members=["b"]))
+    attempt(backups, is_new=True)
+    assert backups.on_restarted(address="d") == []
+    assert backups.on_restarted(address="b") == ["b"]
+    backups.attempt_failed()
+    assert backups.on_restarted(address="b") == ["b"]
+    attempt(backups, is_new=False)
+    assert backups.recipients == ["b"]
+    backups.on_stored(node_id="b")
+    assert backups.on_restarted(address="b") == []
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -198,6 +198,12 @@
             text = f"group {replica.group_id}, {kind.name} of {node_id}: {error!r}"
             raise StateInDoubtError(text=text) from error
 
+    def on_peer_restarted(self, *, address: str) -> None:
+        """A newer incarnation of the node at an address was heard: what was under way to the one before is lost."""
+        for replica in self.replicas.values():
+            if replica.election is not None:
+                replica.election.on_peer_restarted(address=address)
+
     def on_frames_lost(self, *, node_id: str) -> None:
         """Frames of another node were lost."""
         self.on_agent_frames_lost(node_id=node_id)
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -66,6 +66,7 @@
             incarnation=node.incarnation,
             sink=self.receive_frames,
             log=log,
+            on_restart=self._on_peer_restarted,
         )
         self.disk_writer: DiskWriter | None = None
         if isinstance(node, CoreNode):
@@ -175,6 +176,12 @@
         elif lane is Lane.WORK:
             self.post(run=partial(node.on_frames_lost, node_id=node_id), input_class=InputClass.AGENT)
 
+    def _on_peer_restarted(self, address: str) -> None:
+        """What was under way to a peer went to an incarnation of it that is no more."""
+        if isinstance(self.node, CoreNode):
+            run = partial(self.node.on_peer_restarted, address=address)
+            self.post(run=run, input_class=InputClass.URGENT)
+
     def _post_message(self, *, node_id: str, kind: Kind, message: ParsedBody) -> None:
         node = self.node
         input_class = classify_message(kind=kind, message=message)
--- a/yarrowloom/replication/backup_selection.py
+++ b/yarrowloom/replication/backup_selection.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .environment import ReplicaEnvironment
-from .epoch import Epoch
+from .epoch import Epoch, addr_of
 
 STARTUP_WAIT_S = 0.5  # how long members that may be starting are waited for
 TRANSFER_TIMEOUT_S = 0.6  # of the first transfer; doubles with each further one, up to
@@ -97,6 +97,19 @@
         """Recipients that have not answered in time are given up on."""
         self._tried.update(node_id for node_id in self.recipients if node_id not in self.stored_by)
 
+    def on_restarted(self, *, address: str) -> list[str]:
+        """A member's process has started anew: it may be asked again.
+
+        Returns:
+            The recipients at the address that have not stored the snapshot, if it was sent in this attempt.
+        """
+        self._tried = {node_id for node_id in self._tried if addr_of(node_id=node_id) != address}
+        return [
+            node_id
+            for node_id in self.recipients
+            if addr_of(node_id=node_id) == address and node_id not in self.stored_by
+        ]
+
     def select(self, *, epoch: Epoch) -> Outcome:
         """Look at the members and choose the recipients.
 
--- a/yarrowloom/replication/election.py
+++ b/yarrowloom/replication/election.py
@@ -215,16 +215,25 @@
         self._enter(Phase.TRANSFER)
         if is_new or self.snapshot is None:
             self.snapshot = self._propose_snapshot(epoch_number=epoch_number)
+        self._transfer(self.snapshot, recipients=backups.recipients)
+        self._continue_if_stored()
+
+    def _transfer(self, snapshot: SnapshotRecord, *, recipients: list[str]) -> None:
         transfer = SnapshotTransfer(
-            group_id=self.snapshot.group_id,
-            epoch_number=self.snapshot.epoch_number,
-            snapshot_id=self.snapshot.snapshot_id,
-            last_applied=self.snapshot.last_applied,
-            state=self.snapshot.state,
+            group_id=snapshot.group_id,
+            epoch_number=snapshot.epoch_number,
+            snapshot_id=snapshot.snapshot_id,
+            last_applied=snapshot.last_applied,
+            state=snapshot.state,
         )
-        for node_id in backups.recipients:
+        for node_id in recipients:
             self._environment.send_message(node_id=node_id, message=transfer)
-        self._continue_if_stored()
+
+    def on_peer_restarted(self, *, address: str) -> None:
+        """A member's process has started anew: a snapshot that was under way to it is lost, so it is sent again."""
+        recipients = self.backups.on_restarted(address=address)
+        if self.phase is Phase.TRANSFER and self.snapshot is not None and recipients:
+            self._transfer(self.snapshot, recipients=recipients)
 
     def _propose_snapshot(self, *, epoch_number: int) -> SnapshotRecord:
         """Write the snapshot that the next epoch is to begin with, or go on with the one from before a restart."""
--- a/yarrowloom/transport/peer_connections.py
+++ b/yarrowloom/transport/peer_connections.py
@@ -36,27 +36,56 @@
 
 Messages = list[tuple[Kind, Any]]
 MessageSink = Callable[[str, Lane, Messages, bool], None]
+RestartListener = Callable[[str], None]
 SEND_ERRORS = (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 @dataclass(slots=True, kw_only=True)
 class _Outgoing:
-    """What leaves for one peer in one lane: the queue, and the event that wakes its sending task."""
+    """What leaves for one peer in one lane.
+
+    Attributes:
+        queue: The messages.
+        wake: Wakes the sending task.
+        is_outdated: The connection was opened to an earlier incarnation of the peer.
+        sending: Ends the sending of the present frame; None: none is being sent.
+    """
 
     queue: SendQueue = field(default_factory=SendQueue)
     wake: trio.Event = field(default_factory=trio.Event)
+    is_outdated: bool = False
+    sending: trio.CancelScope | None = None
+
+    def renew(self) -> None:
+        """Have the connection closed, and what is being sent on it fail."""
+        self.is_outdated = True
+        self.wake.set()
+        if self.sending is not None:
+            self.sending.cancel()
 
 
 class PeerConnections:
     """Owns the sockets to and from other nodes.
 
+    A connection to a peer belongs to an incarnation of it: with the first frame of a newer one it is closed. After a
+    loss of power it looks whole for long, and all that is sent on it is lost.
+
     Whoever accepts a connection numbers it and then sends a random challenge, which the other side sends back ahead of
     its first frame. So the sender of a frame was alive after its connection got its number, and of two processes that
     followed each other at an address the later one has the higher numbers, whatever a network partition or a full
     backlog delayed.
     """
 
-    def __init__(self, *, address: str, node_id: str, incarnation: int, sink: MessageSink, log: Log) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        node_id: str,
+        incarnation: int,
+        sink: MessageSink,
+        log: Log,
+        on_restart: RestartListener | None = None,
+    ) -> None:
         """Create the connections of a node; `run` opens them.
 
         Args:
@@ -65,12 +94,14 @@
             incarnation: The number of this process among those with this node id.
             sink: Takes (node id, lane, messages, whether messages before them were lost).
             log: Where malformed input is reported.
+            on_restart: Is told the address of a peer of which a newer incarnation was heard.
         """
         self.address = address
         self.node_id = node_id
         self.incarnation = incarnation
         self.sink = sink
         self.log = log
+        self.on_restart = on_restart
         self._outgoing: dict[tuple[str, Lane], _Outgoing] = {}
         self._tracker = SequenceTracker()
         self._accepted = 0  # connections so far
@@ -113,11 +144,11 @@
     # -- sending
 
     async def _wake_for_probes(self) -> None:
-        """Wake lanes of work that fell silent: their receivers could not notice that the last frames were lost."""
+        """Wake lanes that fell silent: nobody could notice that the last frames were lost with a dead connection."""
         while True:
             await trio.sleep(PROBE_INTERVAL_S)
-            for (_, lane), outgoing in self._outgoing.items():
-                if lane is Lane.WORK and outgoing.queue.probes_due > 0:
+            for outgoing in self._outgoing.values():
+                if outgoing.queue.probes_due > 0:
                     outgoing.wake.set()
 
     async def _send_frames(self, address: str, lane: Lane, outgoing: _Outgoing) -> None:
@@ -127,25 +158,36 @@
         try:
             while True:
                 held_messages = await self._next(outgoing)
+                if outgoing.is_outdated:
+                    outgoing.is_outdated = False
+                    await self._close(stream)
+                    stream = None
                 sequence, body = outgoing.queue.take()
                 frame = encoder.encode(sequence=sequence, body=body)
-                try:
-                    if stream is None:
-                        with trio.fail_after(CONNECT_TIMEOUT_S):
-                            stream = await self._connect(address=address)
-                    with trio.fail_after(SEND_TIMEOUT_S):
-                        await stream.send_all(frame)
-                    outgoing.queue.on_sent(held_messages=held_messages)
-                except SEND_ERRORS:
-                    outgoing.queue.on_failure(lost_messages=held_messages or stream is not None)
-                    if stream is not None:
-                        await trio.aclose_forcefully(stream)
-                    stream = None
-                    await trio.sleep(RECONNECT_PAUSE_S)
+                with trio.CancelScope() as outgoing.sending:
+                    try:
+                        if stream is None:
+                            with trio.fail_after(CONNECT_TIMEOUT_S):
+                                stream = await self._connect(address=address)
+                        with trio.fail_after(SEND_TIMEOUT_S):
+                            await stream.send_all(frame)
+                        outgoing.queue.on_sent(held_messages=held_messages)
+                        continue
+                    except SEND_ERRORS:
+                        pass
+                outgoing.queue.on_failure(lost_messages=held_messages or stream is not None)
+                await self._close(stream)
+                stream = None
+                await trio.sleep(RECONNECT_PAUSE_S)
         finally:
             if stream is not None:
                 stream.socket.close()
 
+    @staticmethod
+    async def _close(stream: trio.SocketStream | None) -> None:
+        if stream is not None:
+            await trio.aclose_forcefully(stream)
+
     @staticmethod
     async def _next(outgoing: _Outgoing) -> bool:
         """Wait for messages; false: there are none, but a probe is due."""
@@ -263,6 +305,7 @@
                 return False
             self._checked[connection] = envelope
             self._newest[node_id, Lane(lane_number)] = connection
+        former = self._tracker.current(source=source)
         is_new, is_gap = self._tracker.take(
             source=source,
             lane=lane_number,
@@ -271,11 +314,21 @@
             sequence=sequence,
             connection=connection,
         )
+        if is_new and is_gap and former is not None and former != (node_id, incarnation):
+            self._on_successor(address=source)
         if is_new:
             return self._hand_over(node_id=node_id, lane=Lane(lane_number), body=frame.body, is_gap=is_gap)
         self._report_retired(source=source, identity=SenderIdentity(node_id, incarnation), connection=connection)
         return True
 
+    def _on_successor(self, *, address: str) -> None:
+        """A newer incarnation of a peer was heard: connections to the one before lead nowhere."""
+        for (peer, _), outgoing in self._outgoing.items():
+            if peer == address:
+                outgoing.renew()
+        if self.on_restart is not None:
+            self.on_restart(address)
+
     def _hand_over(self, *, node_id: str, lane: Lane, body: bytes, is_gap: bool) -> bool:
         """Hand over what a frame holds; false: its body cannot be read, which counts as a loss."""
         is_readable = True
