--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,10 +1,10 @@
 """Faults that are known: tests that the full run leaves out and that are then run by themselves, and other cases.
 
-KNOWN-RED.txt has one fault a line: NAME | COMMAND AND SEED | WHAT WAS SEEN | ISSUE. A name with `::` is a test of pytest;
-any other is a case that no such test shows, which is printed and not run.
+KNOWN-RED.txt has one fault a line: NAME | COMMAND AND SEED | WHAT WAS SEEN | ISSUE. A name with `::` is a test of
+pytest; any other is a case that no such test shows, which is printed and not run.
 
-Usage: `python tests/known_red.py deselect` prints pytest's flags; `python tests/known_red.py run` runs the tests and ends
-with 1 if one has turned green (it is to be taken off the list), is missing, or if more than three are listed.
+Usage: `python tests/known_red.py deselect` prints pytest's flags; `python tests/known_red.py run` runs the tests and
+ends with 1 if one has turned green (it is to be taken off the list), is missing, or if more than three are listed.
 """
 
 import subprocess
