--- a/yarrowloom/jobs/state_machine.py
+++ b/yarrowloom/jobs/state_machine.py
@@ -1,6 +1,5 @@
 """The state of a job group, changed by one reducer over all its events; what follows comes back as effects."""
 
-from collections.abc import Iterator
 from typing import Any, assert_never
 
 from msgspec import UNSET
@@ -8,9 +7,9 @@
 from ..common.queue_identity import QueueIdentity
 from ..common.records import decode
 from ..kv import ABSENT, KeyValueStore, PlaceEntry, SubmissionEntry, VersionedRecord
-from ..transactions import Change, TransactionConflictError, apply_commit_batch, wall_ms
+from ..transactions import TransactionConflictError, apply_commit_batch, wall_ms
 from ..transactions.clock import TICKS_PER_MS
-from .effects import JobEffect, JobEnded, JobTimed, StopTask, UnitReady
+from .effects import JobEffect, JobEnded, JobTimed, UnitReady
 from .events import (
     BEGUN_OUTCOMES,
     JobCancelled,
@@ -21,16 +20,17 @@
     MinionLost,
     PlacementsChanged,
     RunDue,
-    RunEnd,
     RunOutcome,
     TaskEnded,
     TasksStarted,
     decode_job_event,
 )
 from .history import JobHistory
+from .indexes import JobIndexes
 from .model import DONE, RUNNING, TRANSITIONS, WAITING, Job, JobState, Unit
 from .placements import PlacementClient
 from .record_keys import parse_place_key, submission_key
+from .run_ends import end_of, shared_index_of, stops_of
 from .snapshot import dump_jobs, load_jobs, show_running, store_of_jobs
 from .submission import Step
 from .task_name import TaskAddress, task_name
@@ -45,8 +45,7 @@
         store: The group's records: which jobs were submitted, where tasks run, what tenants' tasks hold.
         jobs: By job id. What the records say is copied here, for quick access.
         history: What is learned of the same events; None where none is kept.
-        running_by_minion: An index: by minion id, the RUNNING tasks. Invariant: no entry is empty.
-        pending_by_queue: By queue, how many jobs are PENDING. Invariant: no count is 0.
+        indexes: By minion and by queue.
     """
 
     def __init__(self, *, history: JobHistory | None = None) -> None:
@@ -54,8 +53,17 @@
         self._log_client = PlacementClient(name=LOG_CLIENT, state=self)
         self.jobs: dict[str, Job] = {}
         self.history = history
-        self.running_by_minion: dict[str, set[TaskAddress]] = {}
-        self.pending_by_queue: dict[QueueIdentity, int] = {}
+        self.indexes = JobIndexes()
+
+    @property
+    def running_by_minion(self) -> dict[str, set[TaskAddress]]:
+        """By minion id, the RUNNING tasks."""
+        return self.indexes.running_by_minion
+
+    @property
+    def pending_by_queue(self) -> dict[QueueIdentity, int]:
+        """By queue, how many jobs are PENDING."""
+        return self.indexes.pending_by_queue
 
     # -- snapshots
 
@@ -90,17 +98,7 @@
         if self.history is not None:
             self.history.load(history)
         self.jobs, self.store = jobs, store
-        self._rebuild_indexes()
-
-    def _rebuild_indexes(self) -> None:
-        self.running_by_minion, self.pending_by_queue = {}, {}
-        for job_id, job in self.jobs.items():
-            if job.state is JobState.PENDING:
-                self._count_pending(job=job)
-            for unit_key, unit in job.units.items():
-                for index in unit.indices(state=RUNNING):
-                    addresses = self.running_by_minion.setdefault(unit.minion_ids[index], set())
-                    addresses.add(TaskAddress(job_id, unit_key, index))
+        self.indexes = JobIndexes.of(jobs)
 
     # -- events
 
@@ -141,7 +139,7 @@
             return []
         job = Job.accepted(event.job)
         self.jobs[event.job_id] = job
-        self._count_pending(job=job)
+        self.indexes.add_pending(job)
         if self.history is not None:
             self.history.note_job(
                 at_ms=job.accepted_at_ms,
@@ -216,7 +214,7 @@
                 if event.is_begin_reported is UNSET:
                     self._mark_begun(self.jobs[address.job_id])
             else:
-                effects += self._end_task(_end_of(address, change=change, end=next(ends)))
+                effects += self._end_task(end_of(address, change=change, end=next(ends)))
         return effects
 
     def _start_task(self, address: TaskAddress, *, entry: PlaceEntry, started_at_ms: int) -> None:
@@ -224,7 +222,7 @@
         assert unit.task_states[address.task_index] is WAITING
         assert entry.run_id > unit.run_ids[address.task_index]
         show_running(unit, index=address.task_index, entry=entry, started_at_ms=started_at_ms)
-        self.running_by_minion.setdefault(entry.minion_id, set()).add(address)
+        self.indexes.add_running(address, minion_id=entry.minion_id)
 
     def _note_begun(self, event: JobsBegun) -> list[JobEffect]:
         for job_id in event.job_ids:
@@ -275,7 +273,7 @@
                 outcome=event.outcome,
                 ran_ms=float(max(event.ended_at_ms - started_at_ms, 0)),
                 minion_id=unit.minion_ids[event.index],
-                began_afresh=not unit.saved_progress[_shared_index(step=step, index=event.index)],
+                began_afresh=not unit.saved_progress[shared_index_of(step=step, index=event.index)],
             )
         if event.outcome == RunOutcome.DONE and not step.is_long_running:
             effects = self._complete_task(event, job=job, step=step, unit=unit)
@@ -301,7 +299,7 @@
     def _return_task(self, event: TaskEnded, *, job: Job, step: Step, unit: Unit) -> list[JobEffect]:
         """A run ended without the task being done: the task waits again, unless its job fails by it."""
         unit.task_states[event.index] = WAITING
-        shared_index = _shared_index(step=step, index=event.index)
+        shared_index = shared_index_of(step=step, index=event.index)
         if event.saved_progress:
             unit.saved_progress[shared_index] = event.saved_progress
         has_failed = event.outcome == RunOutcome.FAILED and not step.is_long_running
@@ -314,7 +312,7 @@
             return self._end_early(job_id=event.job_id, state=JobState.FAILED, at_ms=event.ended_at_ms)
         if step.is_gang and unit.has_running_task():
             # The others are stopped, also those whose order is still on its way: they would wait alone.
-            return list(_stops(job_id=event.job_id, unit_key=event.unit_key, unit=unit))
+            return list(stops_of(job_id=event.job_id, unit_key=event.unit_key, unit=unit))
         return [UnitReady(job_id=event.job_id, unit_key=event.unit_key)]
 
     def _finish_unit(self, *, job_id: str, unit_key: str) -> list[JobEffect]:
@@ -393,7 +391,7 @@
         self._note_end_of_job(job_id=job_id, job=job, at_ms=at_ms)
         effects: list[JobEffect] = [JobEnded(job_id=job_id)]
         for unit_key, unit in job.units.items():
-            effects += _stops(job_id=job_id, unit_key=unit_key, unit=unit)
+            effects += stops_of(job_id=job_id, unit_key=unit_key, unit=unit)
         self._trim_if_over(job=job)
         return effects
 
@@ -414,55 +412,8 @@
     def _move(self, *, job: Job, to: JobState) -> None:
         assert to in TRANSITIONS[job.state], (job.state, to)
         if job.state is JobState.PENDING:
-            self._uncount_pending(job=job)
+            self.indexes.remove_pending(job)
         job.state = to
 
-    def _count_pending(self, *, job: Job) -> None:
-        queue = job.queue_identity
-        self.pending_by_queue[queue] = self.pending_by_queue.get(queue, 0) + 1
-
-    def _uncount_pending(self, *, job: Job) -> None:
-        queue = job.queue_identity
-        self.pending_by_queue[queue] -= 1
-        if not self.pending_by_queue[queue]:
-            del self.pending_by_queue[queue]
-
     def _untrack(self, *, job_id: str, unit_key: str, unit: Unit, index: int) -> None:
-        minion_id = unit.minion_ids[index]
-        addresses = self.running_by_minion.get(minion_id)
-        if addresses is not None:
-            addresses.discard(TaskAddress(job_id, unit_key, index))
-            if not addresses:
-                del self.running_by_minion[minion_id]
-
-
-def _end_of(address: TaskAddress, *, change: Change, end: RunEnd) -> TaskEnded:
-    """The end of the run whose place entry a commit deleted."""
-    entry = change.record.previous.value if change.record.previous is not None else None
-    assert isinstance(entry, PlaceEntry), "only an entry that stands can be deleted on its ETag"
-    return TaskEnded(
-        job_id=address.job_id,
-        unit_key=address.unit_key,
-        index=address.task_index,
-        run_id=entry.run_id,
-        outcome=end.outcome,
-        saved_progress=end.saved_progress,
-        max_attempts=end.max_attempts,
-        ended_at_ms=wall_ms(time=change.record.valid_from) if end.has_end_time else 0,
-    )
-
-
-def _shared_index(*, step: Step, index: int) -> int:
-    """Where a task's progress and failures are kept: a gang shares those of its first member."""
-    return 0 if step.is_gang else index
-
-
-def _stops(*, job_id: str, unit_key: str, unit: Unit) -> Iterator[StopTask]:
-    """Stop all that runs of a unit."""
-    for index in unit.indices(state=RUNNING):
-        yield StopTask(
-            minion_id=unit.minion_ids[index],
-            job_id=job_id,
-            task=task_name(job_id=job_id, unit_key=unit_key, index=index),
-            run_id=unit.run_ids[index],
-        )
+        self.indexes.remove_running(TaskAddress(job_id, unit_key, index), minion_id=unit.minion_ids[index])
