--- a/tests/transport/test_peer_restart.py
+++ b/tests/transport/test_peer_restart.py
@@ -6,12 +6,13 @@
 
 import pytest
 import trio
+import trio.testing
 
 from tests.support.loopback import HOST, reserved_ports
 from yarrowloom.common.log import Log
 from yarrowloom.transport.envelope import Frame, join_messages, pack_frame
 from yarrowloom.transport.message_kinds import Kind, Lane
-from yarrowloom.transport.peer_connections import MAGIC, PeerConnections
+from yarrowloom.transport.peer_connections import MAGIC, PROBE_INTERVAL_S, PeerConnections, _Outgoing
 
 LOG = Log(name="t", level="error")
 LIMIT_S = 20.0
@@ -106,3 +107,20 @@
                 sending.cancel_scope.cancel()
 
     trio.run(main)
+
+
+# Guards against a snapshot that is lost on a dead connection and that nothing is sent after, so nobody notices.
+def test_lanes_that_fell_silent_are_probed_and_busy_ones_are_not() -> None:
+    address = f"{HOST}:1"
+    peers = PeerConnections(address=f"{HOST}:2", node_id=f"{HOST}:2#0", incarnation=1, sink=lambda *_: None, log=LOG)
+    for lane in Lane:
+        peers._outgoing[address, lane] = _Outgoing()
+        peers._outgoing[address, lane].queue.probes_due = 1
+    peers._outgoing[address, Lane.URGENT].has_sent = True
+
+    async def main() -> list[Lane]:
+        with trio.move_on_after(1.5 * PROBE_INTERVAL_S):
+            await peers._wake_for_probes()
+        return [lane for lane in Lane if peers._outgoing[address, lane].wake.is_set()]
+
+    assert trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)) == [Lane.WORK, Lane.COPY]
--- a/yarrowloom/transport/peer_connections.py
+++ b/yarrowloom/transport/peer_connections.py
@@ -48,13 +48,15 @@
         queue: The messages.
         wake: Wakes the sending task.
         is_outdated: The connection was opened to an earlier incarnation of the peer.
-        sending: Ends the sending of the present frame; None: none is being sent.
+        sending: Ends the sending of the present frame; None: none was sent yet.
+        has_sent: A frame has left since the last look for silent lanes.
     """
 
     queue: SendQueue = field(default_factory=SendQueue)
     wake: trio.Event = field(default_factory=trio.Event)
     is_outdated: bool = False
     sending: trio.CancelScope | None = None
+    has_sent: bool = False
 
     def renew(self) -> None:
         """Have the connection closed, and what is being sent on it fail."""
@@ -147,8 +149,10 @@
         """Wake lanes that fell silent: nobody could notice that the last frames were lost with a dead connection."""
         while True:
             await trio.sleep(PROBE_INTERVAL_S)
-            for outgoing in self._outgoing.values():
-                if outgoing.queue.probes_due > 0:
+            for (_, lane), outgoing in self._outgoing.items():
+                is_silent, outgoing.has_sent = not outgoing.has_sent, False
+                # Lanes of work are probed in any case: a gap there must be found as soon as can be.
+                if outgoing.queue.probes_due > 0 and (is_silent or lane is Lane.WORK):
                     outgoing.wake.set()
 
     async def _send_frames(self, address: str, lane: Lane, outgoing: _Outgoing) -> None:
@@ -172,6 +176,7 @@
                         with trio.fail_after(SEND_TIMEOUT_S):
                             await stream.send_all(frame)
                         outgoing.queue.on_sent(held_messages=held_messages)
+                        outgoing.has_sent = True
                         continue
                     except SEND_ERRORS:
                         pass
