--- a/tests/node/test_hostile_input.py
+++ b/tests/node/test_hostile_input.py
@@ -4,13 +4,16 @@
 --hypothesis-seed=1` plays as many of each property, drawn from the seed.
 """
 
+import json
 import os
+import pathlib
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, given, settings
 
+from tests.support import loopback
 from tests.support.hostile_input import (
     HEARTBEAT,
     JOB,
@@ -28,6 +31,7 @@
     statuses,
 )
 from yarrowloom.common.errors import InvalidInputError, StateInDoubtError
+from yarrowloom.common.settings import SETTINGS_FILE_VARIABLE
 from yarrowloom.transport.http_server import Request
 from yarrowloom.transport.message_kinds import Kind, Lane
 
@@ -171,3 +175,20 @@
 
 def fail_in_doubt() -> None:
     raise StateInDoubtError(text="of a commit")
+
+
+# Guards against a settings file with values of other types that ends the process which reads it again.
+@pytest.mark.parametrize("disk_mb", [{"a": 1}, "x", [1, 2]])
+def test_a_settings_file_that_cannot_be_used_is_passed_over(
+    disk_mb: Any, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    core = runtimes()[0]
+    document = loopback.settings(binds={"control": "127.0.0.1:1"}, inner=7000, seed="127.0.0.1:1", data="/d")
+    file = tmp_path / "local.json"
+    file.write_text(json.dumps({**document, "limits": {"disk-mb": disk_mb}}))
+    monkeypatch.setenv(SETTINGS_FILE_VARIABLE, str(file))
+    former = core.node.settings
+    core.warnings.clear()
+    core.reload_settings()
+    assert [event for event, _ in core.warnings] == ["settings-refused"]
+    assert core.node.settings is former
