An error of a tick or a sync ends the process, also inside a request's task

Inputs are handled in the task of whoever queued one last, so an AssertionError of a tick, or of what follows a sync, was answered with 500 where it happened to be handled in a request's task, and the process went on with state in doubt.

Change: what a queued input raises past the guard of input of others is a StateInDoubtError, which passes through the server.

Before: both new cases fail.

--- a/tests/node/test_hostile_input.py
+++ b/tests/node/test_hostile_input.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pytest
+import trio
 from hypothesis import HealthCheck, given, settings
 
 from tests.support import loopback
@@ -32,6 +33,7 @@
 )
 from yarrowloom.common.errors import InvalidInputError, StateInDoubtError
 from yarrowloom.common.settings import SETTINGS_FILE_VARIABLE
+from yarrowloom.node.input_scheduler import InputClass
 from yarrowloom.transport.http_server import Request
 from yarrowloom.transport.message_kinds import Kind, Lane
 
@@ -173,6 +175,24 @@
         core.error_response(SOUND, StateInDoubtError(text="of a commit"))
 
 
+# Guards against an error of a tick or a sync that is answered with 500 because it happened in a request's task: what
+# the process holds is in doubt then, and it must end.
+@pytest.mark.parametrize("input_class", [InputClass.URGENT, InputClass.SCHEDULING])
+def test_an_error_that_no_input_of_others_caused_ends_the_process_whoever_handles_it(input_class: InputClass) -> None:
+    core = runtimes()[0]
+
+    def fail() -> None:
+        raise AssertionError("of a sync")
+
+    async def main() -> None:
+        core.inputs.put(run=fail, input_class=input_class)
+        await core.server.handle(SOUND)
+
+    with pytest.raises(StateInDoubtError, match="of a sync"):
+        trio.run(main)
+    assert answers_soundly(core)
+
+
 def fail_in_doubt() -> None:
     raise StateInDoubtError(text="of a commit")
 
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -96,6 +96,22 @@
         run()
         self._carry_out()
 
+    def _step_or_end(self, run: Input) -> None:
+        """Give the node an input that was queued.
+
+        Input of others has its guard, so what raises here goes by time or follows a sync. It is handled in the task of
+        whoever queued an input last, and must not pass for an error of that one.
+
+        Raises:
+            StateInDoubtError: The input failed, perhaps half way.
+        """
+        try:
+            self.step(run)
+        except StateInDoubtError:
+            raise
+        except Exception as error:
+            raise StateInDoubtError(text=repr(error)) from error
+
     def _carry_out(self) -> None:
         """Send, write and answer what the node put into its outbox."""
         outbox = self.node.out
@@ -129,7 +145,7 @@
                 run = inputs.take(now=now)
                 if run is None:
                     break
-                self.step(run)
+                self._step_or_end(run)
                 before, now = now, time.monotonic()
                 self.credit_s -= now - before
         finally:
