A renewed connection keeps what was queued for the newer incarnation

Change: a frame that is cut off by a renewal loses itself only; the queue goes to the newer incarnation. Which connections a node's lane has is looked up in the envelopes that are kept anyway; the second table for it is gone.

Before: test_what_a_restart_has_sent_again... times out over real sockets, with a frame of 16 MiB that nobody reads. After: passes, with test_half_open_connections and a new test that only the node's lane is closed.

--- a/tests/transport/test_malformed_frames.py
+++ b/tests/transport/test_malformed_frames.py
@@ -145,6 +145,26 @@
     play(script)
 
 
+def test_a_connection_is_closed_for_its_node_and_lane_only() -> None:
+    async def script(wire: Wire) -> None:
+        streams = []
+        for source in (SRC, "10.0.0.2:7000"):
+            ours, theirs = trio.testing.memory_stream_pair()
+            wire.nursery.start_soon(wire.peers._receive_connection, cast(trio.SocketStream, theirs))
+            challenge = await PeerConnections._read_challenge(stream=cast(trio.SocketStream, ours))
+            await ours.send_all(challenge + envelope(source=source, node_id=f"{source}#0"))
+            streams.append(ours)
+        await trio.testing.wait_all_tasks_blocked()
+        wire.peers.close_incoming(f"{SRC}#0", Lane.COPY)
+        assert len(wire.peers._receiving) == 2
+        wire.peers.close_incoming(f"{SRC}#0", Lane.WORK)
+        await trio.testing.wait_all_tasks_blocked()
+        assert len(wire.peers._receiving) == 1
+        assert await streams[0].receive_some(1) == b""
+
+    play(script)
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_noise_between_good_frames_loses_only_what_its_own_connection_still_held(seed: int) -> None:
     rng = random.Random(seed)
--- a/tests/transport/test_peer_restart.py
+++ b/tests/transport/test_peer_restart.py
@@ -17,6 +17,7 @@
 LOG = Log(name="t", level="error")
 LIMIT_S = 20.0
 RECEIVE_BYTES = 4096
+BLOCKING_BYTES = 16 << 20  # more than the buffers of a connection take that nobody reads
 CHALLENGE = MAGIC + bytes(8)
 
 
@@ -109,6 +110,43 @@
     trio.run(main)
 
 
+# Guards against a snapshot that is sent again as soon as the newer incarnation is heard, and dropped with the frame
+# that was being sent to the former one.
+def test_what_a_restart_has_sent_again_is_not_dropped_with_the_frame_that_was_under_way() -> None:
+    arrived, arrivals = trio.open_memory_channel[Any](math.inf)
+
+    def arrive(node_id: str, lane: Lane, rows: list[tuple[Kind, Any]], lost: bool) -> None:
+        for row in rows:
+            arrived.send_nowait(row)
+
+    async def main() -> None:
+        with reserved_ports(2) as ports, trio.fail_after(LIMIT_S):
+            here, there = (f"{HOST}:{port}" for port in ports)
+
+            def send_again(address: str) -> None:
+                sender.send(address=address, kind=Kind.SNAPSHOT, body=b"2")
+
+            sender = PeerConnections(
+                address=here, node_id=f"{here}#0", incarnation=1, sink=lambda *_: None, log=LOG, on_restart=send_again
+            )
+            former = FormerLife(address=there)
+            async with trio.open_nursery() as sending:
+                await sending.start(sender.run)
+                await former.listen()
+                sending.start_soon(former.accept_one)
+                await former.say(to=here)
+                sender.send(address=there, kind=Kind.SNAPSHOT, body=b" " * BLOCKING_BYTES + b"1")
+                await former.has_lost_power.wait()
+                later = PeerConnections(address=there, node_id=f"{there}#b", incarnation=1, sink=arrive, log=LOG)
+                await sending.start(later.run)
+                later.send(address=here, kind=Kind.HEARTBEAT, body=b"0")
+                assert await arrivals.receive() == (Kind.SNAPSHOT, 2)
+                former.close()
+                sending.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 # Guards against a snapshot that is lost on a dead connection and that nothing is sent after, so nobody notices.
 def test_lanes_that_fell_silent_are_probed_and_busy_ones_are_not() -> None:
     address = f"{HOST}:1"
--- a/yarrowloom/transport/peer_connections.py
+++ b/yarrowloom/transport/peer_connections.py
@@ -108,7 +108,6 @@
         self._tracker = SequenceTracker()
         self._accepted = 0  # connections so far
         self._receiving: dict[int, trio.CancelScope] = {}  # by connection: what ends it
-        self._newest: dict[tuple[str, Lane], int] = {}  # by node and lane: the connection of its last good frame
         self._checked: dict[int, tuple[int, str, str, int]] = {}  # by connection: the last good envelope
         self._reported: dict[int, None] = {}  # connections with frames of a retired incarnation
         self._nursery: trio.Nursery | None = None
@@ -180,6 +179,9 @@
                         continue
                     except SEND_ERRORS:
                         pass
+                if outgoing.is_outdated:
+                    outgoing.queue.on_renewed()
+                    continue
                 outgoing.queue.on_failure(lost_messages=held_messages or stream is not None)
                 await self._close(stream)
                 stream = None
@@ -242,23 +244,15 @@
                 await stream.send_all(challenge)
                 await self._receive_frames(stream=stream, connection=connection, challenge=challenge)
         finally:
-            self._forget_connection(connection)
+            del self._receiving[connection]
+            self._checked.pop(connection, None)
             await trio.aclose_forcefully(stream)
 
-    def _forget_connection(self, connection: int) -> None:
-        del self._receiving[connection]
-        envelope = self._checked.pop(connection, None)
-        if envelope is None:
-            return
-        lane_number, _, node_id, _ = envelope
-        if self._newest.get((node_id, Lane(lane_number))) == connection:
-            del self._newest[node_id, Lane(lane_number)]
-
     def close_incoming(self, node_id: str, lane: Lane) -> None:
-        """End the connection on which a node's frames of a lane come; what it still holds is lost."""
-        connection = self._newest.get((node_id, lane))
-        if connection is not None:
-            self._receiving[connection].cancel()
+        """End the connections on which a node's frames of a lane come; what they still hold is lost."""
+        for connection, (lane_number, _, sender, _) in self._checked.items():
+            if (sender, lane_number) == (node_id, lane):
+                self._receiving[connection].cancel()
 
     async def _receive_frames(self, *, stream: trio.SocketStream, connection: int, challenge: bytes) -> None:
         """Take what one connection brings until it ends or brings what cannot be read."""
@@ -309,7 +303,6 @@
                 self.log.warn("frame-malformed", peer=node_id, why=fault)
                 return False
             self._checked[connection] = envelope
-            self._newest[node_id, Lane(lane_number)] = connection
         former = self._tracker.current(source=source)
         is_new, is_gap = self._tracker.take(
             source=source,
--- a/yarrowloom/transport/send_queue.py
+++ b/yarrowloom/transport/send_queue.py
@@ -61,6 +61,14 @@
         self.messages.clear()
         self._sequence += 1
 
+    def on_renewed(self) -> None:
+        """A frame was cut off, as its connection led to an earlier incarnation of the peer.
+
+        What waits behind it is for the newer one.
+        """
+        self.probes_due = PROBES_AFTER_LOSS
+        self._sequence += 1
+
     def on_sent(self, *, held_messages: bool) -> None:
         """A frame has left; `held_messages`: it was no mere probe."""
         self.probes_due = PROBES_AFTER_MESSAGES if held_messages else min(self.probes_due, PROBES_AFTER_MESSAGES) - 1
