Begins are told again until the run has ended: a primary that pauses drops them

Found by reading the change once more: a begin was told once under an attachment. A primary without its lease for a moment drops all messages to its scheduler and goes on with the same attachments, so the job stayed pending until its first end; a lasting one for good.

Before: the new test of test_begun_jobs.py (reports dropped for 1.5 s) sees the job pending 4 s later. After: active.

--- a/tests/scheduling/test_begun_jobs.py
+++ b/tests/scheduling/test_begun_jobs.py
@@ -5,6 +5,7 @@
 import pytest
 
 from yarrowloom.agent.task_runs import TaskRuns
+from yarrowloom.scheduling.begun_jobs import BegunJobs
 from yarrowloom.simulator.minions import SimMinion
 from yarrowloom.simulator.workload import Day, task
 
@@ -63,6 +64,19 @@
     assert pending(day) == 0
 
 
+# Guards against a report of a begin that comes while the primary does not serve: for as long it drops all messages.
+def test_a_begin_that_was_dropped_is_told_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = Day(seed=7405, minions=3, work=60.0)
+    job_id = day.job(task(n=2, long_running=True))
+    with monkeypatch.context() as dropping:
+        dropping.setattr(BegunJobs, "report", lambda *_: None)
+        assert day.sim.until(cond=lambda: job_id in day.judge.begun, limit=3.0)
+        day.sim.run(seconds=1.5)
+        assert day.client.state(job_id=job_id) == (200, "pending")
+    day.sim.run(seconds=4.0)
+    assert day.client.state(job_id=job_id) == (200, "active")
+
+
 # Guards against a report of a begin that is lost with the primary it was meant for.
 def test_a_new_primary_learns_which_tasks_have_begun(monkeypatch: pytest.MonkeyPatch) -> None:
     day = Day(seed=7404, minions=3, work=60.0)
--- a/yarrowloom/agent/messages/runs.py
+++ b/yarrowloom/agent/messages/runs.py
@@ -82,7 +82,7 @@
 class TasksBegun(Message, frozen=True, kw_only=True, rename={"group_id": "g", "minion_id": "m", "runs": "x"}):
     """Agent to scheduler: these runs, of jobs that the scheduler called pending, have begun.
 
-    Sent once under an attachment; a new attachment names the jobs that are pending still.
+    Repeated, ever more rarely, while the run goes on; a new attachment names the jobs that are pending still.
     """
 
     KIND: ClassVar[Kind] = Kind.TASKS_BEGUN
--- a/yarrowloom/agent/minion.py
+++ b/yarrowloom/agent/minion.py
@@ -79,6 +79,8 @@
         is_running: A heartbeat listed the run.
         is_stop_requested: It is to be stopped, or not to start any more.
         is_begin_awaited: Its scheduler is to be told once a heartbeat lists it.
+        begin_reports: How often it was told so under the attachment that stands.
+        begin_told_at: When it was told last (monotonic seconds).
         running_since: When it was first listed (monotonic seconds).
         percent: Progress when it was last listed.
         first_percent: Progress when it was first listed; a run restored from a checkpoint begins above 0.
@@ -97,6 +99,8 @@
     is_running: bool = False
     is_stop_requested: bool = False
     is_begin_awaited: bool = False
+    begin_reports: int = 0
+    begin_told_at: float = NEVER
     running_since: float = 0.0
     percent: float = 0.0
     first_percent: float = 0.0
--- a/yarrowloom/agent/task_runs.py
+++ b/yarrowloom/agent/task_runs.py
@@ -21,10 +21,12 @@
 from .minion import NOT_ATTACHED, Attachment, Minion, Phase, TaskRun
 from .minion_table import MinionTable
 from .run_progress import note_progress, remaining_s, stands_still
+from .timing import NEVER
 
 GONE_AFTER_HEARTBEATS = 4  # a run that so many heartbeats in a row do not list, nor its end, is no more
 SUSPECT_S = 3.0  # a minion on which a run stands still gets no leases for this long
 DRAIN_MARGIN_S = 0.4  # beyond the time for a stop, a run must end this much before its minion leaves
+BEGIN_TOLD_AGAIN_S = 2.0  # pause before a begin is told again; doubles with each time
 MOST_LISTED_ENDS = 400  # a minion that lists this many ends may have left some out
 
 
@@ -85,6 +87,7 @@
         for run in minion.runs.values():
             if run.group_id == message.group_id:
                 run.is_begin_awaited = job_id_of(run.task) in pending_jobs
+                run.begin_reports, run.begin_told_at = 0, NEVER
 
     def _is_from_old_epoch(self, *, group_id: int, epoch_number: int) -> bool:
         primary = self._table.environment.primary(group_id=group_id)
@@ -270,12 +273,16 @@
             self._stop_what_cannot_end(minion)
 
     def _tell_begun(self, minion: Minion) -> None:
-        """Tell schedulers of the runs that they wait for and that heartbeats list."""
+        """Tell schedulers of the runs that they wait for and that heartbeats list.
+
+        They are told again and again, ever more rarely: a primary that does not serve just then drops it, and a new
+        attachment, which would ask anew, need not follow.
+        """
+        environment = self._table.environment
         begun: dict[int, list[TaskRun]] = {}
         for run in minion.runs.values():
-            if run.is_begin_awaited and run.is_running:
+            if run.is_begin_awaited and run.is_running and _is_begin_due(run, now=environment.now):
                 begun.setdefault(run.group_id, []).append(run)
-        environment = self._table.environment
         for group_id, runs in begun.items():
             primary = environment.primary(group_id=group_id)
             if primary is None:
@@ -284,7 +291,7 @@
             message = TasksBegun(group_id=group_id, minion_id=minion.minion_id, runs=rows)
             environment.send_message(node_id=primary[0], message=message)
             for run in runs:
-                run.is_begin_awaited = False
+                run.begin_reports, run.begin_told_at = run.begin_reports + 1, environment.now
 
     def _stop_what_cannot_end(self, minion: Minion) -> None:
         """Stop runs that cannot end before a draining minion leaves, so that they go on elsewhere."""
@@ -293,3 +300,8 @@
         for run in minion.runs.values():
             if run.is_running and not run.is_stop_requested and remaining_s(run, now=now) > time_left:
                 run.is_stop_requested = True
+
+
+def _is_begin_due(run: TaskRun, *, now: float) -> bool:
+    """Whether a begin was not told yet, or long enough ago."""
+    return not run.begin_reports or now - run.begin_told_at >= BEGIN_TOLD_AGAIN_S * 2.0 ** (run.begin_reports - 1)
