Settings that cannot be used are findings, in place of an error caught afterwards

The check itself is at fault: sizes under limits were not looked at, and a port of digits that are no ASCII passed for a number.

Change: both are findings of the check; the wider except is gone.

Before: all 15 new cases of tests/common/test_settings.py fail.

--- a/tests/common/test_settings.py
+++ b/tests/common/test_settings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.support.json_noise import noise
+from tests.support.loopback import settings
 from yarrowloom.common.errors import SettingsError, YarrowError
 from yarrowloom.common.settings import check
 
@@ -54,3 +55,21 @@
         with pytest.raises(SettingsError) as err:
             check(document={**document, "limits": {"link-mbps": bad}})
         assert [f.place for f in err.value.findings] == ["limits.link-mbps"]
+
+
+UNUSABLE_SIZES: list[Any] = [{}, "x", [1], True, -1, float("nan"), float("inf")]
+
+
+# Guards against a settings file that ends the process that reads it, in place of being refused (issue 33).
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        *(({"limits": {key: size}}, f"limits.{key}") for key in ("disk-mb", "memory-mb") for size in UNUSABLE_SIZES),
+        ({"seed-nodes": ["h:\u00b2"]}, "seed-nodes[0]"),
+    ],
+)
+def test_values_that_cannot_be_used_are_findings(change: dict[str, Any], place: str) -> None:
+    document = settings(binds={}, inner=7000, seed="h:1", data=None)
+    with pytest.raises(SettingsError) as caught:
+        check(document={**document, **change})
+    assert [finding.place for finding in caught.value.findings] == [place]
--- a/yarrowloom/common/settings.py
+++ b/yarrowloom/common/settings.py
@@ -3,6 +3,7 @@
 The file's keys are published (they are what the deployment writes); their names in the code stand in `NodeSettings`.
 """
 
+import math
 import os
 from dataclasses import dataclass, field
 from typing import Any, TypeGuard
@@ -125,7 +126,7 @@
     if not isinstance(value, str) or value.count(":") != 1:
         return False
     host, port = value.split(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    return bool(host) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
 
 
 def is_number(value: object) -> TypeGuard[float]:
@@ -150,6 +151,8 @@
     ("active-contracts", list, []),
 )
 
+_SIZES = ("disk-mb", "memory-mb")  # limits in MB
+
 
 def check(*, document: object) -> NodeSettings:
     """The settings that a parsed file holds.
@@ -172,6 +175,7 @@
         *_address_findings(binds=values["bind-addrs"], seeds=values["seed-nodes"]),
         *_port_findings(values["internal-ports"]),
         *_link_findings(values["limits"]),
+        *_size_findings(values["limits"]),
         *_storage_findings(document),
     ]
     if findings:
@@ -222,6 +226,16 @@
     return [Finding(place="limits.link-mbps", text="not a number above 0")]
 
 
+def _size_findings(limits: object) -> list[Finding]:
+    """What is wrong with limits in MB; one that is missing or null has a default."""
+    sizes = {key: limits.get(key) for key in _SIZES} if isinstance(limits, dict) else {}
+    return [
+        Finding(place=f"limits.{key}", text="not a number of 0 or more")
+        for key, size in sizes.items()
+        if size is not None and not (is_number(size) and 0 <= size < math.inf)
+    ]
+
+
 def _storage_findings(document: dict[str, Any]) -> list[Finding]:
     findings = []
     if not isinstance(document.get("data-dir"), str | None):
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -334,8 +334,8 @@
         """Take up the settings file as it is now; one that can't be used is passed over."""
         try:
             settings = load_settings()
-        except (SettingsError, TypeError, ValueError) as error:  # values of other types pass some of the checks
-            self.log.warn("settings-refused", why=str(error))
+        except SettingsError as error:
+            self.log.warn("settings-refused", why=error.text)
             return
         if settings != self.node.settings:
             self.node.settings = settings
