--- a/tests/node/test_early_signals.py
+++ b/tests/node/test_early_signals.py
@@ -3,6 +3,7 @@
 The child sends the signals to itself as the first slow import begins: so they come early, whatever the machine.
 """
 
+import errno
 import json
 import pathlib
 import signal
@@ -13,7 +14,11 @@
 import pytest
 
 from tests.support.loopback import HOST, reserved_ports, settings
-from yarrowloom.common.settings import SETTINGS_FILE_VARIABLE
+from yarrowloom.common import early_signals
+from yarrowloom.common.log import Log
+from yarrowloom.common.settings import SETTINGS_FILE_VARIABLE, check
+from yarrowloom.node.startup import open_core
+from yarrowloom.storage import RingJournal
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LIMIT_S = 60.0
@@ -86,3 +91,20 @@
     output, _ = child.communicate(timeout=LIMIT_S)
     assert child.returncode == 130, output
     assert "Traceback" not in output
+
+
+# Guards against a process that cannot be ended in order while its disk refuses to be read: the signal was kept for a
+# runtime that never came.
+def test_a_sigterm_ends_a_process_that_waits_for_its_disk(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refuse(_: RingJournal) -> list[bytes]:
+        early_signals._keep(signal.SIGTERM, None)
+        raise OSError(errno.ENOSPC, "no space")
+
+    monkeypatch.setattr(RingJournal, "load", refuse)
+    document = settings(binds={"control": f"{HOST}:1"}, inner=7000, seed=f"{HOST}:1", data=str(tmp_path))
+    with pytest.raises(SystemExit) as ended:
+        open_core(settings=check(document=document), log=Log(name="t", level="error"))
+    assert ended.value.code == 0
+    assert early_signals.take() == [signal.SIGTERM]
--- a/yarrowloom/common/early_signals.py
+++ b/yarrowloom/common/early_signals.py
@@ -32,6 +32,12 @@
     signal.signal(signal.SIGINT, signal.default_int_handler)
 
 
+def exit_if_terminated() -> None:
+    """End the process in order if SIGTERM has come. For a start that waits: there is nothing to hand over yet."""
+    if signal.SIGTERM in _pending:
+        sys.exit(0)
+
+
 def take() -> list[int]:
     """The signals that came so far, in order; they are not kept any more."""
     taken = list(_pending)
--- a/yarrowloom/node/startup.py
+++ b/yarrowloom/node/startup.py
@@ -22,6 +22,12 @@
 _RANDOM_BITS = 30
 
 
+def _sleep_unless_terminated(seconds: float) -> None:
+    """Wait before the disk is tried again; SIGTERM ends the process meanwhile."""
+    early_signals.exit_if_terminated()
+    time.sleep(seconds)
+
+
 def open_core(*, settings: NodeSettings, log: Log, file_system: FileSystem | None = None) -> Runtime:
     """A core process, with the identity and state that its disk holds, or new ones.
 
@@ -33,7 +39,7 @@
         raise SettingsError(text="a core needs data-dir")
     size, most = file_sizes(disk_mb=settings.disk_mb)
     ring = RingJournal(folder=settings.data_dir, file_bytes=size, max_file_bytes=most, file_system=file_system)
-    records = retry_disk_call(call=ring.load, journal=ring, log=log)
+    records = retry_disk_call(call=ring.load, journal=ring, log=log, sleep=_sleep_unless_terminated)
     if ring.state is JournalState.LOST:  # what is left may be old: join as after the loss of the disk
         log.warn("journal-lost", folder=settings.data_dir)
         records = []
@@ -48,7 +54,8 @@
         defaults=load_defaults(),
     )
     snapshot = [*node.snapshot_records(), SNAPSHOT_END]
-    retry_disk_call(call=partial(ring.begin_file, snapshot=snapshot), journal=ring, log=log)
+    begin = partial(ring.begin_file, snapshot=snapshot)
+    retry_disk_call(call=begin, journal=ring, log=log, sleep=_sleep_unless_terminated)
     return Runtime(node=node, log=log, ring=ring, port=settings.ports[0])
 
 
