--- a/tests/node/test_recovery.py
+++ b/tests/node/test_recovery.py
@@ -8,6 +8,7 @@
 import pytest
 from msgspec.structs import replace
 
+from tests.support.recorded_log import RecordedLog
 from tests.support.ring_cluster import RingSim
 from yarrowloom.common.log import Log
 from yarrowloom.node.core import CoreNode
@@ -219,7 +220,7 @@
         settings=sim.settings(ip=ip, first=False),
         node_id=node.node_id,
         incarnation=2,
-        log=Lines(),
+        log=RecordedLog(),
         first=False,
         now=sim.now,
     )
@@ -251,17 +252,6 @@
         disk[begin] = b'{"k":"id","uid":7}'
 
 
-class Lines(Log):
-    """Keeps what is warned of."""
-
-    def __init__(self) -> None:
-        super().__init__(name="sim", level="error")
-        self.warned: list[tuple[str, dict[str, object]]] = []
-
-    def warn(self, event: str, **fields: object) -> None:
-        self.warned.append((event, fields))
-
-
 @pytest.mark.parametrize("how", ["gap", "reducer", "malformed", "no json", "identity"])
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_node_whose_journal_cannot_be_replayed_says_so_and_is_refilled(seed: int, how: str) -> None:
@@ -270,7 +260,7 @@
     ip = sim.serving(group_id=1)[0]
     sim.kill(ip=ip)
     spoil(sim.disks[ip].synced, how=how)
-    log = Lines()
+    log = RecordedLog()
     found = recover(
         settings=sim.settings(ip=ip, first=True),
         records=sim.disks[ip].synced,
@@ -279,7 +269,7 @@
         log=log,
         token="new",
     )
-    ((event, fields),) = log.warned
+    ((event, fields),) = log.rows
     assert event == "journal-unusable"
     assert fields["cause"]
     assert fields["record"] in range(len(sim.disks[ip].synced))
--- a/tests/support/hostile_input.py
+++ b/tests/support/hostile_input.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from tests.agent.test_messages import ENCODED
-from yarrowloom.common.log import Log
+from tests.support.recorded_log import RecordedLog
 from yarrowloom.node.input_scheduler import Input
 from yarrowloom.node.runtime import Node, Runtime
 from yarrowloom.simulator.minions import HOST, SimCaller, cluster, config
@@ -38,22 +38,11 @@
 JOB: dict[str, Any] = {"task-spec": "x", "stages": [task(n=2), {**task(n=1), "depends-on": [0]}]}
 
 
-class Lines(Log):
-    """Keeps the warnings."""
-
-    def __init__(self) -> None:
-        super().__init__(name="hostile", level="error")
-        self.events: list[tuple[str, dict[str, object]]] = []
-
-    def warn(self, event: str, **fields: object) -> None:
-        self.events.append((event, fields))
-
-
 class SimulatedRuntime(Runtime):
     """Runs a node of the simulator by the simulator's clock; what it sends to others is lost."""
 
     def __init__(self, *, node: Node, port: int) -> None:
-        super().__init__(node=node, log=Lines(), ring=None, port=port)
+        super().__init__(node=node, log=RecordedLog(), ring=None, port=port)
         self.credit_s = MUCH_CREDIT_S
         self.server = Server(handler=self.handle_request, on_error=self.error_response, limits=Limits())
         send_to_self = self.peers.send
@@ -66,7 +55,7 @@
 
     @property
     def warnings(self) -> list[tuple[str, dict[str, object]]]:
-        return cast(Lines, self.log).events
+        return cast(RecordedLog, self.log).rows
 
     def step(self, run: Input) -> None:
         run()
--- a/tests/transport/test_malformed_frames.py
+++ b/tests/transport/test_malformed_frames.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from yarrowloom.common.log import Log
+from tests.support.recorded_log import RecordedLog
 from yarrowloom.node.call_messages import CallOperation, NoArguments
 from yarrowloom.node.group_calls import ignore_result
 from yarrowloom.node.runtime import Runtime
@@ -24,17 +24,6 @@
 BODY = join_messages(rows=[(int(Kind.TASK_ORDERS), b'"bad"')])
 
 
-class Lines(Log):
-    """Keeps what is warned of."""
-
-    def __init__(self) -> None:
-        super().__init__(name="fuzz", level="error")
-        self.rows: list[tuple[str, dict[str, object]]] = []
-
-    def warn(self, event: str, **fields: object) -> None:
-        self.rows.append((event, fields))
-
-
 def field(*, number: int, wire: int, data: bytes) -> bytes:
     return bytes([number << 3 | wire]) + data
 
@@ -93,7 +82,7 @@
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.got: list[Any] = []
-        self.log = Lines()
+        self.log = RecordedLog()
         self.peers = PeerConnections(
             address="10.0.0.9:7000", node_id="10.0.0.9:7000#0", incarnation=1, sink=self.sink, log=self.log
         )
@@ -255,7 +244,7 @@
 def node_of(sim: Sim) -> Runtime:
     """The runtime of a serving core, without sockets."""
     node = sim.core(sim.serving(group_id=1)[0])
-    runtime = Runtime(node=node, log=Lines(), ring=None, port=7000)
+    runtime = Runtime(node=node, log=RecordedLog(), ring=None, port=7000)
     runtime.credit_s = 1e9
     runtime.peers.send = lambda **_: None  # type: ignore[method-assign]
     return runtime
@@ -299,4 +288,4 @@
             }
         runtime.receive_frames(rng.choice(sorted(sim.node_ids.values())), Lane.WORK, [(kind, m)], False)
     assert request_id in node.calls.pending
-    assert any(event == "frame-malformed" for event, _ in cast(Lines, runtime.log).rows)
+    assert any(event == "frame-malformed" for event, _ in cast(RecordedLog, runtime.log).rows)
