--- a/tests/cluster_state/test_operator_requests_cluster.py
+++ b/tests/cluster_state/test_operator_requests_cluster.py
@@ -7,7 +7,7 @@
 
 from yarrowloom.simulator.cluster import Sim
 from yarrowloom.simulator.minions import config
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 
 UNCLEAR = (0, 503)
 
--- a/tests/mutants/test_operator_request_mutants.py
+++ b/tests/mutants/test_operator_request_mutants.py
@@ -29,7 +29,7 @@
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.registry_calls import RegistryCalls
 from yarrowloom.replication import Replica
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 
 SEEDS = 20  # at most; the first that shows it ends the search
 
--- a/tests/node/test_call_identity.py
+++ b/tests/node/test_call_identity.py
@@ -10,7 +10,7 @@
 from yarrowloom.node.http_routes import OPERATOR_CALL_TTL_S, dispatch
 from yarrowloom.simulator.cluster import Sim
 from yarrowloom.simulator.minions import cluster
-from yarrowloom.transport.http_server import Request
+from yarrowloom.transport.http_messages import Request
 from yarrowloom.transport.message import Message
 from yarrowloom.transport.message_kinds import Kind
 
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -7,7 +7,7 @@
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.simulator.link_cluster import LinkSim, put
 from yarrowloom.simulator.minions import HOST, config
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message_kinds import Kind
 
 JOB: dict[str, Any] = {"task-spec": "s", "stages": [{"task-count": 1, "cpus": 10, "mem-mb": 1}]}
--- a/tests/node/test_edge_filters.py
+++ b/tests/node/test_edge_filters.py
@@ -9,7 +9,7 @@
 from yarrowloom.cluster_state.routing_table import RoutingTable
 from yarrowloom.node.edge_filters import RequestContext, first_response
 from yarrowloom.simulator.minions import HOST, config
-from yarrowloom.transport.http_server import Request
+from yarrowloom.transport.http_messages import Request
 
 JOB_ID = "5c0e7a21d94b36f8"
 JOB: dict[str, Any] = {"task-spec": "s", "stages": [{"task-count": 1}]}
--- a/tests/node/test_hostile_input.py
+++ b/tests/node/test_hostile_input.py
@@ -34,7 +34,7 @@
 from yarrowloom.common.errors import InvalidInputError, StateInDoubtError
 from yarrowloom.common.settings import SETTINGS_FILE_VARIABLE
 from yarrowloom.node.input_scheduler import InputClass
-from yarrowloom.transport.http_server import Request
+from yarrowloom.transport.http_messages import Request
 from yarrowloom.transport.message_kinds import Kind, Lane
 
 CI_EXAMPLES = 40
--- a/tests/node/test_http_exchanges.py
+++ b/tests/node/test_http_exchanges.py
@@ -3,7 +3,7 @@
 import trio
 
 from yarrowloom.node.http_exchanges import EXCHANGE_MOST_S, HttpExchanges
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 
 
 def test_a_call_gets_the_first_response_for_its_key() -> None:
--- a/tests/node/test_refused_calls.py
+++ b/tests/node/test_refused_calls.py
@@ -9,7 +9,7 @@
 from yarrowloom.node.group_calls import CallResult, GroupCalls
 from yarrowloom.simulator.cluster import Sim
 from yarrowloom.simulator.minions import HOST, cluster
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message import Message
 
 JOB = {"task-spec": "s", "stages": [{"task-count": 1, "cpus": 500, "mem-mb": 64, "estimate-ms": 300}]}
--- a/tests/replication/test_stalled_process.py
+++ b/tests/replication/test_stalled_process.py
@@ -11,7 +11,7 @@
 from yarrowloom.simulator.cluster import Sim
 from yarrowloom.simulator.machines.process import Proc
 from yarrowloom.simulator.minions import SimMinion, cluster, config
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message_kinds import Kind
 
 STILL_S = 5.0
--- a/tests/simulator/test_history_runs.py
+++ b/tests/simulator/test_history_runs.py
@@ -13,7 +13,7 @@
 from yarrowloom.simulator.judges.history import Breach, History, JobCall, JobVerb, Operation, Outcome, outcome_of
 from yarrowloom.simulator.judges.history_checks import check_answers, check_jobs
 from yarrowloom.simulator.minions import HOST, Oracle, cluster
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 
 PATIENCE_S = 3.0
 TASK: dict[str, Any] = {"task-count": 2, "cpus": 500, "mem-mb": 100, "estimate-ms": 500}
--- a/tests/support/agent_harness.py
+++ b/tests/support/agent_harness.py
@@ -8,7 +8,7 @@
 from yarrowloom.agent.heartbeat import parse_heartbeat
 from yarrowloom.agent.messages import AttachMinion, LeaseRequest, TaskOrders
 from yarrowloom.common.records import decode
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message import Message
 from yarrowloom.transport.message_kinds import Kind
 
--- a/tests/support/binding_model.py
+++ b/tests/support/binding_model.py
@@ -27,7 +27,7 @@
 from yarrowloom.scheduling import OrderRuns, SchedulerEnvironment, StopRuns
 from yarrowloom.scheduling.scheduler import Scheduler
 from yarrowloom.transport.effects import Reply, SendMessage
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message import Message
 from yarrowloom.transport.message_kinds import Kind
 
--- a/tests/support/hostile_input.py
+++ b/tests/support/hostile_input.py
@@ -17,7 +17,8 @@
 from yarrowloom.node.runtime import Node, Runtime
 from yarrowloom.simulator.minions import HOST, SimCaller, cluster, config
 from yarrowloom.simulator.workload import task
-from yarrowloom.transport.http_server import Limits, Server
+from yarrowloom.transport.http_messages import Limits
+from yarrowloom.transport.http_server import Server
 from yarrowloom.transport.message_kinds import Kind, Lane
 
 MUCH_CREDIT_S = 1e9
--- a/tests/support/two_operators.py
+++ b/tests/support/two_operators.py
@@ -9,7 +9,7 @@
 from yarrowloom.simulator.judges.linearizability import check_configuration
 from yarrowloom.simulator.minions import config
 from yarrowloom.simulator.operators import Answer, Habits, Operator, Recorder
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 
 
 class SimNetwork:
--- a/tests/testbed/test_simulated_minion.py
+++ b/tests/testbed/test_simulated_minion.py
@@ -12,7 +12,7 @@
 from yarrowloom.testbed.judge import Judge
 from yarrowloom.testbed.simulated_minion import Bounds, Hollow, How, Yard, mark
 from yarrowloom.testbed.work import write
-from yarrowloom.transport.http_server import Response
+from yarrowloom.transport.http_messages import Response
 
 JID = "5c0e7a21d94b36f8"
 
--- a/tests/transport/test_http_exchange.py
+++ b/tests/transport/test_http_exchange.py
@@ -14,7 +14,8 @@
 from yarrowloom.common.settings import check
 from yarrowloom.node.runtime import Runtime
 from yarrowloom.node.startup import open_edge
-from yarrowloom.transport.http_server import Request, Response, Server
+from yarrowloom.transport.http_messages import Request, Response
+from yarrowloom.transport.http_server import Server
 
 SILENT_TICKS_S = 100.0  # later than any call waits
 Handler = Callable[[Request], Awaitable[Response]]
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -8,9 +8,10 @@
 import trio
 import trio.testing
 
-from yarrowloom.transport import http_server as http
+from yarrowloom.transport import plain_reader
 from yarrowloom.transport.http_head import Unread, write_head
-from yarrowloom.transport.http_server import Limits, Request, Response, Server
+from yarrowloom.transport.http_messages import Limits, Request, Response
+from yarrowloom.transport.http_server import Server
 
 
 async def echo(request: Request) -> Response:
@@ -151,7 +152,7 @@
     parts = [p for a, b in zip([0, *cuts], [*cuts, len(raw)], strict=True) if (p := raw[a:b])]
     gap, end = rng.choice([0.0, 0.0, 0.4, 1.4, 2.9]), rng.random() < 0.3
     got, took = pieces(parts=parts, gap=gap, end=end)
-    monkeypatch.setattr(http, "read_head", lambda **_: Unread.NOT_PLAIN)
+    monkeypatch.setattr(plain_reader, "read_head", lambda **_: Unread.NOT_PLAIN)
     want, until = pieces(parts=parts, gap=gap, end=end)
     assert got.lower() == want.lower()
     assert abs(took - until) < 0.01
--- a/yarrowloom/agent/environment.py
+++ b/yarrowloom/agent/environment.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from ..transport.message import Message
 
 
--- a/yarrowloom/agent/heartbeat.py
+++ b/yarrowloom/agent/heartbeat.py
@@ -5,7 +5,7 @@
 
 from ..common.records import MalformedRecordError, Record
 from ..common.resources import Resources
-from ..transport.http_server import JSON, Response
+from ..transport.http_messages import JSON, Response
 from .messages import MinionInt, TaskEnd
 
 DRAINING = "draining"
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -17,7 +17,7 @@
 from ..replication.messages import GROUP_MESSAGE_KINDS
 from ..scheduling import OrderRuns, Scheduler, StopRuns
 from ..transport.effects import Reply, SendMessage
-from ..transport.http_server import Request
+from ..transport.http_messages import Request
 from ..transport.message_kinds import Kind
 from .call_messages import GroupCall, GroupReply
 from .core_environment import CoreEnvironment
--- a/yarrowloom/node/core_environment.py
+++ b/yarrowloom/node/core_environment.py
@@ -17,7 +17,7 @@
 from ..prediction import History
 from ..replication import Epoch, Replica
 from ..scheduling import Scheduler
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from .call_messages import CallOperation, GroupReply
 from .call_server import CallServer
 from .controller import Controller
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -11,7 +11,7 @@
 from ..common.settings import NodeSettings
 from ..jobs.submission import group_of
 from ..scheduling.calls import JobCall
-from ..transport.http_server import Limits, Request, Response
+from ..transport.http_messages import Limits, Request, Response
 from ..transport.message_kinds import Kind
 from .assigned_relays import AssignedRelays
 from .call_messages import REFUSALS, CallOperation, GroupReply
--- a/yarrowloom/node/edge_filters.py
+++ b/yarrowloom/node/edge_filters.py
@@ -8,7 +8,7 @@
 from ..cluster_state.routing_table import Route, RoutingTable, key_digest
 from ..common.errors import InvalidInputError
 from ..jobs.submission import Submission, is_job_id, parse_submission
-from ..transport.http_server import Request, Response
+from ..transport.http_messages import Request, Response
 
 RESPONSE_MARGIN_S = 0.2  # a response leaves this long before the client's deadline,
 RESPONSE_MARGIN_DIVISOR = 3  # or this part of the time left before it, if that is less
--- a/yarrowloom/node/heartbeat_routing.py
+++ b/yarrowloom/node/heartbeat_routing.py
@@ -10,7 +10,7 @@
 from ..agent.heartbeat import MinionHeartbeat, parse_heartbeat
 from ..common.log import Log
 from ..common.records import MalformedRecordError, Record, decode
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from .call_messages import AGENT_CALL_GROUP, CallOperation
 from .group_calls import GIVEN_UP, CallResult, GroupCalls
 from .registry_requests import MinionDeparture, OwnerQuery
--- a/yarrowloom/node/http_exchanges.py
+++ b/yarrowloom/node/http_exchanges.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 
 EXCHANGE_MOST_S = 30.0  # an HTTP call that the node has not answered by then gets 504
 _GATEWAY_TIMEOUT = 504
--- a/yarrowloom/node/http_routes.py
+++ b/yarrowloom/node/http_routes.py
@@ -13,7 +13,7 @@
 from ..jobs.submission import group_of, is_job_id
 from ..replication import Replica
 from ..scheduling import Scheduler
-from ..transport.http_server import JSON, Request, Response
+from ..transport.http_messages import JSON, Request, Response
 from .call_messages import CallOperation, NoArguments
 from .group_calls import GIVEN_UP, CallResult, GroupCalls
 from .heartbeat_routing import HeartbeatRouting
--- a/yarrowloom/node/input_guard.py
+++ b/yarrowloom/node/input_guard.py
@@ -9,7 +9,7 @@
 
 from ..common.errors import StateInDoubtError, YarrowError
 from ..common.log import Log
-from ..transport.http_server import Request, Response
+from ..transport.http_messages import Request, Response
 from ..transport.message_kinds import LANES, Kind, Lane
 from .http_errors import error_answer
 from .input_scheduler import Input
--- a/yarrowloom/node/node_base.py
+++ b/yarrowloom/node/node_base.py
@@ -13,7 +13,7 @@
 from ..common.settings import NodeSettings
 from ..replication.epoch import Epoch, addr_of
 from ..transport.envelope import dump
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from ..transport.message import Message
 from ..transport.message_kinds import Kind
 from .config_dissemination import ConfigDissemination
--- a/yarrowloom/node/outputs.py
+++ b/yarrowloom/node/outputs.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from ..common.effects import Effect
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from ..transport.message_kinds import Kind
 
 
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -16,7 +16,8 @@
 from ..common.log import Log
 from ..common.settings import load as load_settings
 from ..storage import RingJournal
-from ..transport.http_server import Limits, Request, Response, Server, listen
+from ..transport.http_messages import Limits, Request, Response
+from ..transport.http_server import Server, listen
 from ..transport.message_kinds import Kind, Lane
 from ..transport.peer_connections import Messages, PeerConnections
 from .admission_deadline import admission_deadline_s
--- a/yarrowloom/simulator/cluster.py
+++ b/yarrowloom/simulator/cluster.py
@@ -8,7 +8,7 @@
 
 from ..node.core import CoreNode
 from ..node.input_scheduler import InputClass, classify_message
-from ..transport.http_server import Request, Response
+from ..transport.http_messages import Request, Response
 from ..transport.message_kinds import LANES, Kind, Lane
 from ..transport.peer_connections import PROBE_INTERVAL_S
 from ..transport.send_queue import PROBES_AFTER_LOSS
--- a/yarrowloom/simulator/events.py
+++ b/yarrowloom/simulator/events.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/yarrowloom/simulator/faulty_cluster.py
+++ b/yarrowloom/simulator/faulty_cluster.py
@@ -11,7 +11,7 @@
 
 from ..common.effects import NoEffect
 from ..storage import SNAPSHOT_END
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from ..transport.message_kinds import LANES, Kind, Lane
 from .cluster import Sim
 from .errors import SimulationError
--- a/yarrowloom/simulator/machines/machine_set.py
+++ b/yarrowloom/simulator/machines/machine_set.py
@@ -16,7 +16,7 @@
 from ...node.recovery import recover
 from ...node.runtime import TICK_CORE_S
 from ...storage import SNAPSHOT_END
-from ...transport.http_server import Response
+from ...transport.http_messages import Response
 from ...transport.message_kinds import Kind, Lane
 from ..digest import RunDigest
 from ..errors import SimulationError
--- a/yarrowloom/simulator/minions.py
+++ b/yarrowloom/simulator/minions.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from .cluster import Sim
 from .errors import SimulationError
 from .machines.machine_set import ClusterOptions
--- a/yarrowloom/simulator/observers.py
+++ b/yarrowloom/simulator/observers.py
@@ -5,7 +5,7 @@
 import orjson
 
 from ..node.node_base import JOB_GROUPS
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from .events import JobEvent
 from .faulty_cluster import FaultyCluster
 from .judges.job_rules import Judge
--- a/yarrowloom/simulator/workload.py
+++ b/yarrowloom/simulator/workload.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from ..transport.http_server import Response
+from ..transport.http_messages import Response
 from .cluster import Sim
 from .errors import SimulationError
 from .judges.job_rules import ENDS, Judge
--- a/yarrowloom/testbed/slopes.py
+++ b/yarrowloom/testbed/slopes.py
@@ -17,7 +17,8 @@
 
 from ..common.errors import UsageError
 from ..transport.envelope import dump
-from ..transport.http_server import Request, Response, Server
+from ..transport.http_messages import Request, Response
+from ..transport.http_server import Server
 from .callers import QUEUES, HollowLoad, config
 from .fleet import Crew
 from .simulated_minion import Hollow
--- a/yarrowloom/testbed/virtual_testbed.py
+++ b/yarrowloom/testbed/virtual_testbed.py
@@ -21,7 +21,7 @@
 from ..node.core import CoreNode
 from ..node.edge import EdgeNode
 from ..replication.epoch import addr_of
-from ..transport.http_server import Request, Response
+from ..transport.http_messages import Request, Response
 from ..transport.message_kinds import Kind
 from .callers import HOST, key_of
 from .fleet import Crew
--- /dev/null
+++ b/yarrowloom/transport/h11_exchange.py
@@ -0,0 +1,159 @@
+"""Requests and responses of one connection by h11, for whatever is not plain."""
+
+from typing import Protocol
+
+import h11
+import trio
+
+from .header_rules import Rule, screen
+from .http_messages import CONNECTION_CLOSE, SEND_TIMEOUT_S, Limits, Request, Response
+from .plain_reader import RECEIVE_BYTES, PlainReader
+
+HEADER_OVERHEAD_BYTES = 4  # of a header line, beside its name and value
+
+
+class Exchanger(Protocol):
+    """What an exchange needs of its server."""
+
+    limits: Limits
+    closing: bool
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+
+
+class _RefusedError(Exception):
+    """A request that is answered with an error status, after which the connection ends."""
+
+    def __init__(self, *, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class H11Exchange:
+    """Requests and responses of one connection by h11, which judges all that is not plain."""
+
+    def __init__(self, *, server: Exchanger, stream: trio.SocketStream) -> None:
+        limits = server.limits
+        self._server = server
+        self._stream = stream
+        self._limits = limits
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max(limits.header_bytes, 1024))
+        self._deadline = 0.0
+        self._begun = False  # something of the request that is being read has come
+
+    async def run(self, *, plain: PlainReader) -> None:
+        """Go on with what a plain reader has received; the time that it gave the request goes on."""
+        self._h11.receive_data(bytes(plain.buffer))
+        self._deadline, self._begun = plain.deadline, True
+        while (request := await self._next_request()) is not None:
+            await self._send(await self._server.handle(request))
+            if self._h11.our_state is h11.MUST_CLOSE or self._h11.our_state is h11.CLOSED:
+                return
+            try:
+                self._h11.start_next_cycle()
+            except h11.LocalProtocolError:
+                return
+            self._deadline, self._begun = self._time_after(self._limits.idle_ms), False
+
+    async def refuse(self, *, status: int) -> None:
+        """Answer with an error status and end the connection."""
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._send(Response(status=status, headers=(CONNECTION_CLOSE,)))
+
+    async def _next_request(self) -> Request | None:
+        """The next request; None: the connection is over, or was refused."""
+        try:
+            return await self._read_request()
+        except _RefusedError as refusal:
+            await self.refuse(status=refusal.status)
+        except h11.RemoteProtocolError as error:
+            await self.refuse(status=error.error_status_hint or 400)
+        return None
+
+    async def _read_request(self) -> Request | None:
+        """Read events until a request is whole.
+
+        Raises:
+            _RefusedError: It is too large or too slow.
+            h11.RemoteProtocolError: It is malformed.
+        """
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                if not await self._receive(has_head=head is not None):
+                    return None
+            elif isinstance(event, h11.Request):
+                head = event
+                self._deadline = self._time_after(max(self._limits.header_ms, self._limits.idle_ms))
+                self._check_declared_size(head)
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    raise _RefusedError(status=413)
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                return self._request(head=head, body=bytes(body))
+            else:
+                return None
+
+    async def _receive(self, *, has_head: bool) -> bool:
+        """Receive more; false: an idle connection has ended or timed out."""
+        if not self._begun and self._h11.trailing_data[0]:
+            self._begin()
+        if self._h11.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send_all(self._h11.send(informational) or b"")
+        data: bytes | bytearray = b""
+        with trio.move_on_at(self._deadline) as scope:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+        if scope.cancelled_caught:
+            if self._begun and (has_head or self._h11.trailing_data[0]):
+                raise _RefusedError(status=408)
+            return False
+        if not self._begun and data:
+            self._begin()
+        self._h11.receive_data(bytes(data))
+        return True
+
+    def _begin(self) -> None:
+        self._begun = True
+        self._deadline = self._time_after(self._limits.header_ms)
+
+    @staticmethod
+    def _time_after(milliseconds: float) -> float:
+        return trio.current_time() + milliseconds / 1000
+
+    def _check_declared_size(self, head: h11.Request) -> None:
+        size = dict(head.headers).get(b"content-length")
+        if size is not None and int(size) > self._limits.body_bytes:
+            raise _RefusedError(status=413)
+
+    def _request(self, *, head: h11.Request, body: bytes) -> Request:
+        if (
+            sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in head.headers)
+            > self._limits.header_bytes
+        ):
+            raise _RefusedError(status=431)
+        return Request(
+            method=head.method.decode(),
+            path=head.target.decode("latin-1"),
+            body=body,
+            headers={name.decode(): value.decode("latin-1") for name, value in head.headers},
+        )
+
+    async def _send(self, response: Response) -> None:
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = screen(headers=response.headers, rule=Rule.RESPONSE)
+        if self._server.closing and not any(name == "connection" for name, _ in headers):
+            headers.append(CONNECTION_CLOSE)
+        headers.append(("content-length", str(len(response.body))))
+        data = self._h11.send(h11.Response(status_code=response.status, headers=headers)) or b""
+        if response.body:
+            data += self._h11.send(h11.Data(data=response.body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        with trio.fail_after(SEND_TIMEOUT_S):
+            await self._stream.send_all(data)
