Reads of the configuration share a call: each held a parsed document of its own

Cause: each GET /config became a call of its own to group 0's primary; its reply is a document of some ten times the text, and nothing on the caller's side stands for it.

Change: at most one read is under way a node; those that come meanwhile wait for the next one and share its response. A read never takes the answer of a call that began before it, as what was acknowledged in between would be missing.

--- a/tests/node/test_call_identity.py
+++ b/tests/node/test_call_identity.py
@@ -6,8 +6,9 @@
 
 from yarrowloom.common.log import Log
 from yarrowloom.node.call_messages import GroupReply
+from yarrowloom.node.config_reads import OPERATOR_CALL_TTL_S
 from yarrowloom.node.core import CoreNode
-from yarrowloom.node.http_routes import OPERATOR_CALL_TTL_S, dispatch
+from yarrowloom.node.http_routes import dispatch
 from yarrowloom.simulator.cluster import Sim
 from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.http_messages import Request
--- a/yarrowloom/node/core_environment.py
+++ b/yarrowloom/node/core_environment.py
@@ -20,6 +20,7 @@
 from ..transport.http_messages import Response
 from .call_messages import CallOperation, GroupReply
 from .call_server import CallServer
+from .config_reads import ConfigReads
 from .controller import Controller
 from .core_heartbeats import CoreHeartbeats
 from .effects import ApplyUpdate
@@ -77,6 +78,7 @@
         self.membership = Membership(environment=self)
         self.registry_calls = RegistryCalls(environment=self)
         self.call_server = CallServer(environment=self)
+        self.config_reads = ConfigReads(environment=self)
         self.heartbeat_routing = HeartbeatRouting(environment=self)
         self.registry = Registry()
         self.defaults = defaults or SHIPPED
--- a/yarrowloom/node/http_routes.py
+++ b/yarrowloom/node/http_routes.py
@@ -14,20 +14,20 @@
 from ..replication import Replica
 from ..scheduling import Scheduler
 from ..transport.http_messages import JSON, Request, Response
-from .call_messages import CallOperation, NoArguments
-from .group_calls import GIVEN_UP, CallResult, GroupCalls
+from .call_messages import CallOperation
+from .config_reads import OPERATOR_CALL_TTL_S, ConfigReads, registry_response
+from .group_calls import CallResult, GroupCalls
 from .heartbeat_routing import HeartbeatRouting
 from .node_base import JOB_GROUPS
 from .registry_requests import ConfigChange, EvacuationChange
 from .roster import Roster
 
-OPERATOR_CALL_TTL_S = 3.5
-
 
 class HttpEnvironment(Protocol):
     """What the handlers need of their node."""
 
     calls: GroupCalls
+    config_reads: ConfigReads
     heartbeat_routing: HeartbeatRouting
     roster: Roster
     schedulers: dict[int, Scheduler]
@@ -111,11 +111,7 @@
 
 def _respond_with_result(node: HttpEnvironment, call: int, result: CallResult) -> None:
     """Pass on what group 0 responded to an operator's call."""
-    if result.status == GIVEN_UP:
-        response = Response.of(503, {"error": "no primary in reach"})
-    else:
-        response = Response.of(result.status, result.document)
-    node.respond(call=call, response=response)
+    node.respond(call=call, response=registry_response(result))
 
 
 def _call_registry(
@@ -123,7 +119,7 @@
     call: HttpCall,
     *,
     operation: CallOperation,
-    body: ConfigChange | EvacuationChange | NoArguments,
+    body: ConfigChange | EvacuationChange,
 ) -> None:
     node.calls.start(
         group_id=0,
@@ -149,7 +145,7 @@
 
 def read_config(node: HttpEnvironment, call: HttpCall) -> None:
     """The newest configuration, whole."""
-    _call_registry(node, call, operation=CallOperation.READ_CONFIG, body=NoArguments())
+    node.config_reads.read(call=call.call)
 
 
 def start_evacuation(node: HttpEnvironment, call: HttpCall) -> None:
