Jobs that have not ended are bounded in memory, not only in number

Callers saw: a core that ends for want of memory.

Cause: admission counts jobs (5,000), whatever they hold. Labels have no bound of their own; a job takes about six times its text.

Change: what jobs in hand take is reckoned from their texts, tasks and steps and bounded by a quarter of memory-mb; large jobs leave a quarter of that to small ones. Beyond it 429. 'state' shows live-jobs-mb.

--- a/yarrowloom/node/core_environment.py
+++ b/yarrowloom/node/core_environment.py
@@ -163,6 +163,7 @@
                 remote_factor=self.settings.spread_factor,
                 retention_s=self.settings.job_status_s,
                 quota_excess=self.settings.quota_excess,
+                memory_mb=self.settings.memory_mb,
             )
 
     def deposed(self, *, group_id: int) -> None:
--- a/yarrowloom/scheduling/admission.py
+++ b/yarrowloom/scheduling/admission.py
@@ -117,11 +117,12 @@
         accepted = structs.replace(decode(document, into=AcceptedJob), address=call.address)
         if accepted.tenant and not self.context.quotas.takes_share(tenant=accepted.tenant):
             accepted = structs.replace(accepted, is_beyond_share=True)
-        reason = self._rejection(job=Job.accepted(accepted))
+        job = Job.accepted(accepted)
+        reason = self._rejection(job=job)
         if reason:
             self._reject(node_id=node_id, request_id=request_id, status=TOO_MANY, document={"error": reason})
             return False
-        self.job_queue.live_jobs += 1
+        self.job_queue.live_jobs.add(job_id=call.job_id, job=job)
         self.job_queue.commit(
             JobSubmitted(job_id=call.job_id, job=accepted),
             then=Reply(node_id=node_id, request_id=request_id, status=OK, document={}),
@@ -188,8 +189,10 @@
 
         Either there are too many, or what waits before it would take so long that it could earn nothing any more.
         """
-        if self.job_queue.live_jobs >= MAX_LIVE_JOBS:
+        if len(self.job_queue.live_jobs) >= MAX_LIVE_JOBS:
             return "too many jobs in hand"
+        if not self.job_queue.live_jobs.has_capacity(job=job):
+            return "jobs in hand take too much memory"
         if job.repeat_count or any(step.is_long_running for step in job.steps):
             return ""
         policy = self.context.policy
--- a/yarrowloom/scheduling/job_queue.py
+++ b/yarrowloom/scheduling/job_queue.py
@@ -11,6 +11,7 @@
 from ..jobs.placements import size_of
 from .context import SchedulerContext
 from .effects import StopRuns
+from .live_jobs import LiveJobs
 from .pod_group import Phase, PodGroup
 from .repeated_jobs import RepeatedJobs
 from .retention import EndedJobs
@@ -28,9 +29,9 @@
         priority_fields: By queue with a group, the configuration that its groups were ranked by.
     """
 
-    def __init__(self, *, context: SchedulerContext, retention_s: float) -> None:
+    def __init__(self, *, context: SchedulerContext, retention_s: float, memory_mb: int) -> None:
         self.context = context
-        self.live_jobs = 0
+        self.live_jobs = LiveJobs(memory_mb=memory_mb)
         self.repeated = RepeatedJobs(jobs=context.jobs)
         self.ended = EndedJobs(jobs=context.jobs, retention_s=retention_s)
         self.priority_fields: dict[QueueIdentity, tuple[Any, ...]] = {}
@@ -42,7 +43,7 @@
         if job.has_ended:
             self.ended.add(job_id=job_id, now=self.context.environment.now)
         else:
-            self.live_jobs += 1
+            self.live_jobs.add(job_id=job_id, job=job)
             if job.repeat_count and job.next_run < job.repeat_count:
                 self.repeated.schedule(job_id=job_id)
         for unit_key, unit in job.units.items():
@@ -192,7 +193,7 @@
 
     def _job_ended(self, *, job_id: str) -> None:
         job = self.context.jobs.jobs[job_id]
-        self.live_jobs -= 1
+        self.live_jobs.remove(job_id=job_id)
         self.ended.add(job_id=job_id, now=self.context.environment.now)
         self.context.environment.trace(
             event="job-ended",
--- a/yarrowloom/scheduling/scheduler.py
+++ b/yarrowloom/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from ..cluster_state.routing_table import DEFAULT_RANK
 from ..common.defaults import Defaults
 from ..common.records import decode
+from ..common.settings import DEFAULT_MEMORY_MB
 from ..jobs.state_machine import Jobs
 from ..prediction import History
 from ..replication.replica import Replica
@@ -67,6 +68,7 @@
         remote_factor: float,
         retention_s: float,
         quota_excess: float = 0.0,
+        memory_mb: int = DEFAULT_MEMORY_MB,
     ) -> None:
         """A scheduler that begins with what the record holds.
 
@@ -80,6 +82,7 @@
             remote_factor: How many times longer a task runs away from its data.
             retention_s: How long callers are shown an ended job.
             quota_excess: The part of a tenant's bound by which the rules allow it to be exceeded.
+            memory_mb: Limit on the process's memory.
         """
         self.context = SchedulerContext.build(
             group_id=group_id,
@@ -89,7 +92,7 @@
             history=history,
             quota_excess=quota_excess,
         )
-        self.job_queue = JobQueue(context=self.context, retention_s=retention_s)
+        self.job_queue = JobQueue(context=self.context, retention_s=retention_s, memory_mb=memory_mb)
         self.attachments = Attachments(context=self.context, job_queue=self.job_queue)
         self.task_ends = TaskEnds(context=self.context, job_queue=self.job_queue)
         self.begun_jobs = BegunJobs(context=self.context, job_queue=self.job_queue)
@@ -273,7 +276,8 @@
             "failed": self.passes.failed_cycles,
             "asks": len(self.binding.open_requests),
             "pushed-out": context.preemptor.preempted_total,
-            "live-jobs": self.job_queue.live_jobs,
+            "live-jobs": len(self.job_queue.live_jobs),
+            "live-jobs-mb": self.job_queue.live_jobs.held_bytes >> 20,
             "nominated": sum(len(row.minion_ids) for row in context.nominator.nominations.values()),
             "tenants": context.quotas.figures(),
             "warm": self.warm.report(),
