All that callers make a process hold is charged to one budget; who holds most goes first

Clients send many large bodies of legal size at once, whole, piece by piece or in large or very small chunks, and most stop just short of the end and stay.

Cause: only whole requests that had passed the filters counted against a bound. Bodies, heads and their fields, parsers, unread bytes, documents and responses that nobody reads had none, on front, ready and control alike; connections were accepted until the descriptors ran out.

Change: one budget a process from memory-mb and fd-limit, an account a connection, charged as things arrive. Where it is used up, the connection that holds most without an end is closed first and its buffers are let go at once; a whole request is admitted with the document that its text makes, and a small one finds a share. A request that is being answered is never cut off. Callers' sockets have a window of 32 KB. What isn't plain is parsed in turns of 64 events.

--- a/yarrowloom/common/settings.py
+++ b/yarrowloom/common/settings.py
@@ -17,6 +17,7 @@
 MAX_BACKUPS = 4  # a group keeps no more backups than that, whatever the fault budget allows
 DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_MEMORY_MB = 256
+DEFAULT_DESCRIPTORS = 1024  # what systems commonly allow a process
 DEFAULT_HEARTBEAT_INTERVAL_MS = 1500
 # Used where the settings' `bounds` give no figure.
 DEFAULT_JOB_STATUS_S = 120.0
@@ -47,6 +48,7 @@
         data_dir: Folder for the journal; None on machines without a disk.
         disk_mb: Size of the disk.
         memory_mb: Limit on the process's memory.
+        descriptors: Limit on the process's open descriptors.
         heartbeat_interval_ms: How often minions send heartbeats.
         link_mbps: What the machine's link carries each way; above 0.
         losses: Disks that may be lost at once; each group has as many backups.
@@ -68,6 +70,7 @@
     memory_mb: int
     heartbeat_interval_ms: int
     link_mbps: float = DEFAULT_LINK_MBPS
+    descriptors: int = DEFAULT_DESCRIPTORS
     losses: int = 1
     bounds: dict[str, float] = field(default_factory=dict)
     requires_keys: bool = False
@@ -151,7 +154,7 @@
     ("active-contracts", list, []),
 )
 
-_SIZES = ("disk-mb", "memory-mb")  # limits in MB
+_SIZES = ("disk-mb", "memory-mb", "fd-limit")  # limits in MB, and of descriptors
 
 
 def check(*, document: object) -> NodeSettings:
@@ -227,7 +230,7 @@
 
 
 def _size_findings(limits: object) -> list[Finding]:
-    """What is wrong with limits in MB; one that is missing or null has a default."""
+    """What is wrong with limits in MB and of descriptors; one that is missing or null has a default."""
     sizes = {key: limits.get(key) for key in _SIZES} if isinstance(limits, dict) else {}
     return [
         Finding(place=f"limits.{key}", text="not a number of 0 or more")
@@ -263,6 +266,7 @@
         data_dir=document.get("data-dir"),
         disk_mb=int(limits.get("disk-mb", 0) or 0),
         memory_mb=int(limits.get("memory-mb", DEFAULT_MEMORY_MB) or DEFAULT_MEMORY_MB),
+        descriptors=int(limits.get("fd-limit", DEFAULT_DESCRIPTORS) or DEFAULT_DESCRIPTORS),
         heartbeat_interval_ms=int(values["beat-interval-ms"]),
         link_mbps=float(limits.get("link-mbps", DEFAULT_LINK_MBPS)),
         losses=min(max(losses, 1), MAX_BACKUPS),
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -16,11 +16,13 @@
 from ..common.log import Log
 from ..common.settings import load as load_settings
 from ..storage import RingJournal
-from ..transport.http_messages import Limits, Request, Response
+from ..transport.caller_budget import CallerBudget
+from ..transport.http_messages import Handler, Limits, Request, Response
 from ..transport.http_server import Server, listen
 from ..transport.message_kinds import Kind, Lane
 from ..transport.peer_connections import Messages, PeerConnections
 from .admission_deadline import admission_deadline_s
+from .caller_limits import apply_limits
 from .core import CoreNode
 from .counters import Counters
 from .disk_writer import DiskWriter, Write
@@ -56,11 +58,14 @@
         disk_writer: The journal's writer; None: an edge keeps nothing.
         exchanges: HTTP calls that wait for the node's response.
         servers: Servers of clients and minions, which are drained before the process ends.
+        caller_budget: What the callers of all its servers may hold.
     """
 
     def __init__(self, *, node: Node, log: Log, ring: RingJournal | None, port: int) -> None:
         self.node = node
         self.log = log
+        self.caller_budget = CallerBudget()
+        apply_limits(budget=self.caller_budget, settings=node.settings)
         self.peers = PeerConnections(
             address=f"{node.settings.ip}:{port}",
             node_id=node.node_id,
@@ -232,11 +237,19 @@
         if now - self._expiry_checked_at > EXPIRY_CHECK_S:
             self._expiry_checked_at = now
             self.exchanges.expire(now=now)
+            self._report_callers()
         if isinstance(self.node, CoreNode):
             self.node.pulse()
         else:
             self.node.tick()
 
+    def _report_callers(self) -> None:
+        """Log what callers were refused for want of room."""
+        closed, refused = self.caller_budget.take_counts()
+        if closed or refused:
+            held_mb = self.caller_budget.held_bytes >> 20
+            self.log.warn("callers-limited", closed=closed, refused=refused, held_mb=held_mb)
+
     def _on_written(self, snapshot: list[bytes], batch: list[Write]) -> None:
         """Records are durable: their effects follow."""
         assert isinstance(self.node, CoreNode)
@@ -340,6 +353,7 @@
             return
         if settings != self.node.settings:
             self.node.settings = settings
+            apply_limits(budget=self.caller_budget, settings=settings)
             self.log.info("settings-applied")
 
     # -- tasks
@@ -362,14 +376,17 @@
         node, addresses = self.node, self.node.settings.binds
         if isinstance(node, EdgeNode):
             if "front" in addresses:
-                front = Server(handler=self.handle_request, on_error=self.error_response, limits=node.limits)
+                front = self._server(handler=self.handle_request, limits=node.limits)
                 self.servers.append(front)
                 await nursery.start(partial(listen, address=addresses["front"], server=front))
             if "ready" in addresses:
-                probes = Server(handler=self.handle_probe, on_error=self.error_response)
+                probes = self._server(handler=self.handle_probe, limits=Limits())
                 await nursery.start(partial(listen, address=addresses["ready"], server=probes))
         elif "control" in addresses:
             limits = Limits(body_bytes=CONTROL_BODY_BYTES, header_bytes=CONTROL_HEADER_BYTES, idle_ms=CONTROL_IDLE_MS)
-            control = Server(handler=self.handle_request, on_error=self.error_response, limits=limits)
+            control = self._server(handler=self.handle_request, limits=limits)
             self.servers.append(control)
             await nursery.start(partial(listen, address=addresses["control"], server=control))
+
+    def _server(self, *, handler: Handler, limits: Limits) -> Server:
+        return Server(handler=handler, on_error=self.error_response, limits=limits, budget=self.caller_budget)
--- a/yarrowloom/testbed/cluster.py
+++ b/yarrowloom/testbed/cluster.py
@@ -65,6 +65,7 @@
     beat_ms: int = 1000
     disk_mb: int = 16
     bounds: dict[str, float] = field(default_factory=dict)
+    limits: dict[str, int] = field(default_factory=dict)  # in place of the shipped ones, by their published names
     level: str = "info"
 
 
@@ -201,7 +202,7 @@
             "seed-nodes": self.controls()[:3],
             "bootstrap": node.starts == 0,
             "data-dir": str(node.folder / "data") if node.kind == "core" else None,
-            "limits": {"disk-mb": self.shape.disk_mb, "memory-mb": 300},
+            "limits": {"disk-mb": self.shape.disk_mb, "memory-mb": 300, **self.shape.limits},
             "commands": "heartbeat",
             "beat-interval-ms": self.shape.beat_ms,
             "bounds": {"grace-s": 2, **self.shape.bounds},
--- a/yarrowloom/transport/h11_exchange.py
+++ b/yarrowloom/transport/h11_exchange.py
@@ -5,21 +5,31 @@
 import h11
 import trio
 
+from .block_buffer import BlockBuffer
+from .caller_budget import FIELD_BYTES, PARSER_BYTES, CallerAccount
 from .header_rules import Rule, screen
 from .http_messages import CONNECTION_CLOSE, SEND_TIMEOUT_S, Limits, Request, Response
 from .plain_reader import RECEIVE_BYTES, PlainReader
 
 HEADER_OVERHEAD_BYTES = 4  # of a header line, beside its name and value
+EVENTS_PER_TURN = 64
 
 
 class Exchanger(Protocol):
-    """What an exchange needs of its server."""
+    """What an exchange needs of its server.
+
+    Attributes:
+        limits: Limits on requests.
+        closing: Each response is the last of its connection.
+        parsing: Held by the connection that parses: one at a time.
+    """
 
     limits: Limits
     closing: bool
+    parsing: trio.Lock
 
-    async def handle(self, request: Request) -> Response:
-        """Answer one request."""
+    async def answer(self, request: Request, *, account: CallerAccount) -> Response:
+        """Answer one request, or refuse it for want of room."""
 
 
 class _RefusedError(Exception):
@@ -30,32 +40,63 @@
         self.status = status
 
 
+class _IncomingRequest:
+    """A request that is being read.
+
+    Attributes:
+        head: Its head, once that is whole.
+        body: What has come of its body.
+        is_whole: Nothing of it is missing.
+    """
+
+    def __init__(self) -> None:
+        self.head: h11.Request | None = None
+        self.body = BlockBuffer()
+        self.is_whole = False
+
+
 class H11Exchange:
-    """Requests and responses of one connection by h11, which judges all that is not plain."""
+    """Requests and responses of one connection by h11, which judges all that is not plain.
 
-    def __init__(self, *, server: Exchanger, stream: trio.SocketStream) -> None:
+    Invariant: between two rounds in which all other tasks run, the connections of a server parse no more than
+    EVENTS_PER_TURN events together. A body may come in chunks of one byte.
+    """
+
+    def __init__(self, *, server: Exchanger, stream: trio.SocketStream, account: CallerAccount) -> None:
         limits = server.limits
         self._server = server
         self._stream = stream
+        self._account = account
         self._limits = limits
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max(limits.header_bytes, 1024))
+        self._incoming = _IncomingRequest()
         self._deadline = 0.0
         self._begun = False  # something of the request that is being read has come
 
     async def run(self, *, plain: PlainReader) -> None:
-        """Go on with what a plain reader has received; the time that it gave the request goes on."""
+        """Go on with what a plain reader has received; the time that it gave the request goes on.
+
+        Raises:
+            CallerClosedError: The connection was closed to make room.
+        """
         self._h11.receive_data(bytes(plain.buffer))
+        plain.buffer.clear()
         self._deadline, self._begun = plain.deadline, True
         while (request := await self._next_request()) is not None:
-            await self._send(await self._server.handle(request))
+            await self._send(await self._server.answer(request, account=self._account))
             if self._h11.our_state is h11.MUST_CLOSE or self._h11.our_state is h11.CLOSED:
                 return
             try:
                 self._h11.start_next_cycle()
             except h11.LocalProtocolError:
                 return
+            self._account.read(received_bytes=PARSER_BYTES + self._unparsed_bytes())
             self._deadline, self._begun = self._time_after(self._limits.idle_ms), False
 
+    def drop(self) -> None:
+        """Let go of what was received: the connection was closed to make room."""
+        self._incoming.body.clear()
+
     async def refuse(self, *, status: int) -> None:
         """Answer with an error status and end the connection."""
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -72,32 +113,53 @@
         return None
 
     async def _read_request(self) -> Request | None:
-        """Read events until a request is whole.
+        """Read events until a request is whole; None: the connection has ended.
 
         Raises:
             _RefusedError: It is too large or too slow.
             h11.RemoteProtocolError: It is malformed.
+            CallerClosedError: The connection was closed to make room.
         """
-        head: h11.Request | None = None
-        body = bytearray()
+        incoming = self._incoming = _IncomingRequest()
         while True:
-            event = self._h11.next_event()
+            async with self._server.parsing:
+                event = self._take_events(incoming)
             if event is h11.NEED_DATA:
-                if not await self._receive(has_head=head is not None):
+                self._charge()
+                if not await self._receive(has_head=incoming.head is not None):
                     return None
-            elif isinstance(event, h11.Request):
-                head = event
+            elif incoming.is_whole:
+                return self._request(incoming)
+            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return None
+
+    def _take_events(self, incoming: _IncomingRequest) -> object:
+        """Take events until there are no more, the request is whole or a turn is over; the last one."""
+        event: object = h11.NEED_DATA
+        for _ in range(EVENTS_PER_TURN):
+            event = self._h11.next_event()
+            if isinstance(event, h11.Request):
+                incoming.head = event
                 self._deadline = self._time_after(max(self._limits.header_ms, self._limits.idle_ms))
-                self._check_declared_size(head)
+                self._check_declared_size(event)
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.body_bytes:
+                incoming.body.append(event.data)
+                if len(incoming.body) > self._limits.body_bytes:
                     raise _RefusedError(status=413)
-            elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return self._request(head=head, body=bytes(body))
             else:
-                return None
+                incoming.is_whole = isinstance(event, h11.EndOfMessage)
+                break
+        return event
+
+    def _charge(self) -> None:
+        """Charge what was received; called when that has been parsed as far as can be, and when more has come."""
+        head = self._incoming.head
+        fields = len(head.headers) if head is not None else 0
+        held_bytes = self._incoming.body.capacity_bytes + self._unparsed_bytes()
+        self._account.hold(PARSER_BYTES + fields * FIELD_BYTES + held_bytes)
+
+    def _unparsed_bytes(self) -> int:
+        return len(self._h11.trailing_data[0])
 
     async def _receive(self, *, has_head: bool) -> bool:
         """Receive more; false: an idle connection has ended or timed out."""
@@ -116,6 +178,7 @@
         if not self._begun and data:
             self._begin()
         self._h11.receive_data(bytes(data))
+        self._charge()
         return True
 
     def _begin(self) -> None:
@@ -131,7 +194,9 @@
         if size is not None and int(size) > self._limits.body_bytes:
             raise _RefusedError(status=413)
 
-    def _request(self, *, head: h11.Request, body: bytes) -> Request:
+    def _request(self, incoming: _IncomingRequest) -> Request:
+        head = incoming.head
+        assert head is not None
         if (
             sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in head.headers)
             > self._limits.header_bytes
@@ -140,7 +205,7 @@
         return Request(
             method=head.method.decode(),
             path=head.target.decode("latin-1"),
-            body=body,
+            body=incoming.body.take(),
             headers={name.decode(): value.decode("latin-1") for name, value in head.headers},
         )
 
@@ -151,6 +216,7 @@
         if self._server.closing and not any(name == "connection" for name, _ in headers):
             headers.append(CONNECTION_CLOSE)
         headers.append(("content-length", str(len(response.body))))
+        self._account.send(response_bytes=PARSER_BYTES + len(response.body))
         data = self._h11.send(h11.Response(status_code=response.status, headers=headers)) or b""
         if response.body:
             data += self._h11.send(h11.Data(data=response.body)) or b""
--- a/yarrowloom/transport/http_server.py
+++ b/yarrowloom/transport/http_server.py
@@ -7,6 +7,8 @@
 import trio
 
 from . import listener as accept
+from .caller_budget import FIELD_BYTES, WINDOW_BYTES, Admission, CallerAccount, CallerBudget, CallerClosedError
+from .document_size import document_bytes
 from .h11_exchange import H11Exchange
 from .http_head import write_head
 from .http_messages import CONNECTION_CLOSE, SEND_TIMEOUT_S, ErrorHandler, Handler, Limits, Request, Response
@@ -19,7 +21,13 @@
     trio.TooSlowError,
     h11.ProtocolError,
     OSError,
+    CallerClosedError,
 )
+LARGE_RESPONSE_BYTES = 65536  # a body of this size is not copied behind its head
+_REFUSALS = {
+    Admission.FULL: Response.of(503, {"error": "too much in hand"}, headers=(("retry-after", "1"),)),
+    Admission.TOO_LARGE: Response.of(413, {"error": "too large a document"}),
+}
 
 
 def _internal_error(_request: Request, _error: Exception) -> Response:
@@ -35,6 +43,8 @@
         on_error: Makes the answer to a request whose handler raised.
         closing: Each response is the last of its connection.
         busy: Requests that are being answered.
+        budget: What its callers may hold, with those of the process's other servers.
+        parsing: Held by the connection that parses by h11.
     """
 
     handler: Handler
@@ -42,6 +52,20 @@
     limits: Limits = field(default_factory=Limits)
     closing: bool = False
     busy: int = 0
+    budget: CallerBudget = field(default_factory=CallerBudget)
+    parsing: trio.Lock = field(default_factory=trio.Lock)
+
+    async def answer(self, request: Request, *, account: CallerAccount) -> Response:
+        """Answer one request; 503 or 413 if there is no room for what would be made of it.
+
+        Raises:
+            CallerClosedError: The connection was closed to make room.
+        """
+        fields_bytes = len(request.headers) * FIELD_BYTES
+        admission = account.admit(request_bytes=fields_bytes + document_bytes(request.body))
+        if admission is not Admission.ADMITTED:
+            return _REFUSALS[admission]
+        return await self.handle(request)
 
     async def handle(self, request: Request) -> Response:
         """Answer one request; it counts as busy meanwhile."""
@@ -74,23 +98,57 @@
     def __init__(self, *, server: Server, stream: trio.SocketStream) -> None:
         self._server = server
         self._stream = stream
+        self._scope = trio.CancelScope()
+        self._account = server.budget.open(on_evicted=self._on_evicted)
+        self._plain = PlainReader(stream=stream, limits=server.limits, account=self._account)
+        self._exchange: H11Exchange | None = None
 
     async def run(self) -> None:
-        plain = PlainReader(stream=self._stream, limits=self._server.limits)
+        """Serve requests until the connection ends.
+
+        Raises:
+            CallerClosedError: It was closed to make room.
+        """
+        try:
+            with self._scope:
+                await self._serve_requests()
+        finally:
+            self._account.close()
+
+    def _on_evicted(self) -> None:
+        """End the connection, and let go of what it has received before its task has ended."""
+        self._plain.drop()
+        if self._exchange is not None:
+            self._exchange.drop()
+        self._scope.cancel()
+
+    async def _serve_requests(self) -> None:
+        plain = self._plain
         while (request := await plain.next_request()) is not None:
-            response = await self._server.handle(request)
+            response = await self._server.answer(request, account=self._account)
+            del request  # its body is not to be held while the response leaves
             closing = self._server.closing
-            head = write_head(
-                status=response.status, headers=response.headers, closing=closing, size=len(response.body)
-            )
-            with trio.fail_after(SEND_TIMEOUT_S):
-                await self._stream.send_all(head + response.body)
+            await self._send(response, closing=closing)
             if closing or CONNECTION_CLOSE in response.headers:
                 return
+            self._account.read(received_bytes=len(plain.buffer))
+        if not plain.timed_out and not plain.buffer:
+            return
+        self._exchange = H11Exchange(server=self._server, stream=self._stream, account=self._account)
         if plain.timed_out:
-            await H11Exchange(server=self._server, stream=self._stream).refuse(status=408)
-        elif plain.buffer:
-            await H11Exchange(server=self._server, stream=self._stream).run(plain=plain)
+            await self._exchange.refuse(status=408)
+        else:
+            await self._exchange.run(plain=plain)
+
+    async def _send(self, response: Response, *, closing: bool) -> None:
+        self._account.send(response_bytes=len(response.body))
+        head = write_head(status=response.status, headers=response.headers, closing=closing, size=len(response.body))
+        with trio.fail_after(SEND_TIMEOUT_S):
+            if len(response.body) < LARGE_RESPONSE_BYTES:
+                await self._stream.send_all(head + response.body)
+                return
+            await self._stream.send_all(head)
+            await self._stream.send_all(response.body)
 
 
 async def listen(
@@ -100,6 +158,6 @@
 
     The listener is closed once this has ended, however it ends.
     """
-    with accept.open_listener(address=address) as listener:
+    with accept.open_listener(address=address, window_bytes=WINDOW_BYTES) as listener:
         task_status.started()
         await accept.serve(listener=listener, handler=server.serve)
--- a/yarrowloom/transport/listener.py
+++ b/yarrowloom/transport/listener.py
@@ -19,12 +19,23 @@
 StreamHandler = Callable[[trio.SocketStream], Awaitable[object]]
 
 
-def open_listener(*, address: str, backlog: int = BACKLOG) -> socket.socket:
-    """Listen at HOST:PORT (IPv4). Raises OSError, as where the port is in use."""
+def open_listener(*, address: str, backlog: int = BACKLOG, window_bytes: int = 0) -> socket.socket:
+    """Listen at HOST:PORT (IPv4).
+
+    Args:
+        address: Where.
+        backlog: Connections that the system keeps until they are accepted.
+        window_bytes: Most that waits unread in a connection's socket; 0: as the system has it.
+
+    Raises:
+        OSError: As where the port is in use.
+    """
     host, port = address.rsplit(":", 1)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if window_bytes:  # the system sets aside twice what it is told
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes // 2)
         listener.setblocking(False)
         listener.bind((host, int(port)))
         listener.listen(backlog)
