Whoever connects to the internal port is a caller until it has answered as a node

Callers saw: a process whose descriptors are used up, without a request sent. 600 silent connections to an edge's internal port at an fd-limit of 320: 613 descriptors, until the process ends.

Cause: nothing bounded the wait for the challenge that a node sends back, nor how many connections wait.

Change: until it is sent back, the connection counts in the callers' budget, where the one that has waited longest is closed first. Nodes answer within a round trip.

The test fails before and passes after.

--- a/tests/integration/test_caller_crowds.py
+++ b/tests/integration/test_caller_crowds.py
@@ -144,6 +144,11 @@
     )
 
 
+# Guards against connections to the port between nodes on which nobody ever answers as a node.
+def test_more_silent_connections_to_the_internal_port_than_descriptors() -> None:
+    endure(limits=FEW_DESCRIPTORS, crowd=lambda at: Crowd(address=at.internal, size=IDLE_CROWD, pieces=lambda: ()))
+
+
 def test_a_single_request_of_the_largest_size_is_served_in_calm() -> None:
     endure(
         limits=LIMITS,
--- a/yarrowloom/node/runtime.py
+++ b/yarrowloom/node/runtime.py
@@ -73,6 +73,7 @@
             sink=self.receive_frames,
             log=log,
             on_restart=self._on_peer_restarted,
+            caller_budget=self.caller_budget,
         )
         self.disk_writer: DiskWriter | None = None
         if isinstance(node, CoreNode):
--- a/yarrowloom/transport/peer_connections.py
+++ b/yarrowloom/transport/peer_connections.py
@@ -18,6 +18,7 @@
 
 from ..common.log import Log
 from . import listener as accept
+from .caller_budget import CallerBudget, CallerClosedError
 from .envelope import Frame, FrameDecoder, FrameEncoder, MalformedFrameError, envelope_fault, split_messages
 from .message_kinds import LANES, Kind, Lane
 from .send_queue import SendQueue
@@ -38,6 +39,7 @@
 MessageSink = Callable[[str, Lane, Messages, bool], None]
 RestartListener = Callable[[str], None]
 SEND_ERRORS = (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError)
+RECEIVE_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, CallerClosedError)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -87,6 +89,7 @@
         sink: MessageSink,
         log: Log,
         on_restart: RestartListener | None = None,
+        caller_budget: CallerBudget | None = None,
     ) -> None:
         """Create the connections of a node; `run` opens them.
 
@@ -97,6 +100,7 @@
             sink: Takes (node id, lane, messages, whether messages before them were lost).
             log: Where malformed input is reported.
             on_restart: Is told the address of a peer of which a newer incarnation was heard.
+            caller_budget: What callers may hold; whoever connects is one until it has sent the challenge back.
         """
         self.address = address
         self.node_id = node_id
@@ -104,6 +108,7 @@
         self.sink = sink
         self.log = log
         self.on_restart = on_restart
+        self._caller_budget = caller_budget if caller_budget is not None else CallerBudget()
         self._outgoing: dict[tuple[str, Lane], _Outgoing] = {}
         self._tracker = SequenceTracker()
         self._accepted = 0  # connections so far
@@ -237,12 +242,11 @@
         """Own one accepted connection until it ends."""
         self._accepted += 1
         connection = self._accepted
-        challenge = MAGIC + secrets.token_bytes(CHALLENGE_BYTES - len(MAGIC))
         try:
-            with suppress(trio.BrokenResourceError, trio.ClosedResourceError, OSError), trio.CancelScope() as scope:
+            with suppress(*RECEIVE_ERRORS), trio.CancelScope() as scope:
                 self._receiving[connection] = scope
-                await stream.send_all(challenge)
-                await self._receive_frames(stream=stream, connection=connection, challenge=challenge)
+                rest = await self._challenge(stream=stream, scope=scope)
+                await self._receive_frames(stream=stream, connection=connection, rest=rest)
         finally:
             del self._receiving[connection]
             self._checked.pop(connection, None)
@@ -254,9 +258,30 @@
             if (sender, lane_number) == (node_id, lane):
                 self._receiving[connection].cancel()
 
-    async def _receive_frames(self, *, stream: trio.SocketStream, connection: int, challenge: bytes) -> None:
-        """Take what one connection brings until it ends or brings what cannot be read."""
-        rest = await self._read_opening(stream=stream, challenge=challenge)
+    async def _challenge(self, *, stream: trio.SocketStream, scope: trio.CancelScope) -> bytes | None:
+        """What follows the challenge that was sent back; None: the connection ended or sent something else.
+
+        Until then whoever connected is no node, and its connection counts among those of callers.
+
+        Raises:
+            CallerClosedError: There is no room for it.
+        """
+        account = self._caller_budget.open(on_evicted=scope.cancel)
+        challenge = MAGIC + secrets.token_bytes(CHALLENGE_BYTES - len(MAGIC))
+        try:
+            await stream.send_all(challenge)
+            return await self._read_opening(stream=stream, challenge=challenge)
+        finally:
+            account.close()
+
+    async def _receive_frames(self, *, stream: trio.SocketStream, connection: int, rest: bytes | None) -> None:
+        """Take what one connection brings until it ends or brings what cannot be read.
+
+        Args:
+            stream: The connection.
+            connection: Its number.
+            rest: What has come of it; None: it has ended.
+        """
         decoder = FrameDecoder()
         while rest is not None:
             malformed = None
