A connection that comes when answers take all the callers' memory ends no process

Change: room is made before an account is opened; where there is none, the connection is closed by its own task. What has come behind a whole request counts with it, and a response that begins to leave begins a turn, so that a long answer isn't the first to be cut where connections are short.

The new test fails before (AttributeError) and passes after.

--- a/tests/transport/test_caller_budget.py
+++ b/tests/transport/test_caller_budget.py
@@ -3,9 +3,12 @@
 import random
 import tracemalloc
 from collections.abc import Callable
+from typing import cast
 
 import orjson
 import pytest
+import trio
+import trio.testing
 
 from yarrowloom.transport.caller_budget import (
     CONNECTION_BYTES,
@@ -16,6 +19,8 @@
     CallerClosedError,
 )
 from yarrowloom.transport.document_size import document_bytes
+from yarrowloom.transport.http_messages import Request, Response
+from yarrowloom.transport.http_server import Server
 
 MB = 1 << 20
 
@@ -121,6 +126,27 @@
     assert closed == []
 
 
+# Guards against a connection that is closed for want of room before it is set up: that ended the process.
+def test_a_connection_that_comes_when_answers_take_all_memory_is_closed_and_nothing_else_happens() -> None:
+    budget = budget_of(connections=1, more_bytes=100)
+    accounts, closed = opened(budget, names="a")
+    assert accounts["a"].admit(request_bytes=100) is Admission.ADMITTED
+    server = Server(handler=answer_nothing, budget=budget)
+
+    async def connect() -> bytes | bytearray:
+        ours, theirs = trio.testing.memory_stream_pair()
+        await server.serve(cast(trio.SocketStream, theirs))
+        return await ours.receive_some(1)
+
+    assert trio.run(connect) == b""
+    assert closed == []
+    assert (len(budget), budget.held_bytes) == (1, CONNECTION_BYTES + 100)
+
+
+async def answer_nothing(_request: Request) -> Response:
+    return Response(status=200)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_the_sums_are_those_of_the_open_accounts(seed: int) -> None:
     draw = random.Random(seed)
--- a/yarrowloom/transport/caller_budget.py
+++ b/yarrowloom/transport/caller_budget.py
@@ -101,6 +101,7 @@
         """
         self._check_open()
         self._end_answer(Phase.SENDING)
+        self.turn = self._budget.next_turn()
         self.hold(response_bytes)
 
     def read(self, *, received_bytes: int) -> None:
@@ -143,6 +144,9 @@
         return grown_bytes
 
 
+Rank = Callable[[CallerAccount], tuple[int, ...]]
+
+
 def _holds_most(account: CallerAccount) -> tuple[int, int]:
     """Where bytes are short, the one that holds most is closed first; of equals, the one that has for longest."""
     return account.held_bytes, -account.turn
@@ -198,16 +202,15 @@
             on_evicted: Is called when the connection is to end. What it has received must be let go at once.
 
         Raises:
-            CallerClosedError: All connections are being answered, and no more are allowed.
+            CallerClosedError: The others are all being answered, and leave no room for one more.
         """
-        while len(self._accounts) >= self.most_connections:
-            if not self._close_one(by=_held_longest):
+        while (rank := self._rank_for_one_more()) is not None:
+            if not self._close_one(by=rank):
                 self.closed_count += 1
                 raise CallerClosedError
         account = CallerAccount(budget=self, on_evicted=on_evicted, turn=self.next_turn())
         self._accounts[account] = None
         self.held_bytes += CONNECTION_BYTES
-        self.make_room()
         return account
 
     def next_turn(self) -> int:
@@ -248,11 +251,17 @@
         self.closed_count = self.refused_count = 0
         return counts
 
+    def _rank_for_one_more(self) -> Rank | None:
+        """By what rank a connection is to be closed before one more is opened; None: there is room for it."""
+        if len(self._accounts) >= self.most_connections:
+            return _held_longest
+        return _holds_most if self.held_bytes + CONNECTION_BYTES > self.limit_bytes else None
+
     def _refuse(self, admission: Admission) -> Admission:
         self.refused_count += 1
         return admission
 
-    def _close_one(self, *, by: Callable[[CallerAccount], tuple[int, ...]], but: CallerAccount | None = None) -> bool:
+    def _close_one(self, *, by: Rank, but: CallerAccount | None = None) -> bool:
         """Close the connection of the highest rank that is not being answered; false: each of the others is."""
         waiting = [account for account in self._accounts if not account.is_answering and account is not but]
         if not waiting:
--- a/yarrowloom/transport/h11_exchange.py
+++ b/yarrowloom/transport/h11_exchange.py
@@ -28,7 +28,7 @@
     closing: bool
     parsing: trio.Lock
 
-    async def answer(self, request: Request, *, account: CallerAccount) -> Response:
+    async def answer(self, request: Request, *, account: CallerAccount, next_bytes: int) -> Response:
         """Answer one request, or refuse it for want of room."""
 
 
@@ -83,7 +83,8 @@
         plain.buffer.clear()
         self._deadline, self._begun = plain.deadline, True
         while (request := await self._next_request()) is not None:
-            await self._send(await self._server.answer(request, account=self._account))
+            next_bytes = self._unparsed_bytes()
+            await self._send(await self._server.answer(request, account=self._account, next_bytes=next_bytes))
             if self._h11.our_state is h11.MUST_CLOSE or self._h11.our_state is h11.CLOSED:
                 return
             try:
--- a/yarrowloom/transport/http_server.py
+++ b/yarrowloom/transport/http_server.py
@@ -55,14 +55,19 @@
     budget: CallerBudget = field(default_factory=CallerBudget)
     parsing: trio.Lock = field(default_factory=trio.Lock)
 
-    async def answer(self, request: Request, *, account: CallerAccount) -> Response:
+    async def answer(self, request: Request, *, account: CallerAccount, next_bytes: int) -> Response:
         """Answer one request; 503 or 413 if there is no room for what would be made of it.
 
+        Args:
+            request: The request.
+            account: Of its connection.
+            next_bytes: What has come behind it.
+
         Raises:
             CallerClosedError: The connection was closed to make room.
         """
-        fields_bytes = len(request.headers) * FIELD_BYTES
-        admission = account.admit(request_bytes=fields_bytes + document_bytes(request.body))
+        head_bytes = len(request.headers) * FIELD_BYTES
+        admission = account.admit(request_bytes=head_bytes + document_bytes(request.body) + next_bytes)
         if admission is not Admission.ADMITTED:
             return _REFUSALS[admission]
         return await self.handle(request)
@@ -125,7 +130,7 @@
     async def _serve_requests(self) -> None:
         plain = self._plain
         while (request := await plain.next_request()) is not None:
-            response = await self._server.answer(request, account=self._account)
+            response = await self._server.answer(request, account=self._account, next_bytes=len(plain.buffer))
             del request  # its body is not to be held while the response leaves
             closing = self._server.closing
             await self._send(response, closing=closing)
