A configuration that can't be read is passed on as none; texts count with six copies

Callers saw: a core that ends for want of memory. Found by trying other bodies at control: 8 callers with 8 MB of control characters each, sent as a configuration, took a core with a memory-mb of 96 to 182 MB with the callers' budget in place, 8 MB of one letter to 108 MB (the crowd tests, before this commit; beside other load).

Cause: the text goes to group 0's primary as a part of a message, where a control character takes six bytes; a sound text is held six times on its way, and the budget reckoned with four.

Change: a body that is no JSON goes on as an empty text, which the primary refuses as well: it alone says what is refused, since a node out of touch must refuse nothing (a first form that answered 400 at once failed test_a_node_out_of_touch_refuses_nothing and was dropped). Documents count with six copies of their text.

Both crowd tests and two of three cases in test_http_routes fail before and pass after.

--- a/tests/integration/test_caller_crowds.py
+++ b/tests/integration/test_caller_crowds.py
@@ -93,6 +93,19 @@
     endure(limits=LIMITS, crowd=lambda at: Crowd(address=getattr(at, port), size=crowd, pieces=pieces, reads=True))
 
 
+# Guards against texts that grow as they are passed on: as a part of a message, each of these bytes takes six.
+def test_whole_configurations_that_cannot_be_read() -> None:
+    pieces = whole(opening=head("If-Match: 2", method="PUT", path="/config"), body=b"\x01" * (CONTROL_BODY_BYTES // 2))
+    endure(limits=LIMITS, crowd=lambda at: Crowd(address=at.control, size=CONTROL_CROWD, pieces=pieces, reads=True))
+
+
+# Guards against texts that are copied on their way from the caller to group 0's primary.
+def test_whole_configurations_that_are_one_text() -> None:
+    body = b'"' + b"x" * (CONTROL_BODY_BYTES // 2) + b'"'
+    pieces = whole(opening=head("If-Match: 2", method="PUT", path="/config"), body=body)
+    endure(limits=LIMITS, crowd=lambda at: Crowd(address=at.control, size=CONTROL_CROWD, pieces=pieces, reads=True))
+
+
 def largest_jobs() -> Pieces:
     """A job of the largest size, under another ID each time."""
     job = largest_job()
--- a/tests/node/test_http_routes.py
+++ b/tests/node/test_http_routes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from yarrowloom.node.http_routes import dispatch
+from yarrowloom.node.registry_requests import ConfigChange
 from yarrowloom.simulator.cluster import Sim
 from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.http_messages import Request, Response
@@ -71,3 +72,14 @@
     pending = set(sim.core(ip).calls.pending)
     assert ask(sim, ip=ip, method=method, path=path) is None
     assert len(set(sim.core(ip).calls.pending) - pending) == 1
+
+
+# Guards against texts that grow as they are passed on: each of these bytes takes six in a message.
+@pytest.mark.parametrize(("body", "passed_on"), [(b'{"a":"\x01"}', ""), (b"{", ""), (b'{"a":1}', '{"a":1}')])
+def test_only_a_text_that_can_be_read_is_passed_on_to_the_primary(sim: Sim, body: bytes, passed_on: str) -> None:
+    ip = sim.core_ips[0]
+    assert ask(sim, ip=ip, method="PUT", path="/config", body=body) is None
+    node = sim.core(ip)
+    change = node.calls.pending[node.calls.last_request_id].body
+    assert isinstance(change, ConfigChange)
+    assert change.body == passed_on
--- a/yarrowloom/node/http_routes.py
+++ b/yarrowloom/node/http_routes.py
@@ -134,7 +134,7 @@
     """A whole configuration (PUT), or a change of named items (PATCH)."""
     request = call.request
     try:
-        text = request.body.decode()
+        text = _readable_text(request.body)
     except UnicodeDecodeError:
         invalid = {"error": "invalid", "findings": ["(body): not UTF-8"]}
         node.respond(call=call.call, response=Response.of(400, invalid))
@@ -143,6 +143,22 @@
     _call_registry(node, call, operation=CallOperation.CHANGE_CONFIG, body=change)
 
 
+def _readable_text(body: bytes) -> str:
+    """The text of a JSON document; empty, which the primary refuses as well, if it is none.
+
+    As a part of a message, a text that is no JSON may take six times its size.
+
+    Raises:
+        UnicodeDecodeError: It is not UTF-8.
+    """
+    text = body.decode()
+    try:
+        orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return ""
+    return text
+
+
 def read_config(node: HttpEnvironment, call: HttpCall) -> None:
     """The newest configuration, whole."""
     node.config_reads.read(call=call.call)
--- a/yarrowloom/transport/document_size.py
+++ b/yarrowloom/transport/document_size.py
@@ -10,7 +10,7 @@
 _NEXT_VALUE_BYTES = 72  # a place in a list or an object, and a number
 _STRING_BYTES = 64  # beside its characters
 _WIDEST_CHARACTER_BYTES = 4  # of each character in a text that is not ASCII throughout
-_COPIES = 4  # of the text: as it came, as text, as a message to another node, and as read there
+_COPIES = 6  # of the text: as it came, as text, as messages to another node, and as read and kept there
 
 
 def document_bytes(text: bytes) -> int:
@@ -19,7 +19,7 @@
     The text need not be JSON.
 
     >>> document_bytes(b""), document_bytes(b"{}"), document_bytes(b'{"cpus":500}')
-    (0, 80, 376)
+    (0, 84, 400)
     """
     if not text:
         return 0
