--- a/tests/integration/test_caller_crowds.py
+++ b/tests/integration/test_caller_crowds.py
@@ -21,6 +21,9 @@
 CONTROL_CROWD = 8
 SMALL_CROWD = 50
 ROUNDS = 20
+MINION_CROWD = 20
+MINION_ROUNDS = 10
+LABEL_BYTES = 1 << 20
 IDLE_CROWD = 600
 READ_NOTHING_CROWD = 120
 MANY_ROUTES = 4000
@@ -128,6 +131,32 @@
     endure(limits=LIMITS, crowd=lambda at: crowd(address=at.front))
 
 
+def made_up_minions() -> Pieces:
+    """A heartbeat of a minion that nobody knows, with a label of a megabyte; another one each time."""
+    numbers = itertools.count()
+    heartbeat = {
+        "backend": "svc",
+        "zone": "hall-0",
+        "state": "ready",
+        "call-seq": 1,
+        "labels": ["x" * LABEL_BYTES, "r0"],
+        "capacity": {"cpus": 8000, "mem-mb": 8000},
+    }
+    body = orjson.dumps(heartbeat)
+
+    def one_heartbeat() -> tuple[bytes]:
+        opening = head(method="PUT", path=f"/minions/i-{next(numbers)}")
+        return (opening + b"Content-Length: %d\r\n\r\n" % len(body) + body,)
+
+    return one_heartbeat
+
+
+# Guards against state that is kept of minions after their requests have ended (see KNOWN-RED.txt).
+def test_heartbeats_of_made_up_minions() -> None:
+    crowd = partial(Crowd, size=MINION_CROWD, pieces=made_up_minions(), reads=True, rounds=MINION_ROUNDS)
+    endure(limits=LIMITS, crowd=lambda at: crowd(address=at.control))
+
+
 def test_responses_that_nobody_reads() -> None:
     request = head(method="GET", path="/config") + b"\r\n"
     endure(
