--- a/yarrowloom/scheduling/live_jobs.py
+++ b/yarrowloom/scheduling/live_jobs.py
@@ -2,11 +2,11 @@
 
 from ..jobs.model import Job
 
-TEXT_COPIES = 6  # of a job's texts: in the record, its log, the journal's writer, and snapshots
+TEXT_COPIES = 4  # of a job's texts: in the record, and while the journal writes a snapshot
 TASK_BYTES = 48
-STEP_BYTES = 1024
+STEP_BYTES = 640
 JOB_BYTES = 2048
-JOBS_MEMORY_SHARE = 0.25  # of a core's memory, for all jobs that have not ended
+JOBS_MEMORY_SHARE = 0.5  # of a core's memory, for all jobs that have not ended
 LARGE_JOB_BYTES = 64 * 1024
 LARGE_JOBS_SHARE = 0.75  # of that, for large jobs: the rest is for small ones
 
