--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -551,9 +551,11 @@
 def main(case: Callable[[Record], int], *, folder: pathlib.Path) -> None:
     """Run a case and exit with its result: 0 the rule held, 1 it was broken, 2 the case couldn't run."""
     record = Record(folder=folder)
+    for number in (signal.SIGTERM, signal.SIGINT):  # what was started is ended all the same
+        signal.signal(number, lambda *_details: sys.exit(CANNOT_RUN))
     try:
         result = case(record)
-    except Exception as error:
+    except (Exception, SystemExit) as error:
         record.write(f"the case could not run: {error!r}")
         result = CANNOT_RUN
     words = {HELD: "the rule held", BROKEN: "the rule was broken", CANNOT_RUN: "the case could not run"}
