HTTP requests carry a time that is certainly before they were sent

Each request now has `sent_after`: the last moment at which its socket was known to hold nothing unread, because a read found nothing or because a poll of the event loop did not report it; for a new connection, the same of its listener. It is a bound, not the time of sending: it rests neither on the sender having closed nor on the length of a standstill. Kernel time stamps were not used: they follow the time of day, which may step.

--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -50,8 +50,9 @@
     with accept.open_listener(address="127.0.0.1:0") as listener:
         clients = dialled(listener=listener, count=accept.MAX_ACCEPTS_PER_ROUND + 10)
         taken = [accept.accept_waiting(listener=listener) for _ in range(3)]
-        assert [len(rows) for rows in taken] == [accept.MAX_ACCEPTS_PER_ROUND, 10, 0]
-        for sock in [*clients, *(sock for rows in taken for sock in rows)]:
+        assert [len(rows.connections) for rows in taken] == [accept.MAX_ACCEPTS_PER_ROUND, 10, 0]
+        assert [rows.is_all for rows in taken] == [False, True, True]
+        for sock in [*clients, *(sock for rows in taken for sock in rows.connections)]:
             sock.close()
 
 
@@ -59,7 +60,7 @@
     served = 0
     rounds = 0
 
-    async def handler(stream: trio.SocketStream) -> None:
+    async def handler(stream: trio.abc.Stream) -> None:
         nonlocal served
         served += 1
         await stream.aclose()
@@ -92,9 +93,9 @@
 )
 def test_a_connection_that_fails_is_passed_over(outcomes: list[int], count: int) -> None:
     taken = accept.accept_waiting(listener=Refusing(outcomes=outcomes))  # type: ignore[arg-type]
-    for sock in taken:
+    for sock in taken.connections:
         sock.close()
-    assert len(taken) == count
+    assert len(taken.connections) == count
 
 
 def test_want_of_descriptors_is_told() -> None:
--- a/yarrowloom/transport/h11_exchange.py
+++ b/yarrowloom/transport/h11_exchange.py
@@ -7,6 +7,7 @@
 
 from .block_buffer import BlockBuffer
 from .caller_budget import FIELD_BYTES, PARSER_BYTES, CallerAccount
+from .dated_stream import DatedStream
 from .header_rules import Rule, screen
 from .http_messages import CONNECTION_CLOSE, SEND_TIMEOUT_S, Limits, Request, Response
 from .plain_reader import RECEIVE_BYTES, PlainReader
@@ -46,12 +47,14 @@
     Attributes:
         head: Its head, once that is whole.
         body: What has come of its body.
+        sent_after: The monotonic time before which nothing of it was sent.
         is_whole: Nothing of it is missing.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, sent_after: float) -> None:
         self.head: h11.Request | None = None
         self.body = BlockBuffer()
+        self.sent_after = sent_after
         self.is_whole = False
 
 
@@ -62,14 +65,15 @@
     EVENTS_PER_TURN events together. A body may come in chunks of one byte.
     """
 
-    def __init__(self, *, server: Exchanger, stream: trio.SocketStream, account: CallerAccount) -> None:
+    def __init__(self, *, server: Exchanger, stream: DatedStream, account: CallerAccount) -> None:
         limits = server.limits
         self._server = server
         self._stream = stream
         self._account = account
         self._limits = limits
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max(limits.header_bytes, 1024))
-        self._incoming = _IncomingRequest()
+        self._sent_after = stream.sent_after  # of what is not parsed yet
+        self._incoming = _IncomingRequest(sent_after=self._sent_after)
         self._deadline = 0.0
         self._begun = False  # something of the request that is being read has come
 
@@ -81,7 +85,7 @@
         """
         self._h11.receive_data(bytes(plain.buffer))
         plain.buffer.clear()
-        self._deadline, self._begun = plain.deadline, True
+        self._deadline, self._begun, self._sent_after = plain.deadline, True, plain.sent_after
         while (request := await self._next_request()) is not None:
             next_bytes = self._unparsed_bytes()
             await self._send(await self._server.answer(request, account=self._account, next_bytes=next_bytes))
@@ -93,6 +97,7 @@
                 return
             self._account.read(received_bytes=PARSER_BYTES + self._unparsed_bytes())
             self._deadline, self._begun = self._time_after(self._limits.idle_ms), False
+            self._sent_after = self._stream.sent_after
 
     def drop(self) -> None:
         """Let go of what was received: the connection was closed to make room."""
@@ -121,7 +126,7 @@
             h11.RemoteProtocolError: It is malformed.
             CallerClosedError: The connection was closed to make room.
         """
-        incoming = self._incoming = _IncomingRequest()
+        incoming = self._incoming = _IncomingRequest(sent_after=self._sent_after)
         while True:
             async with self._server.parsing:
                 event = self._take_events(incoming)
@@ -178,6 +183,7 @@
             return False
         if not self._begun and data:
             self._begin()
+            self._incoming.sent_after = self._stream.sent_after
         self._h11.receive_data(bytes(data))
         self._charge()
         return True
@@ -208,6 +214,7 @@
             path=head.target.decode("latin-1"),
             body=incoming.body.take(),
             headers={name.decode(): value.decode("latin-1") for name, value in head.headers},
+            sent_after=incoming.sent_after,
         )
 
     async def _send(self, response: Response) -> None:
--- a/yarrowloom/transport/http_messages.py
+++ b/yarrowloom/transport/http_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses as the servers and their handlers see them, and the limits on requests."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -29,12 +30,18 @@
 
 
 class Request(msgspec.Struct, kw_only=True):
-    """One request as it arrived; header names are in lower case."""
+    """One request as it arrived; header names are in lower case.
+
+    Attributes:
+        sent_after: Monotonic time; the request was sent later. What the node has learned since then may be newer than
+            the request, which may have waited in its socket. Minus infinity: nothing is known.
+    """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes = b""
+    sent_after: float = -math.inf
 
 
 class Response(msgspec.Struct, kw_only=True):
--- a/yarrowloom/transport/http_server.py
+++ b/yarrowloom/transport/http_server.py
@@ -8,6 +8,7 @@
 
 from . import listener as accept
 from .caller_budget import FIELD_BYTES, WINDOW_BYTES, Admission, CallerAccount, CallerBudget, CallerClosedError
+from .dated_stream import DatedStream, dated
 from .document_size import document_bytes
 from .h11_exchange import H11Exchange
 from .http_head import write_head
@@ -82,11 +83,11 @@
         finally:
             self.busy -= 1
 
-    async def serve(self, stream: trio.SocketStream) -> None:
+    async def serve(self, stream: trio.abc.Stream) -> None:
         """Own one connection until it ends."""
         try:
             with suppress(*CONNECTION_ERRORS):
-                await _Connection(server=self, stream=stream).run()
+                await _Connection(server=self, stream=dated(stream)).run()
         finally:
             with trio.move_on_after(CLOSE_TIMEOUT_S) as scope:
                 scope.shield = True
@@ -100,7 +101,7 @@
     that it has received pass to h11 for good.
     """
 
-    def __init__(self, *, server: Server, stream: trio.SocketStream) -> None:
+    def __init__(self, *, server: Server, stream: DatedStream) -> None:
         self._server = server
         self._stream = stream
         self._scope = trio.CancelScope()
--- a/yarrowloom/transport/listener.py
+++ b/yarrowloom/transport/listener.py
@@ -7,16 +7,32 @@
 
 import errno
 import socket
+import time
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import trio
 
+from .dated_stream import DatedSocketStream, SocketWatch
+
 BACKLOG = 2048  # connections that the system keeps until they are accepted; beyond, it drops the opening packet
 MAX_ACCEPTS_PER_ROUND = 64  # accepted in one round
 PAUSE_S = 0.1  # after an error for want of descriptors or memory
 _EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
 
-StreamHandler = Callable[[trio.SocketStream], Awaitable[object]]
+StreamHandler = Callable[[DatedSocketStream], Awaitable[object]]
+
+
+class Accepted(NamedTuple):
+    """Connections that were accepted.
+
+    Attributes:
+        connections: Their sockets.
+        is_all: No other connection waited.
+    """
+
+    connections: list[socket.socket]
+    is_all: bool
 
 
 def open_listener(*, address: str, backlog: int = BACKLOG, window_bytes: int = 0) -> socket.socket:
@@ -45,7 +61,7 @@
     return listener
 
 
-def accept_waiting(*, listener: socket.socket, most: int = MAX_ACCEPTS_PER_ROUND) -> list[socket.socket]:
+def accept_waiting(*, listener: socket.socket, most: int = MAX_ACCEPTS_PER_ROUND) -> Accepted:
     """Accept up to `most` of the connections that wait now.
 
     A connection that its peer gave up meanwhile is passed over.
@@ -58,14 +74,14 @@
         try:
             accepted.append(listener.accept()[0])
         except BlockingIOError:
-            break
+            return Accepted(accepted, is_all=True)
         except OSError as err:
             if err.errno not in _EXHAUSTED:
                 continue
             if not accepted:
                 raise
             break
-    return accepted
+    return Accepted(accepted, is_all=False)
 
 
 async def serve(*, listener: socket.socket, handler: StreamHandler) -> None:
@@ -73,15 +89,19 @@
 
     Whoever opened the listener closes it, once this has ended.
     """
+    watch = SocketWatch(watched=listener)
     async with trio.open_nursery() as nursery:
         while True:
-            await trio.lowlevel.wait_readable(listener)
+            await watch.wait_readable()
+            looked_at = time.monotonic()
             try:
                 accepted = accept_waiting(listener=listener)
             except OSError:
                 await trio.sleep(PAUSE_S)
                 continue
-            for connection in accepted:
-                stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+            for connection in accepted.connections:
+                stream = DatedSocketStream(connection=connection, opened_after=watch.empty_at)
                 nursery.start_soon(handler, stream)
+            if accepted.is_all:
+                watch.empty_at = looked_at
             await trio.lowlevel.checkpoint()
--- a/yarrowloom/transport/peer_connections.py
+++ b/yarrowloom/transport/peer_connections.py
@@ -224,7 +224,7 @@
         return stream
 
     @staticmethod
-    async def _read_challenge(*, stream: trio.SocketStream) -> bytes:
+    async def _read_challenge(*, stream: trio.abc.Stream) -> bytes:
         """What the other side asks to have sent back. Raises OSError if that is no challenge."""
         received = b""
         while len(received) < CHALLENGE_BYTES:
@@ -238,7 +238,7 @@
 
     # -- receiving
 
-    async def _receive_connection(self, stream: trio.SocketStream) -> None:
+    async def _receive_connection(self, stream: trio.abc.Stream) -> None:
         """Own one accepted connection until it ends."""
         self._accepted += 1
         connection = self._accepted
@@ -258,7 +258,7 @@
             if (sender, lane_number) == (node_id, lane):
                 self._receiving[connection].cancel()
 
-    async def _challenge(self, *, stream: trio.SocketStream, scope: trio.CancelScope) -> bytes | None:
+    async def _challenge(self, *, stream: trio.abc.Stream, scope: trio.CancelScope) -> bytes | None:
         """What follows the challenge that was sent back; None: the connection ended or sent something else.
 
         Until then whoever connected is no node, and its connection counts among those of callers.
@@ -274,7 +274,7 @@
         finally:
             account.close()
 
-    async def _receive_frames(self, *, stream: trio.SocketStream, connection: int, rest: bytes | None) -> None:
+    async def _receive_frames(self, *, stream: trio.abc.Stream, connection: int, rest: bytes | None) -> None:
         """Take what one connection brings until it ends or brings what cannot be read.
 
         Args:
@@ -297,7 +297,7 @@
                 return
             rest = bytes(await stream.receive_some(RECEIVE_BYTES)) or None
 
-    async def _read_opening(self, *, stream: trio.SocketStream, challenge: bytes) -> bytes | None:
+    async def _read_opening(self, *, stream: trio.abc.Stream, challenge: bytes) -> bytes | None:
         """What follows the challenge that was sent back; None: the connection ended or sent something else."""
         opening = bytearray()
         while len(opening) < CHALLENGE_BYTES:
--- a/yarrowloom/transport/plain_reader.py
+++ b/yarrowloom/transport/plain_reader.py
@@ -4,6 +4,7 @@
 
 from .block_buffer import BLOCK_BYTES, BlockBuffer
 from .caller_budget import FIELD_BYTES, CallerAccount
+from .dated_stream import DatedStream
 from .http_head import Head, Unread, read_head
 from .http_messages import Limits, Request
 
@@ -16,13 +17,15 @@
     Attributes:
         buffer: What was received and belongs to no request that was returned.
         deadline: The steady time until which the request that is being read has to be whole.
+        sent_after: The monotonic time before which nothing was sent of the request that is being read.
         is_first: No request was read yet.
         timed_out: A request was begun and not ended in time.
     """
 
-    def __init__(self, *, stream: trio.SocketStream, limits: Limits, account: CallerAccount) -> None:
+    def __init__(self, *, stream: DatedStream, limits: Limits, account: CallerAccount) -> None:
         self.buffer = bytearray()
         self.deadline = 0.0
+        self.sent_after = stream.sent_after
         self.is_first = True
         self.timed_out = False
         self._body = BlockBuffer()  # of a request whose head is whole
@@ -38,6 +41,7 @@
         """
         begun = self.is_first or bool(self.buffer)
         self.deadline = trio.current_time() + (self._limits.header_ms if begun else self._limits.idle_ms) / 1000
+        self.sent_after = self._stream.sent_after  # of what has come with the request before
         head = self._read_head() if self.buffer else Unread.INCOMPLETE
         while head is Unread.INCOMPLETE:
             if self.buffer:
@@ -82,7 +86,7 @@
 
     def _request(self, *, head: Head, body: bytes) -> Request:
         self.is_first = False
-        return Request(method=head.method, path=head.path, headers=head.headers, body=body)
+        return Request(method=head.method, path=head.path, headers=head.headers, body=body, sent_after=self.sent_after)
 
     async def _receive(self, *, begun: bool) -> bool:
         """Receive more of a head; false: nothing more comes, or not in time."""
@@ -91,6 +95,8 @@
             return False
         if not begun:
             self.deadline = trio.current_time() + self._limits.header_ms / 1000
+        if not self.buffer:
+            self.sent_after = self._stream.sent_after
         self.buffer += data
         return True
 
