Evacuation orders are fenced by what their node knew before they were sent

Cause: the order's fence, the registry's version, was taken when the order was handled. After a standstill, or in a busy process, cluster updates are handled before an HTTP request that waits in its socket, so the old order came with the version of the order that it undid.

Fix: the version that the node knew at the request's `sent_after` (node/known_versions.py). It rests neither on the sender having closed nor on a long standstill; an order that waited is carried out if none for its zone came meanwhile. The simulator dates its requests by the same rule.

--- a/tests/cluster_state/test_operator_requests_cluster.py
+++ b/tests/cluster_state/test_operator_requests_cluster.py
@@ -12,9 +12,9 @@
 UNCLEAR = (0, 503)
 
 
-def cluster(*, seed: int, cores: int = 3, losses: int = 1) -> Sim:
+def cluster(*, seed: int, cores: int = 3, losses: int = 1, speed: float = 0.0) -> Sim:
     """A cluster with configuration 1 in force."""
-    sim = Sim(seed=seed, cores=cores, losses=losses)
+    sim = Sim(seed=seed, cores=cores, losses=losses, speed=speed)
     assert sim.until(cond=lambda: bool(sim.serving(group_id=0)), limit=10.0)
     sim.run(seconds=2.0)
     assert send(sim, ip=sim.core_ips[0], base=0, body=orjson.dumps(config(version=1)))[0] == 200
@@ -80,6 +80,55 @@
     assert sim.core(lead).registry.evacuated_zones == (["z1"] if then == "POST" else [])
 
 
+def bystander(sim: Sim) -> str:
+    """A core that holds nothing of group 0."""
+    epoch = sim.core(primary(sim)).replicas[0].epoch
+    assert epoch is not None
+    return next(ip for ip in sim.core_ips if sim.node_ids[ip] not in {epoch.primary, *epoch.backups})
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("standstill_s", [0.5, 4.0])
+@pytest.mark.parametrize("is_open", [True, False])
+@pytest.mark.parametrize("first", ["POST", "DELETE"])
+def test_an_evacuation_request_that_waited_in_a_node_does_not_undo_a_later_one(
+    seed: int, standstill_s: float, is_open: bool, first: str
+) -> None:
+    """A node that stood still learns of the later requests before it reads the one that waited (review/9, EVAC)."""
+    sim = cluster(seed=seed, cores=5, speed=1.0)
+    then = {"POST": "DELETE", "DELETE": "POST"}[first]
+    frozen, near = bystander(sim), primary(sim)
+    assert evacuate(sim, ip=near, method=then) == 200
+    sim.run(seconds=1.0)
+    sim.freeze(ip=frozen, seconds=standstill_s)
+    answers: list[Response] = []
+    sim.http(ip=frozen, src="op", method=first, path="/evacuation/z1", back=answers.append)
+    sim.run(seconds=0.1)
+    if not is_open:
+        sim.calls.clear()  # the operator has closed the connection
+    assert evacuate(sim, ip=near, method=first) == 200
+    assert evacuate(sim, ip=near, method=then) == 200
+    assert sim.now < sim.procs[frozen].frozen_until
+    sim.run(seconds=standstill_s + 5.0)
+    assert sim.core(primary(sim)).registry.evacuated_zones == (["z1"] if then == "POST" else [])
+    assert [answer.status for answer in answers] == ([503] if is_open else [])
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("standstill_s", [0.5, 4.0])
+def test_an_evacuation_request_that_waited_in_a_node_is_carried_out_if_none_for_its_zone_came_meanwhile(
+    seed: int, standstill_s: float
+) -> None:
+    sim = cluster(seed=seed, cores=5, speed=1.0)
+    frozen, near = bystander(sim), primary(sim)
+    assert evacuate(sim, ip=near, method="POST") == 200
+    sim.run(seconds=1.0)
+    sim.freeze(ip=frozen, seconds=standstill_s)
+    assert sim.ask(ip=near, method="POST", path="/evacuation/z0")[0] == 200  # another zone
+    assert evacuate(sim, ip=frozen, method="DELETE") == 200
+    assert sim.core(primary(sim)).registry.evacuated_zones == ["z0"]
+
+
 def test_a_request_of_the_opposite_kind_is_taken_at_once_through_any_node() -> None:
     sim = cluster(seed=3, cores=5, losses=2)
     for i in range(20):
--- a/tests/node/test_membership.py
+++ b/tests/node/test_membership.py
@@ -37,7 +37,7 @@
     node = Node()
     members = {node_id: CoreMember(zone=zone, name="n", control_address="") for node_id, zone in zones.items()}
     members[OWN] = CoreMember(zone=node.settings.zone, name="n", control_address="")
-    node.roster.apply_registry(registry=RegistryUpdate(version=1, members=members))
+    node.roster.apply_registry(registry=RegistryUpdate(version=1, members=members), now=node.now)
     view = Membership(environment=node)
     view.on_listed_alive(node_ids=members)
     return node, view
--- a/tests/node/test_roster.py
+++ b/tests/node/test_roster.py
@@ -33,7 +33,7 @@
 
 def test_cores_are_the_members_and_the_cores_that_are_alive() -> None:
     roster = Roster(node_id="me")
-    roster.apply_registry(registry=RegistryUpdate(version=1, members={"m": member()}))
+    roster.apply_registry(registry=RegistryUpdate(version=1, members={"m": member()}), now=5.0)
     roster.on_heartbeat(heartbeat=heartbeat(node_id="a"), now=10.0)
     roster.on_heartbeat(heartbeat=heartbeat(node_id="e", kind="edge"), now=10.0)
     assert roster.cores(now=10.0) == ["a", "m"]
@@ -43,15 +43,15 @@
 
 def test_an_older_registry_changes_nothing() -> None:
     roster = Roster(node_id="me")
-    assert roster.apply_registry(registry=RegistryUpdate(version=3, evacuated_zones=["z0"]))
-    assert not roster.apply_registry(registry=RegistryUpdate(version=3))
-    assert not roster.apply_registry(registry=RegistryUpdate(version=2))
+    assert roster.apply_registry(registry=RegistryUpdate(version=3, evacuated_zones=["z0"]), now=5.0)
+    assert not roster.apply_registry(registry=RegistryUpdate(version=3), now=5.0)
+    assert not roster.apply_registry(registry=RegistryUpdate(version=2), now=5.0)
     assert roster.registry.evacuated_zones == ["z0"]
 
 
 def test_the_registry_tells_a_zone_first_and_a_heartbeat_an_address_first() -> None:
     roster = Roster(node_id="me")
-    roster.apply_registry(registry=RegistryUpdate(version=1, members={"m": member()}))
+    roster.apply_registry(registry=RegistryUpdate(version=1, members={"m": member()}), now=5.0)
     assert (roster.zone(node_id="m"), roster.control_address(node_id="m")) == ("z0", "m:1")
     roster.on_heartbeat(heartbeat=heartbeat(node_id="m", control_address="m:2"), now=1.0)
     assert (roster.zone(node_id="m"), roster.control_address(node_id="m")) == ("z0", "m:2")
--- a/yarrowloom/cluster_state/registry.py
+++ b/yarrowloom/cluster_state/registry.py
@@ -207,11 +207,11 @@
         Args:
             zone: The zone that the request names.
             is_evacuated: The state that it asks for.
-            known_version: The registry's version known, at that time, to the node that received the request.
+            known_version: The registry's version known to the node that received the request before it was sent.
 
         Raises:
-            UnknownOutcomeError: The request would change the zone's state, but was received before its node knew of the
-                zone's last request: it may be a copy that was delayed.
+            UnknownOutcomeError: The request would change the zone's state, but was perhaps sent before its node knew of
+                the zone's last request: it may be a copy that was delayed.
         """
         changes_state = (zone in self.evacuated_zones) is not is_evacuated
         if changes_state and known_version < self.zone_versions.last_version(zone=zone):
--- a/yarrowloom/node/config_dissemination.py
+++ b/yarrowloom/node/config_dissemination.py
@@ -194,7 +194,8 @@
         """Take what is newer than what is here, and pass it on down the tree."""
         is_newer = self._apply_config(update=update)
         if update.registry is not UNSET:
-            is_newer = self.environment.roster.apply_registry(registry=update.registry) or is_newer
+            node = self.environment
+            is_newer = node.roster.apply_registry(registry=update.registry, now=node.now) or is_newer
         if update.epochs is not UNSET and update.epochs:
             before = self.environment.epochs.numbers()
             self.environment.learn(epochs=update.epochs)
--- a/yarrowloom/node/http_routes.py
+++ b/yarrowloom/node/http_routes.py
@@ -175,8 +175,13 @@
 
 
 def _change_evacuation(node: HttpEnvironment, call: HttpCall, *, is_on: bool) -> None:
-    """The order goes with the registry's version that is known here now: a delayed copy can't undo a later order."""
-    change = EvacuationChange(zone=call.argument, is_on=is_on, known_version=node.roster.registry.version)
+    """The order goes with the registry's version that was known here before it was sent.
+
+    So a delayed copy can't undo a later order. Race: a process that stood still, or is busy, learns of later orders
+    before it reads one that waits in its socket; the version known by then would let that one pass for the newest.
+    """
+    known_version = node.roster.registry_versions.known_at(at=call.request.sent_after)
+    change = EvacuationChange(zone=call.argument, is_on=is_on, known_version=known_version)
     _call_registry(node, call, operation=CallOperation.CHANGE_EVACUATION, body=change)
 
 
--- a/yarrowloom/node/registry_requests.py
+++ b/yarrowloom/node/registry_requests.py
@@ -25,7 +25,7 @@
     Attributes:
         zone: The zone.
         is_on: Whether nothing may start there from now on.
-        known_version: The registry's version that the node knew which took the order.
+        known_version: The registry's version that the node which took the order knew before the order was sent.
     """
 
     zone: str
--- a/yarrowloom/node/roster.py
+++ b/yarrowloom/node/roster.py
@@ -3,6 +3,7 @@
 import math
 
 from ..common.records import Record
+from .known_versions import KnownVersions
 from .messages import Heartbeat, RegistryUpdate
 
 ALIVE_S = 1.2  # a node counts as alive this long after its last heartbeat
@@ -26,6 +27,7 @@
     Attributes:
         node_id: This node; it is always alive.
         registry: The newest update of the registry. Invariant: its version never falls.
+        registry_versions: When its versions were learned.
         last_heartbeat: When each node's last heartbeat came, by this node's monotonic clock, in seconds.
         nodes: What these heartbeats told of their senders.
     """
@@ -33,14 +35,16 @@
     def __init__(self, *, node_id: str) -> None:
         self.node_id = node_id
         self.registry = RegistryUpdate()
+        self.registry_versions = KnownVersions()
         self.last_heartbeat: dict[str, float] = {}
         self.nodes: dict[str, NodeDescription] = {}
 
-    def apply_registry(self, *, registry: RegistryUpdate) -> bool:
+    def apply_registry(self, *, registry: RegistryUpdate, now: float) -> bool:
         """Take what the registry holds; whether it is newer than what is known."""
         if registry.version <= self.registry.version:
             return False
         self.registry = registry
+        self.registry_versions.learn(version=registry.version, now=now)
         return True
 
     def on_heartbeat(self, *, heartbeat: Heartbeat, now: float) -> None:
--- a/yarrowloom/simulator/cluster.py
+++ b/yarrowloom/simulator/cluster.py
@@ -137,6 +137,7 @@
             proc = self.procs.get(ip)
             if proc is None or not proc.up or (src, ip) in self.cuts:
                 return
+            req.sent_after = proc.frozen_at if self.now < proc.frozen_until else self.clock(ip)
             self.calls[key] = answered
             self.callers[key] = src
             self.post(
--- a/yarrowloom/simulator/machines/machine_set.py
+++ b/yarrowloom/simulator/machines/machine_set.py
@@ -216,6 +216,8 @@
     def freeze(self, *, ip: str, seconds: float) -> None:
         """Stop a process for a while; its inputs wait."""
         proc = self.procs[ip]
+        if self.now >= proc.frozen_until:
+            proc.frozen_at = self.clock(ip)
         proc.frozen_until = self.now + seconds
 
         def thaw() -> None:
--- a/yarrowloom/simulator/machines/process.py
+++ b/yarrowloom/simulator/machines/process.py
@@ -24,6 +24,7 @@
         node: The state machine that the process runs.
         process_number: Counts all processes of the simulation; a later process has a higher number.
         up: Whether the process runs.
+        frozen_at: By the machine's monotonic clock, when the process was stopped last.
         frozen_until: Simulated time until which the process is stopped and its inputs wait in `inbox`.
         disk_busy: Whether a sync of the disk is in progress.
         disk: Records that wait for the next sync, with the effects that follow it.
@@ -35,6 +36,7 @@
         self.node = node
         self.process_number = process_number
         self.up = True
+        self.frozen_at = 0.0
         self.frozen_until = 0.0
         self.disk_busy = False
         self.disk: list[tuple[bytes, Effect]] = []
--- a/yarrowloom/testbed/virtual_testbed.py
+++ b/yarrowloom/testbed/virtual_testbed.py
@@ -226,7 +226,7 @@
         key = next(self._count)
         self._calls[key] = back
         seat = self.seats[ip]
-        req = Request(method=method, path=path, headers=headers, body=body)
+        req = Request(method=method, path=path, headers=headers, body=body, sent_after=self.now)
         kind = f"{method} {path.split('/')[1] if seat.ip in self.core_ips else 'job'}"
         self.at(
             delay=LAG_S,
