A cancelling that finds no job fences submissions that are older

Cause: the primary kept nothing of a cancelling that found no job, so it could not tell an older submission from a newer one. A submission may be late in the edge's socket, on its way to the primary, or in the primary's socket.

Fix: such a cancelling is a numbered event of the group, durable before the 410 leaves. Edges hear the newest number in replies, and send with a call the number that they knew before the caller sent the request. What knows less than the number of its job's last early cancellation is refused with 503, also a cancelling that would end a job submitted since; what knows it was sent later and is taken. No clock is compared, and neither a closed sender nor a long standstill is needed. The memory of last versions is shared with that of evacuated zones.

--- a/tests/storage/test_stored_data.py
+++ b/tests/storage/test_stored_data.py
@@ -16,6 +16,7 @@
 REGISTRY_GROUP = 0
 CASES = [
     "begun",
+    "cancelled",
     "cluster-0",
     "cluster-1",
     "cluster-2",
--- a/yarrowloom/cluster_state/operator_requests.py
+++ b/yarrowloom/cluster_state/operator_requests.py
@@ -7,8 +7,10 @@
 import hashlib
 import re
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from ..common.errors import Finding, InvalidInputError
+from ..common.last_versions import NOTHING_FORGOTTEN, LastVersions
 from ..common.records import Record
 
 MAX_ACCEPTED_CHANGES = 1024  # configuration changes: at most 45 KB in a snapshot, 220 KB in memory
@@ -107,42 +109,17 @@
     versions: list[tuple[str, int]]
 
 
-class ZoneVersions:
-    """By zone, the registry's version after the last accepted evacuation request.
+class ZoneVersions(LastVersions):
+    """By zone, the registry's version after the last accepted evacuation request."""
 
-    Attributes:
-        forgotten_up_to: The newest version that was dropped, -1 if none was. Invariant: those held are above it.
-    """
-
-    def __init__(self) -> None:
-        self.forgotten_up_to = -1
-        self._versions: OrderedDict[str, int] = OrderedDict()
-
-    def add(self, *, zone: str, version: int) -> None:
-        """Remember that a request for a zone made this version, in place of the oldest if there are too many."""
-        self._versions[zone] = version
-        self._versions.move_to_end(zone)
-        while len(self._versions) > MAX_ZONES:
-            _, self.forgotten_up_to = self._versions.popitem(last=False)
-
-    def last_version(self, *, zone: str) -> int:
-        """The version of the zone's last request, or one that is certainly not older.
-
-        >>> zones = ZoneVersions()
-        >>> zones.add(zone="a", version=7)
-        >>> zones.last_version(zone="a"), zones.last_version(zone="b")
-        (7, -1)
-        """
-        return self._versions.get(zone, self.forgotten_up_to)
+    def __init__(self, *, forgotten_up_to: int = NOTHING_FORGOTTEN, rows: Iterable[tuple[str, int]] = ()) -> None:
+        super().__init__(most=MAX_ZONES, forgotten_up_to=forgotten_up_to, rows=rows)
 
     def snapshot(self) -> ZoneVersionsSnapshot:
         """All of it."""
-        return ZoneVersionsSnapshot(forgotten_up_to=self.forgotten_up_to, versions=list(self._versions.items()))
+        return ZoneVersionsSnapshot(forgotten_up_to=self.forgotten_up_to, versions=self.rows())
 
     @classmethod
     def from_snapshot(cls, *, snapshot: ZoneVersionsSnapshot) -> "ZoneVersions":
         """The inverse of `snapshot`."""
-        zones = cls()
-        zones.forgotten_up_to = snapshot.forgotten_up_to
-        zones._versions.update(snapshot.versions)
-        return zones
+        return cls(forgotten_up_to=snapshot.forgotten_up_to, rows=snapshot.versions)
--- a/yarrowloom/cluster_state/registry.py
+++ b/yarrowloom/cluster_state/registry.py
@@ -179,7 +179,7 @@
         self.registry_version += 1
         others = set(self.evacuated_zones) - {event.zone}
         self.evacuated_zones = sorted({*others, event.zone} if event.is_evacuated else others)
-        self.zone_versions.add(zone=event.zone, version=self.registry_version)
+        self.zone_versions.add(key=event.zone, version=self.registry_version)
 
     def _assign_minions(self, event: MinionsAssigned) -> None:
         for assignment in event.assignments:
@@ -214,7 +214,7 @@
                 the zone's last request: it may be a copy that was delayed.
         """
         changes_state = (zone in self.evacuated_zones) is not is_evacuated
-        if changes_state and known_version < self.zone_versions.last_version(zone=zone):
+        if changes_state and known_version < self.zone_versions.last_version(key=zone):
             raise UnknownOutcomeError(text=f"another order for {zone} came meanwhile")
         return ZoneEvacuationChanged(zone=zone, is_evacuated=is_evacuated)
 
--- a/yarrowloom/jobs/events.py
+++ b/yarrowloom/jobs/events.py
@@ -192,16 +192,23 @@
 
 
 class JobCancelled(
-    JobEventRecord, frozen=True, kw_only=True, tag="cancel", rename={"job_id": "id", "cancelled_at_ms": "at"}
+    JobEventRecord,
+    frozen=True,
+    kw_only=True,
+    tag="cancel",
+    rename={"job_id": "id", "cancelled_at_ms": "at", "is_early": "early"},
 ):
-    """A caller cancelled a job; one that has ended, or isn't known, is passed over.
+    """A caller cancelled a job; one that has ended is passed over.
 
     Attributes:
         cancelled_at_ms: Wall time in milliseconds; 0 if it isn't known.
+        is_early: The job isn't known, and submissions of it that may be older are to be refused from now on. Unset: a
+            job that isn't known is passed over.
     """
 
     job_id: str
     cancelled_at_ms: int = 0
+    is_early: bool | UnsetType = UNSET
 
 
 class JobsForgotten(JobEventRecord, frozen=True, kw_only=True, tag="forget", rename={"job_ids": "ids"}):
--- a/yarrowloom/jobs/state_machine.py
+++ b/yarrowloom/jobs/state_machine.py
@@ -9,6 +9,7 @@
 from ..kv import ABSENT, KeyValueStore, PlaceEntry, SubmissionEntry, VersionedRecord
 from ..transactions import TransactionConflictError, apply_commit_batch, wall_ms
 from ..transactions.clock import TICKS_PER_MS
+from .early_cancellations import NONE_YET, EarlyCancellations, EarlyCancellationsSnapshot
 from .effects import JobEffect, JobEnded, JobTimed, UnitReady
 from .events import (
     BEGUN_OUTCOMES,
@@ -44,6 +45,7 @@
     Attributes:
         store: The group's records: which jobs were submitted, where tasks run, what tenants' tasks hold.
         jobs: By job id. What the records say is copied here, for quick access.
+        early_cancellations: Of jobs that were not known.
         history: What is learned of the same events; None where none is kept.
         indexes: By minion and by queue.
     """
@@ -52,6 +54,7 @@
         self.store = KeyValueStore()
         self._log_client = PlacementClient(name=LOG_CLIENT, state=self)
         self.jobs: dict[str, Job] = {}
+        self.early_cancellations = EarlyCancellations()
         self.history = history
         self.indexes = JobIndexes()
 
@@ -69,11 +72,14 @@
 
     def dump(self) -> dict[str, Any]:
         """All of it, as plain data that shares nothing with the state."""
-        return {
+        document = {
             "jobs": dump_jobs(jobs=self.jobs, running=self.running_by_minion),
             "past": self.history.dump() if self.history is not None else {},
             "kv": self.store.dump(),
         }
+        if self.early_cancellations.newest != NONE_YET:
+            document["early"] = self.early_cancellations.snapshot().document()
+        return document
 
     def load(self, document: dict[str, Any]) -> None:
         """Replace all of it by what `dump` gave.
@@ -85,8 +91,12 @@
         """
         history: dict[str, Any] = {}
         records: dict[str, Any] | None = None
+        early_cancellations = EarlyCancellations()
         if "jobs" in document and "past" in document:
             records = document.get("kv")
+            if "early" in document:
+                stored = decode(document["early"], into=EarlyCancellationsSnapshot)
+                early_cancellations = EarlyCancellations.from_snapshot(snapshot=stored)
             document, history = document["jobs"], document["past"]
         if records is not None:
             store = KeyValueStore()
@@ -97,7 +107,7 @@
             store = store_of_jobs(jobs)
         if self.history is not None:
             self.history.load(history)
-        self.jobs, self.store = jobs, store
+        self.jobs, self.store, self.early_cancellations = jobs, store, early_cancellations
         self.indexes = JobIndexes.of(jobs)
 
     # -- events
@@ -367,6 +377,8 @@
 
     def _cancel(self, event: JobCancelled) -> list[JobEffect]:
         job = self.jobs.get(event.job_id)
+        if job is None and event.is_early is True:
+            self.early_cancellations.add(job_id=event.job_id)
         if job is None or job.has_ended:
             return []
         return self._end_early(job_id=event.job_id, state=JobState.CANCELLED, at_ms=event.cancelled_at_ms)
--- a/yarrowloom/node/call_messages.py
+++ b/yarrowloom/node/call_messages.py
@@ -72,6 +72,7 @@
         "proof_age_s": "age",
         "proof_epoch": "by",
         "config_version": "conf",
+        "newest_cancellation": "nc",
     },
 ):
     """The reply to a call.
@@ -84,6 +85,8 @@
         proof_age_s: Seconds since the sender had proof of contact with group 0's primary; absent: not told.
         proof_epoch: Number of that primary's epoch.
         config_version: Version of the sender's configuration.
+        newest_cancellation: Of a job group: number of the newest cancellation of a job that was not known; it is
+            durable. Absent: not told, or there was none.
     """
 
     KIND: ClassVar[Kind] = Kind.REPLY
@@ -95,6 +98,7 @@
     proof_age_s: float | UnsetType = UNSET
     proof_epoch: int | UnsetType = UNSET
     config_version: int | UnsetType = UNSET
+    newest_cancellation: int | UnsetType = UNSET
 
 
 class NoArguments(Record, frozen=True, kw_only=True):
--- a/yarrowloom/node/call_server.py
+++ b/yarrowloom/node/call_server.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from msgspec import UNSET, UnsetType
+
 from ..common.records import decode
 from ..jobs.state_machine import Jobs
 from ..replication import Replica
@@ -30,7 +32,15 @@
     registry_calls: RegistryCalls
     heartbeat_routing: HeartbeatRouting
 
-    def send_reply(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
+    def send_reply(
+        self,
+        *,
+        node_id: str,
+        request_id: int,
+        status: int,
+        document: object,
+        newest_cancellation: int | UnsetType = UNSET,
+    ) -> None:
         """Send a reply to a node's call."""
 
 
@@ -99,13 +109,21 @@
             return False
         return decode(call.body, into=JobCall).job_id in self.environment.jobs[call.group_id].jobs
 
-    def reply(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
+    def reply(
+        self,
+        *,
+        node_id: str,
+        request_id: int,
+        status: int,
+        document: object,
+        newest_cancellation: int | UnsetType = UNSET,
+    ) -> None:
         """Respond to a call that was taken."""
         call_id = CallId(node_id=node_id, request_id=request_id)
         group_id = self.in_progress.finish(call_id=call_id)
         if group_id is not None and group_id > REGISTRY_GROUP and status in REFUSALS:
             self._refuse(call_id, status=status, document=document)
-        self._send(call_id, status=status, document=document)
+        self._send(call_id, status=status, document=document, newest_cancellation=newest_cancellation)
 
     def abandon_group(self, *, group_id: int) -> None:
         """A group is not served here any more: callers look for its next primary at once."""
@@ -124,7 +142,13 @@
     def _refuse(self, call_id: CallId, *, status: int, document: object) -> None:
         self.in_progress.refuse(call_id=call_id, status=status, document=document, now=self.environment.now)
 
-    def _send(self, call_id: CallId, *, status: int, document: object) -> None:
+    def _send(
+        self, call_id: CallId, *, status: int, document: object, newest_cancellation: int | UnsetType = UNSET
+    ) -> None:
         self.environment.send_reply(
-            node_id=call_id.node_id, request_id=call_id.request_id, status=status, document=document
+            node_id=call_id.node_id,
+            request_id=call_id.request_id,
+            status=status,
+            document=document,
+            newest_cancellation=newest_cancellation,
         )
--- a/yarrowloom/node/core.py
+++ b/yarrowloom/node/core.py
@@ -98,7 +98,13 @@
         self.send_message(node_id=effect.node_id, message=effect.message)
 
     def _respond_to_call(self, effect: Reply) -> None:
-        self.reply(node_id=effect.node_id, request_id=effect.request_id, status=effect.status, document=effect.document)
+        self.reply(
+            node_id=effect.node_id,
+            request_id=effect.request_id,
+            status=effect.status,
+            document=effect.document,
+            newest_cancellation=effect.newest_cancellation,
+        )
 
     def _apply_update(self, effect: ApplyUpdate) -> None:
         self.apply_update(update=effect.update)
--- a/yarrowloom/node/core_environment.py
+++ b/yarrowloom/node/core_environment.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from msgspec import UNSET
+from msgspec import UNSET, UnsetType
 
 from ..agent import Agent, AgentTiming
 from ..cluster_state.registry import Registry
@@ -311,11 +311,33 @@
 
     # -- calls
 
-    def reply(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
+    def reply(
+        self,
+        *,
+        node_id: str,
+        request_id: int,
+        status: int,
+        document: object,
+        newest_cancellation: int | UnsetType = UNSET,
+    ) -> None:
         """Respond to a call of another node."""
-        self.call_server.reply(node_id=node_id, request_id=request_id, status=status, document=document)
+        self.call_server.reply(
+            node_id=node_id,
+            request_id=request_id,
+            status=status,
+            document=document,
+            newest_cancellation=newest_cancellation,
+        )
 
-    def send_reply(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
+    def send_reply(
+        self,
+        *,
+        node_id: str,
+        request_id: int,
+        status: int,
+        document: object,
+        newest_cancellation: int | UnsetType = UNSET,
+    ) -> None:
         """Send a reply to a node's call, now and then with a proof of how new the configuration here is."""
         proof = self.proof_for_call(node_id=node_id)
         message = GroupReply(
@@ -326,6 +348,7 @@
             proof_age_s=proof.age_s,
             proof_epoch=proof.epoch,
             config_version=proof.config_version,
+            newest_cancellation=newest_cancellation,
         )
         self.send_message(node_id=node_id, message=message)
 
--- a/yarrowloom/node/edge.py
+++ b/yarrowloom/node/edge.py
@@ -17,7 +17,8 @@
 from .call_messages import REFUSALS, CallOperation, GroupReply
 from .edge_filters import RETRY_AFTER, RequestContext, first_response
 from .edge_relays import FANOUT
-from .group_calls import GIVEN_UP, CallResult
+from .group_calls import GIVEN_UP, CallResult, PendingCall
+from .known_versions import UNKNOWN_VERSION, KnownVersions
 from .messages import ClusterUpdate, ContactProof, Heartbeat, HeartbeatAck
 from .node_base import JOB_GROUPS, NodeBase
 
@@ -81,6 +82,7 @@
         is_draining: Whether the process is about to end: it isn't ready any more.
         relays: The edges that feed this one.
         body_bytes: Size of the bodies of the calls in progress.
+        early_cancellations: By job group, the numbers of cancellations of jobs that were not known, as told by replies.
         calls_most: Bound of the calls in progress.
     """
 
@@ -90,6 +92,7 @@
         self.is_draining = False
         self.relays = AssignedRelays()
         self.body_bytes = 0
+        self.early_cancellations = {group_id: KnownVersions() for group_id in range(1, JOB_GROUPS + 1)}
         self.calls_most = min(max(CALLS_PER_MB * settings.memory_mb, CALLS_AT_LEAST), CALLS_AT_MOST)
         self._logged_contact = False
 
@@ -215,8 +218,19 @@
             submission=UNSET if submission is None else submission,
             tenant=context.tenant,
             key_digest=UNSET if is_fresh else context.key_digest,
+            known_cancellation=self._known_cancellation(context),
         )
 
+    def _known_cancellation(self, context: RequestContext) -> int:
+        """The newest early cancellation in the job's group that was known here before the request was sent.
+
+        Race: the request may have waited in its socket while its job was cancelled elsewhere and this edge heard of it.
+        """
+        if not context.job_id:
+            return UNKNOWN_VERSION
+        group_id = group_of(job_id=context.job_id, groups=JOB_GROUPS)
+        return self.early_cancellations[group_id].known_at(at=context.request.sent_after)
+
     # -- messages of other nodes
 
     def on_message(self, *, node_id: str, kind: Kind, body: object) -> None:
@@ -235,12 +249,18 @@
             self._on_reply(node_id=node_id, reply=decode(body, into=GroupReply))
 
     def _on_reply(self, *, node_id: str, reply: GroupReply) -> None:
-        """A reply to a call; it may also prove how new the configuration here is."""
+        """A reply to a call; it may also tell of cancellations, and prove how new the configuration here is."""
         call = self.calls.pending.get(reply.request_id)
-        if call is not None and node_id in call.open_copies and reply.proof_age_s is not UNSET:
+        if call is not None and node_id in call.open_copies:
+            self._learn_from(reply, call=call)
+        self.calls.on_reply(node_id=node_id, reply=reply)
+
+    def _learn_from(self, reply: GroupReply, *, call: PendingCall) -> None:
+        if reply.proof_age_s is not UNSET:
             proof = ContactProof(age_s=reply.proof_age_s, epoch=reply.proof_epoch, config_version=reply.config_version)
             self.confirm(sent_at=call.started_at, proof=proof)
-        self.calls.on_reply(node_id=node_id, reply=reply)
+        if reply.newest_cancellation is not UNSET and call.group_id in self.early_cancellations:
+            self.early_cancellations[call.group_id].learn(version=reply.newest_cancellation, now=self.now)
 
     def _on_heartbeat_ack(self, *, node_id: str, ack: HeartbeatAck) -> None:
         """A core or a relay acknowledged a heartbeat.
--- a/yarrowloom/scheduling/admission.py
+++ b/yarrowloom/scheduling/admission.py
@@ -7,6 +7,7 @@
 from ..cluster_state.routing_table import Route
 from ..common.queue_identity import QueueIdentity
 from ..common.records import MalformedRecordError, decode
+from ..jobs.early_cancellations import NONE_YET
 from ..jobs.events import JobCancelled, JobSubmitted
 from ..jobs.model import Job
 from ..jobs.submission import AcceptedJob
@@ -22,6 +23,7 @@
 CONFLICT, GONE, TOO_MANY, UNAVAILABLE = 409, 410, 429, 503
 NO_QUEUE = {"error": "no such queue"}
 UNKNOWN_KEY = {"error": "key missing or unknown"}
+CANCELLED_BEFORE = {"error": "perhaps sent before the job was cancelled"}
 OTHER_TENANT = {"error": "job of another tenant"}
 
 
@@ -58,20 +60,34 @@
             self._count_pending(node_id=node_id, request_id=request_id, call=call)
             return False
         job = self.context.jobs.jobs.get(call.job_id)
-        if job is None or not self._is_reached(queue=job.queue_identity, call=call):
+        if job is None and operation == "del":
+            self._cancel_early(node_id=node_id, request_id=request_id, job_id=call.job_id)
+        elif job is None or not self._is_reached(queue=job.queue_identity, call=call):
             self._respond(node_id=node_id, request_id=request_id, status=GONE, document={})
         elif _is_of_another(call=call, tenant=job.tenant):
             self._reject(node_id=node_id, request_id=request_id, status=FORBIDDEN, document=OTHER_TENANT)
         elif operation == "get":
             self._respond(node_id=node_id, request_id=request_id, status=OK, document={"state": job.state.value})
         elif operation == "del":
-            self._cancel(node_id=node_id, request_id=request_id, job_id=call.job_id, job=job)
+            self._cancel(node_id=node_id, request_id=request_id, call=call, job=job)
         return False
 
     def _respond(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
         """Respond once all that was committed so far is durable."""
-        reply = Reply(node_id=node_id, request_id=request_id, status=status, document=document)
-        self.context.replica.barrier(then=reply)
+        self.context.replica.barrier(
+            then=self._reply(node_id=node_id, request_id=request_id, status=status, document=document)
+        )
+
+    def _reply(self, *, node_id: str, request_id: int, status: int, document: object) -> Reply:
+        """A reply that leaves once all that was committed so far is durable."""
+        newest = self.context.jobs.early_cancellations.newest
+        return Reply(
+            node_id=node_id,
+            request_id=request_id,
+            status=status,
+            document=document,
+            newest_cancellation=UNSET if newest == NONE_YET else newest,
+        )
 
     def _reject(self, *, node_id: str, request_id: int, status: int, document: object) -> None:
         """Respond at once: the response rests on nothing in the record."""
@@ -88,14 +104,30 @@
         )
         self._respond(node_id=node_id, request_id=request_id, status=OK, document={"pending": pending})
 
-    def _cancel(self, *, node_id: str, request_id: int, job_id: str, job: Job) -> None:
+    def _cancel(self, *, node_id: str, request_id: int, call: JobCall, job: Job) -> None:
         if job.has_ended:
             self._respond(node_id=node_id, request_id=request_id, status=OK, document={})
-            return
-        self.job_queue.commit(
-            JobCancelled(job_id=job_id, cancelled_at_ms=self.context.wall_now_ms),
-            then=Reply(node_id=node_id, request_id=request_id, status=OK, document={}),
-        )
+        elif self._may_precede_cancellation(call=call):
+            # Race: it was cancelled before it was known, then submitted; a copy of the first cancelling comes late.
+            self._respond(node_id=node_id, request_id=request_id, status=UNAVAILABLE, document=CANCELLED_BEFORE)
+        else:
+            self.job_queue.commit(
+                JobCancelled(job_id=call.job_id, cancelled_at_ms=self.context.wall_now_ms),
+                then=self._reply(node_id=node_id, request_id=request_id, status=OK, document={}),
+            )
+
+    def _cancel_early(self, *, node_id: str, request_id: int, job_id: str) -> None:
+        """A job that isn't known is cancelled: a submission that may be older is refused from now on.
+
+        Race: that one may still wait in the socket of an edge or of this node, whose caller gave it up.
+        """
+        self.job_queue.commit(JobCancelled(job_id=job_id, cancelled_at_ms=self.context.wall_now_ms, is_early=True))
+        self._respond(node_id=node_id, request_id=request_id, status=GONE, document={})
+
+    def _may_precede_cancellation(self, *, call: JobCall) -> bool:
+        """Whether a call may have been sent before its job's last cancelling that found no such job was answered."""
+        cancellations = self.context.jobs.early_cancellations
+        return cancellations.may_precede(job_id=call.job_id, known=call.known_cancellation)
 
     def _submit(self, *, node_id: str, request_id: int, call: JobCall) -> bool:
         """Admit a job, unless it is known already, was routed wrongly or can't be taken; True if admitted."""
@@ -112,6 +144,9 @@
         if self._is_misrouted(call=call):
             self._reject_route(node_id=node_id, request_id=request_id, call=call)
             return False
+        if self._may_precede_cancellation(call=call):
+            self._respond(node_id=node_id, request_id=request_id, status=UNAVAILABLE, document=CANCELLED_BEFORE)
+            return False
         submission = call.submission if call.submission is not UNSET else {}
         document = {**submission, "q": call.queue, "at": self.context.wall_now_ms}
         accepted = structs.replace(decode(document, into=AcceptedJob), address=call.address)
@@ -125,7 +160,7 @@
         self.job_queue.live_jobs.add(job_id=call.job_id, job=job)
         self.job_queue.commit(
             JobSubmitted(job_id=call.job_id, job=accepted),
-            then=Reply(node_id=node_id, request_id=request_id, status=OK, document={}),
+            then=self._reply(node_id=node_id, request_id=request_id, status=OK, document={}),
         )
         return True
 
--- a/yarrowloom/scheduling/calls.py
+++ b/yarrowloom/scheduling/calls.py
@@ -22,6 +22,7 @@
         "submission": "j",
         "tenant": "tn",
         "key_digest": "key",
+        "known_cancellation": "kc",
     },
 ):
     """A call about one job, or about all jobs of a queue.
@@ -35,6 +36,8 @@
         submission: The job's record, without what the scheduler adds; absent in calls that submit nothing.
         tenant: The tenant whose key the caller presented; empty: none.
         key_digest: Stands for that key; absent while the edge's configuration is up to date.
+        known_cancellation: Number of the newest cancellation of a job that was not known, of which the edge knew before
+            the caller sent its request; -1: of none.
     """
 
     job_id: str = ""
@@ -45,6 +48,7 @@
     submission: dict[str, Any] | UnsetType = UNSET
     tenant: str = ""
     key_digest: str | UnsetType = UNSET
+    known_cancellation: int = -1
 
     @property
     def queue_identity(self) -> QueueIdentity:
--- a/yarrowloom/simulator/minions.py
+++ b/yarrowloom/simulator/minions.py
@@ -336,11 +336,16 @@
 
 
 class SimCaller:
-    """Submits jobs as clients do, and again under the same ID after a time-out, 502 or 504."""
+    """Submits jobs as clients do, and again under the same ID after a time-out, 502 or 504.
+
+    Attributes:
+        withdrawn: Jobs that it cancels; they are not submitted again.
+    """
 
     def __init__(self, *, sim: Sim, oracle: Oracle) -> None:
         self.sim, self.oracle = sim, oracle
         self.n = 0
+        self.withdrawn: set[str] = set()
 
     def headers(self, *, job_id: str) -> dict[str, str]:
         """Headers of a call about a job, with the key of its tenant."""
@@ -368,6 +373,10 @@
         ip = self.sim.rng.choice(self.sim.edge_ips)
         state = {"done": False}
 
+        def again() -> None:
+            if left and job_id not in self.withdrawn:
+                self._send(job_id=job_id, queue=queue, document=document, left=left - 1)
+
         def back(response: Response) -> None:
             if state["done"]:
                 return
@@ -376,14 +385,13 @@
                 self.oracle.accepted.setdefault(job_id, self.sim.now)
             elif response.status in (429, 503) and left == 5:
                 self.oracle.refused.add(job_id)
-            elif response.status in (502, 504) and left:
-                self._send(job_id=job_id, queue=queue, document=document, left=left - 1)
+            elif response.status in (502, 504):
+                again()
 
         def late() -> None:
             if not state["done"]:
                 state["done"] = True
-                if left:
-                    self._send(job_id=job_id, queue=queue, document=document, left=left - 1)
+                again()
 
         self.sim.http(
             ip=ip,
--- a/yarrowloom/transport/effects.py
+++ b/yarrowloom/transport/effects.py
@@ -1,5 +1,7 @@
 """Effects that any replicated group may have: a message to a node, and the response to a node's call."""
 
+from msgspec import UNSET, UnsetType
+
 from ..common.effects import Effect
 from .message import Message
 
@@ -19,9 +21,11 @@
         request_id: The caller's number of the call.
         status: As an HTTP status.
         document: The response's body, as plain data.
+        newest_cancellation: As in `GroupReply`.
     """
 
     node_id: str
     request_id: int
     status: int
     document: object
+    newest_cancellation: int | UnsetType = UNSET
