Replies of the call server are records; two log events for calls that may be outdated

A reply went through four signatures of five arguments; now it is the record `Reply` from the scheduler's effect to the message.

--- a/yarrowloom/node/call_server.py
+++ b/yarrowloom/node/call_server.py
@@ -2,13 +2,12 @@
 
 from typing import Protocol
 
-from msgspec import UNSET, UnsetType
-
 from ..common.records import decode
 from ..jobs.state_machine import Jobs
 from ..replication import Replica
 from ..scheduling import Scheduler
 from ..scheduling.calls import JobCall
+from ..transport.effects import Reply
 from .call_messages import NOT_PRIMARY, REFUSALS, CallOperation, GroupCall
 from .epochs import KnownEpochs
 from .heartbeat_routing import HeartbeatRouting
@@ -32,15 +31,7 @@
     registry_calls: RegistryCalls
     heartbeat_routing: HeartbeatRouting
 
-    def send_reply(
-        self,
-        *,
-        node_id: str,
-        request_id: int,
-        status: int,
-        document: object,
-        newest_cancellation: int | UnsetType = UNSET,
-    ) -> None:
+    def send_reply(self, *, reply: Reply) -> None:
         """Send a reply to a node's call."""
 
 
@@ -63,7 +54,7 @@
         call_id = CallId(node_id=node_id, request_id=call.request_id)
         refusal = self.in_progress.refusal(call_id=call_id)
         if refusal is not None:
-            self._send(call_id, status=refusal.status, document=refusal.document)
+            self.environment.send_reply(reply=_reply_to(call_id, status=refusal.status, document=refusal.document))
             return
         if not self.in_progress.take(call_id=call_id, group_id=call.group_id, now=self.environment.now):
             return
@@ -82,7 +73,8 @@
     def _call_agent(self, *, node_id: str, call: GroupCall) -> None:
         """A call for the agent here, unless it is meant for that of a node that was at this address before."""
         if call.to != self.environment.node_id:
-            self.reply(node_id=node_id, request_id=call.request_id, status=UNAVAILABLE, document={})
+            call_id = CallId(node_id=node_id, request_id=call.request_id)
+            self.reply(reply=_reply_to(call_id, status=UNAVAILABLE, document={}))
             return
         self.environment.heartbeat_routing.serve(
             node_id=node_id, request_id=call.request_id, operation=call.operation, body=call.body
@@ -101,7 +93,7 @@
             self.on_call(node_id=node_id, call=call)
             return
         self._refuse(call_id, status=UNAVAILABLE, document=OVERLOADED)
-        self._send(call_id, status=UNAVAILABLE, document=OVERLOADED)
+        self.environment.send_reply(reply=_reply_to(call_id, status=UNAVAILABLE, document=OVERLOADED))
 
     def _is_submitted(self, call: GroupCall) -> bool:
         """Whether a call submits a job that is known already."""
@@ -109,21 +101,13 @@
             return False
         return decode(call.body, into=JobCall).job_id in self.environment.jobs[call.group_id].jobs
 
-    def reply(
-        self,
-        *,
-        node_id: str,
-        request_id: int,
-        status: int,
-        document: object,
-        newest_cancellation: int | UnsetType = UNSET,
-    ) -> None:
+    def reply(self, *, reply: Reply) -> None:
         """Respond to a call that was taken."""
-        call_id = CallId(node_id=node_id, request_id=request_id)
+        call_id = CallId(node_id=reply.node_id, request_id=reply.request_id)
         group_id = self.in_progress.finish(call_id=call_id)
-        if group_id is not None and group_id > REGISTRY_GROUP and status in REFUSALS:
-            self._refuse(call_id, status=status, document=document)
-        self._send(call_id, status=status, document=document, newest_cancellation=newest_cancellation)
+        if group_id is not None and group_id > REGISTRY_GROUP and reply.status in REFUSALS:
+            self._refuse(call_id, status=reply.status, document=reply.document)
+        self.environment.send_reply(reply=reply)
 
     def abandon_group(self, *, group_id: int) -> None:
         """A group is not served here any more: callers look for its next primary at once."""
@@ -137,18 +121,11 @@
     def _decline(self, call_id: CallId) -> None:
         """Tell a caller of the epochs known here, by which it finds the primary."""
         epochs = self.environment.epochs.rows()
-        self.reply(node_id=call_id.node_id, request_id=call_id.request_id, status=NOT_PRIMARY, document=epochs)
+        self.reply(reply=_reply_to(call_id, status=NOT_PRIMARY, document=epochs))
 
     def _refuse(self, call_id: CallId, *, status: int, document: object) -> None:
         self.in_progress.refuse(call_id=call_id, status=status, document=document, now=self.environment.now)
 
-    def _send(
-        self, call_id: CallId, *, status: int, document: object, newest_cancellation: int | UnsetType = UNSET
-    ) -> None:
-        self.environment.send_reply(
-            node_id=call_id.node_id,
-            request_id=call_id.request_id,
-            status=status,
-            document=document,
-            newest_cancellation=newest_cancellation,
-        )
+
+def _reply_to(call_id: CallId, *, status: int, document: object) -> Reply:
+    return Reply(node_id=call_id.node_id, request_id=call_id.request_id, status=status, document=document)
--- a/yarrowloom/node/core_environment.py
+++ b/yarrowloom/node/core_environment.py
@@ -17,6 +17,7 @@
 from ..prediction import History
 from ..replication import Epoch, Replica
 from ..scheduling import Scheduler
+from ..transport.effects import Reply
 from ..transport.http_messages import Response
 from .call_messages import CallOperation, GroupReply
 from .call_server import CallServer
@@ -322,35 +323,29 @@
     ) -> None:
         """Respond to a call of another node."""
         self.call_server.reply(
-            node_id=node_id,
-            request_id=request_id,
-            status=status,
-            document=document,
-            newest_cancellation=newest_cancellation,
+            reply=Reply(
+                node_id=node_id,
+                request_id=request_id,
+                status=status,
+                document=document,
+                newest_cancellation=newest_cancellation,
+            )
         )
 
-    def send_reply(
-        self,
-        *,
-        node_id: str,
-        request_id: int,
-        status: int,
-        document: object,
-        newest_cancellation: int | UnsetType = UNSET,
-    ) -> None:
+    def send_reply(self, *, reply: Reply) -> None:
         """Send a reply to a node's call, now and then with a proof of how new the configuration here is."""
-        proof = self.proof_for_call(node_id=node_id)
+        proof = self.proof_for_call(node_id=reply.node_id)
         message = GroupReply(
-            request_id=request_id,
-            to=node_id,
-            status=status,
-            document=document,
+            request_id=reply.request_id,
+            to=reply.node_id,
+            status=reply.status,
+            document=reply.document,
             proof_age_s=proof.age_s,
             proof_epoch=proof.epoch,
             config_version=proof.config_version,
-            newest_cancellation=newest_cancellation,
+            newest_cancellation=reply.newest_cancellation,
         )
-        self.send_message(node_id=node_id, message=message)
+        self.send_message(node_id=reply.node_id, message=message)
 
     def respond(self, *, call: object, response: Response) -> None:
         """Answer a call: over HTTP, or to the node that forwarded it."""
--- a/yarrowloom/node/registry_calls.py
+++ b/yarrowloom/node/registry_calls.py
@@ -101,6 +101,7 @@
                 zone=change.zone, is_evacuated=change.is_on, known_version=change.known_version
             )
         except YarrowError as error:
+            node.note(event="evacuation-order-unclear", zone=change.zone, known_version=change.known_version)
             self._refuse(node_id=node_id, request_id=request_id, error=error)
             return
         node.commit_registry(event=event, publish=True)
--- a/yarrowloom/scheduling/admission.py
+++ b/yarrowloom/scheduling/admission.py
@@ -109,7 +109,7 @@
             self._respond(node_id=node_id, request_id=request_id, status=OK, document={})
         elif self._may_precede_cancellation(call=call):
             # Race: it was cancelled before it was known, then submitted; a copy of the first cancelling comes late.
-            self._respond(node_id=node_id, request_id=request_id, status=UNAVAILABLE, document=CANCELLED_BEFORE)
+            self._refuse_older(node_id=node_id, request_id=request_id, call=call)
         else:
             self.job_queue.commit(
                 JobCancelled(job_id=call.job_id, cancelled_at_ms=self.context.wall_now_ms),
@@ -124,6 +124,11 @@
         self.job_queue.commit(JobCancelled(job_id=job_id, cancelled_at_ms=self.context.wall_now_ms, is_early=True))
         self._respond(node_id=node_id, request_id=request_id, status=GONE, document={})
 
+    def _refuse_older(self, *, node_id: str, request_id: int, call: JobCall) -> None:
+        """Refuse a call that may be older than its job's cancelling; the reply tells the edge of that one."""
+        self.context.environment.note(event="job-call-outdated", id=call.job_id, known=call.known_cancellation)
+        self._respond(node_id=node_id, request_id=request_id, status=UNAVAILABLE, document=CANCELLED_BEFORE)
+
     def _may_precede_cancellation(self, *, call: JobCall) -> bool:
         """Whether a call may have been sent before its job's last cancelling that found no such job was answered."""
         cancellations = self.context.jobs.early_cancellations
@@ -145,7 +150,7 @@
             self._reject_route(node_id=node_id, request_id=request_id, call=call)
             return False
         if self._may_precede_cancellation(call=call):
-            self._respond(node_id=node_id, request_id=request_id, status=UNAVAILABLE, document=CANCELLED_BEFORE)
+            self._refuse_older(node_id=node_id, request_id=request_id, call=call)
             return False
         submission = call.submission if call.submission is not UNSET else {}
         document = {**submission, "q": call.queue, "at": self.context.wall_now_ms}
