--- a/tests/storage/write_begun.py
+++ b/tests/storage/write_begun.py
@@ -6,13 +6,11 @@
 
 import pathlib
 import sys
-import tempfile
 from collections.abc import Iterator
 from typing import Any
 
-from tests.storage.stored_data import SEEDS
-from tests.storage.write_data import LONG, PLAIN, UIDS, DiskWriter, keep
-from tests.storage.write_transactions import Writer
+from tests.storage.write_data import LONG, PLAIN
+from tests.storage.write_transactions import Writer, write_case
 
 ADDRESS = ["h.example", "/fast/"]
 LAST_BATCH_BEFORE_SNAPSHOT = 3
@@ -34,23 +32,7 @@
     yield [writer.begin(number=4), writer.begin(number=4), {"t": "begun", "ids": ["00000000000000ff"]}]
 
 
-def write(*, folder: pathlib.Path) -> DiskWriter:
-    """A snapshot between the events, while a job waits that was ordered in vain."""
-    disk = DiskWriter(folder=folder, ip=SEEDS[2])
-    for number, batch in enumerate(events()):
-        disk.log(source=UIDS[1], group=1, events=batch)
-        if number == LAST_BATCH_BEFORE_SNAPSHOT:
-            disk.move_on()
-    return disk
-
-
-def main() -> None:
-    """Write the case into the folder named."""
-    out = pathlib.Path(sys.argv[1])
-    with tempfile.TemporaryDirectory() as name:
-        folder = pathlib.Path(name) / "begun"
-        keep(files=folder, out=out / "begun", ip=SEEDS[2], live=write(folder=folder))
-
-
 if __name__ == "__main__":
-    main()
+    write_case(
+        out=pathlib.Path(sys.argv[1]), name="begun", batches=events(), snapshot_after=(LAST_BATCH_BEFORE_SNAPSHOT,)
+    )
--- a/tests/storage/write_cancelled.py
+++ b/tests/storage/write_cancelled.py
@@ -6,13 +6,11 @@
 
 import pathlib
 import sys
-import tempfile
 from collections.abc import Iterator
 from typing import Any
 
-from tests.storage.stored_data import SEEDS
-from tests.storage.write_data import PLAIN, UIDS, DiskWriter, keep
-from tests.storage.write_transactions import Writer
+from tests.storage.write_data import PLAIN
+from tests.storage.write_transactions import Writer, write_case
 
 LAST_BATCH_BEFORE_SNAPSHOT = 1
 
@@ -30,23 +28,7 @@
     yield [writer.submit(number=3, stages=PLAIN, tenant=""), cancellation(number=4)]
 
 
-def write(*, folder: pathlib.Path) -> DiskWriter:
-    """A snapshot between the events."""
-    disk = DiskWriter(folder=folder, ip=SEEDS[2])
-    for number, batch in enumerate(events()):
-        disk.log(source=UIDS[1], group=1, events=batch)
-        if number == LAST_BATCH_BEFORE_SNAPSHOT:
-            disk.move_on()
-    return disk
-
-
-def main() -> None:
-    """Write the case into the folder named."""
-    out = pathlib.Path(sys.argv[1])
-    with tempfile.TemporaryDirectory() as name:
-        folder = pathlib.Path(name) / "cancelled"
-        keep(files=folder, out=out / "cancelled", ip=SEEDS[2], live=write(folder=folder))
-
-
 if __name__ == "__main__":
-    main()
+    write_case(
+        out=pathlib.Path(sys.argv[1]), name="cancelled", batches=events(), snapshot_after=(LAST_BATCH_BEFORE_SNAPSHOT,)
+    )
--- a/tests/storage/write_transactions.py
+++ b/tests/storage/write_transactions.py
@@ -7,7 +7,7 @@
 import pathlib
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Collection, Iterable, Iterator
 from typing import Any
 
 from tests.storage.stored_data import SEEDS
@@ -92,23 +92,19 @@
     yield [writer.release(rows=[(4, 1, 1, "void")], at=False), {"t": "forget", "ids": [f"{3:016x}"]}]
 
 
-def write(*, folder: pathlib.Path) -> DiskWriter:
-    """A snapshot between the events: records stand in both."""
-    disk = DiskWriter(folder=folder, ip=SEEDS[2])
-    for number, batch in enumerate(events()):
-        disk.log(source=UIDS[1], group=1, events=batch)
-        if number in (4, 7):
-            disk.move_on()
-    return disk
-
-
-def main() -> None:
-    """Write the case into the folder named."""
-    out = pathlib.Path(sys.argv[1])
-    with tempfile.TemporaryDirectory() as name:
-        folder = pathlib.Path(name) / "transactions"
-        keep(files=folder, out=out / "transactions", ip=SEEDS[2], live=write(folder=folder))
+def write_case(
+    *, out: pathlib.Path, name: str, batches: Iterable[list[dict[str, Any]]], snapshot_after: Collection[int]
+) -> None:
+    """Write a case of that name into a folder: batches of the job group's events, snapshots after some of them."""
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(temporary) / name
+        disk = DiskWriter(folder=folder, ip=SEEDS[2])
+        for number, batch in enumerate(batches):
+            disk.log(source=UIDS[1], group=1, events=batch)
+            if number in snapshot_after:
+                disk.move_on()
+        keep(files=folder, out=out / name, ip=SEEDS[2], live=disk)
 
 
 if __name__ == "__main__":
-    main()
+    write_case(out=pathlib.Path(sys.argv[1]), name="transactions", batches=events(), snapshot_after=(4, 7))
