Simulator: clients, checks, the configured cluster and its configuration have modules of their own

Moved: Oracle to judges/oracle.py, SimCaller to caller.py, cluster to configured_cluster.py, config and HOST to sample_config.py. Minions take a small protocol of whoever observes them, so that imports go one way.

--- a/docs/experiments/growth.py
+++ b/docs/experiments/growth.py
@@ -24,8 +24,10 @@
 from yarrowloom.node.core import CoreNode
 from yarrowloom.scheduling.lease_cache import Pool
 from yarrowloom.scheduling.scheduler import Placer
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import SimCaller, cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.transport.message_kinds import Kind
 
 WORK_S = 2.0
--- a/docs/experiments/growth_collapse.py
+++ b/docs/experiments/growth_collapse.py
@@ -37,8 +37,8 @@
 from yarrowloom.scheduling.job_queue import Desk
 from yarrowloom.scheduling.scheduler import Placer
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 STATE: dict[str, Any] = {"on": False, "share": 0.62}
--- a/docs/experiments/growth_recover.py
+++ b/docs/experiments/growth_recover.py
@@ -17,7 +17,7 @@
 from growth import CAP, NARROW, WORK_S, submit
 from growth_collapse import BUSY, EVENTS, STATE, TICK, WAIT, charge, listen, without
 
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 
 
 def scene(*, minions: int, waiting: float, down: float, limit: float, most: float) -> None:
--- a/docs/experiments/recover.py
+++ b/docs/experiments/recover.py
@@ -14,8 +14,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import Oracle, SimCaller, SimMinion, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
+from yarrowloom.simulator.minions import SimMinion
 
 CORES = 5
 CAPACITY = (32_000, 131_072, 8)  # thousandths of a core, megabytes, accelerators
--- a/tests/agent/test_heartbeat.py
+++ b/tests/agent/test_heartbeat.py
@@ -15,7 +15,7 @@
 )
 from yarrowloom.agent.messages import TaskEnd
 from yarrowloom.common.records import MalformedRecordError
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 
 WHOLE: dict[str, Any] = {
     "backend": "svc",
--- a/tests/cluster_state/test_config_values.py
+++ b/tests/cluster_state/test_config_values.py
@@ -8,7 +8,8 @@
 
 from yarrowloom.cluster_state.config import check
 from yarrowloom.common.errors import InvalidInputError
-from yarrowloom.simulator.minions import cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import config
 
 HUGE, OVER = 1e308, 2**53
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
--- a/tests/cluster_state/test_operator_requests.py
+++ b/tests/cluster_state/test_operator_requests.py
@@ -9,7 +9,7 @@
 from yarrowloom.cluster_state.operator_requests import MAX_ACCEPTED_CHANGES, MAX_ZONES
 from yarrowloom.cluster_state.registry import Registry
 from yarrowloom.common.errors import InvalidInputError, StaleVersionError, UnknownOutcomeError, YarrowError
-from yarrowloom.simulator.minions import config
+from yarrowloom.simulator.sample_config import config
 
 DEEP = "[" * 300 + "]" * 300
 
--- a/tests/cluster_state/test_operator_requests_cluster.py
+++ b/tests/cluster_state/test_operator_requests_cluster.py
@@ -6,7 +6,7 @@
 import pytest
 
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import config
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.transport.http_messages import Response
 
 UNCLEAR = (0, 503)
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -7,8 +7,11 @@
 import pytest
 
 from yarrowloom.node.node_base import JOB_GROUPS
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import Oracle, SimCaller, SimMinion, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
+from yarrowloom.simulator.minions import SimMinion
 
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
 
--- a/tests/integration/test_large_clusters.py
+++ b/tests/integration/test_large_clusters.py
@@ -17,7 +17,8 @@
 from yarrowloom.scheduling.capacity import ClusterCapacity, MinionCapacity
 from yarrowloom.scheduling.scheduling_cycle import PlacementRequest, run_cycle
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.transport.message_kinds import Kind
 
 RACK = 20
--- a/tests/integration/test_loopback.py
+++ b/tests/integration/test_loopback.py
@@ -17,8 +17,8 @@
 from yarrowloom.common.settings import SETTINGS_FILE_VARIABLE, check
 from yarrowloom.loadgen import Load, report
 from yarrowloom.node.startup import open_core, open_edge
-from yarrowloom.simulator.minions import HOST as HOST_NAME
-from yarrowloom.simulator.minions import config
+from yarrowloom.simulator.sample_config import HOST as HOST_NAME
+from yarrowloom.simulator.sample_config import config
 
 
 async def call(pool: httpcore.AsyncConnectionPool, method: str, url: str, document: Any = None, **heads: str) -> Any:
--- a/tests/integration/test_overload.py
+++ b/tests/integration/test_overload.py
@@ -5,8 +5,11 @@
 import pytest
 
 from yarrowloom.node.node_base import JOB_GROUPS
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import Oracle, SimCaller, SimMinion, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
+from yarrowloom.simulator.minions import SimMinion
 
 JOB: dict[str, Any] = {"task-count": 4, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
 SPEED = 0.1  # of this project's development machine: a tenth of the jobs makes the same backlog
--- a/tests/integration/test_published_lines.py
+++ b/tests/integration/test_published_lines.py
@@ -13,7 +13,8 @@
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.node.identity import FIRST_INCARNATION
 from yarrowloom.simulator.cluster import BOUNDS, Sim
-from yarrowloom.simulator.minions import HOST, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import HOST
 from yarrowloom.transport.http_server import Server
 
 TASK: dict[str, Any] = {"task-count": 1, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
--- a/tests/node/test_busy_process.py
+++ b/tests/node/test_busy_process.py
@@ -10,7 +10,7 @@
 from yarrowloom.replication.environment import Reducer, decode_state, encode_state
 from yarrowloom.replication.timing import BACKUP_TIMEOUT_S
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 
--- a/tests/node/test_call_identity.py
+++ b/tests/node/test_call_identity.py
@@ -10,7 +10,7 @@
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.http_routes import dispatch
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.http_messages import Request
 from yarrowloom.transport.message import Message
 from yarrowloom.transport.message_kinds import Kind
--- a/tests/node/test_call_repeats.py
+++ b/tests/node/test_call_repeats.py
@@ -9,7 +9,7 @@
 from yarrowloom.node.call_messages import GroupReply
 from yarrowloom.node.core import CoreNode
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.message import Message
 from yarrowloom.transport.message_kinds import Kind
 
--- a/tests/node/test_call_server.py
+++ b/tests/node/test_call_server.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 
--- a/tests/node/test_config_dissemination.py
+++ b/tests/node/test_config_dissemination.py
@@ -6,7 +6,9 @@
 from yarrowloom.node.edge_relays import FANOUT
 from yarrowloom.node.messages import ClusterUpdate
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import HOST, SimMinion, cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.minions import SimMinion
+from yarrowloom.simulator.sample_config import HOST, config
 
 
 def edges(sim: Sim) -> list[EdgeNode]:
--- a/tests/node/test_config_freshness.py
+++ b/tests/node/test_config_freshness.py
@@ -7,8 +7,9 @@
 
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.link_cluster import LinkSim, put
-from yarrowloom.simulator.minions import HOST, cluster, config
+from yarrowloom.simulator.sample_config import HOST, config
 from yarrowloom.transport.message_kinds import Kind
 
 APPLY_S = 2.0  # `config-apply-ms` where the settings name none
--- a/tests/node/test_config_freshness_core.py
+++ b/tests/node/test_config_freshness_core.py
@@ -13,8 +13,10 @@
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.node.messages import ContactProof
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.link_cluster import LinkSim, put
-from yarrowloom.simulator.minions import HOST, SimMinion, cluster, config
+from yarrowloom.simulator.minions import SimMinion
+from yarrowloom.simulator.sample_config import HOST, config
 from yarrowloom.transport.message_kinds import Kind
 
 
--- a/tests/node/test_controller.py
+++ b/tests/node/test_controller.py
@@ -13,9 +13,10 @@
 from yarrowloom.node import controller, minion_rebalancing
 from yarrowloom.node.core_environment import CoreEnvironment
 from yarrowloom.node.messages import Heartbeat
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.judges.oracle import Oracle
 from yarrowloom.simulator.minion_population import attached, back, loads, populated_cluster, serves
-from yarrowloom.simulator.minions import Oracle, SimCaller
 
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
 
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -6,7 +6,7 @@
 
 from yarrowloom.node.edge import EdgeNode
 from yarrowloom.simulator.link_cluster import LinkSim, put
-from yarrowloom.simulator.minions import HOST, config
+from yarrowloom.simulator.sample_config import HOST, config
 from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message_kinds import Kind
 
--- a/tests/node/test_edge_filters.py
+++ b/tests/node/test_edge_filters.py
@@ -8,7 +8,7 @@
 
 from yarrowloom.cluster_state.routing_table import RoutingTable
 from yarrowloom.node.edge_filters import RequestContext, first_response
-from yarrowloom.simulator.minions import HOST, config
+from yarrowloom.simulator.sample_config import HOST, config
 from yarrowloom.transport.http_messages import Request
 
 JOB_ID = "5c0e7a21d94b36f8"
--- a/tests/node/test_http_routes.py
+++ b/tests/node/test_http_routes.py
@@ -7,7 +7,7 @@
 from yarrowloom.node.http_routes import dispatch
 from yarrowloom.node.registry_requests import ConfigChange
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.http_messages import Request, Response
 
 JOB_ID = "5c0e7a21d94b36f8"
--- a/tests/node/test_recovery.py
+++ b/tests/node/test_recovery.py
@@ -18,9 +18,12 @@
 from yarrowloom.replication.replica_storage import ReplicaStorage
 from yarrowloom.replication.roles import Role
 from yarrowloom.replication.stored_records import StateRecord, StoredRecord
-from yarrowloom.simulator import minions
+from yarrowloom.simulator import configured_cluster
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import Oracle, SimCaller, cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.storage import SNAPSHOT_END
 from yarrowloom.transactions import TransactionConflictError
 
@@ -32,7 +35,7 @@
     monkeypatch: pytest.MonkeyPatch, folder: pathlib.Path, seed: int, **kw: Any
 ) -> tuple[RingSim, Oracle, SimCaller]:
     """A configured cluster on real ring files."""
-    monkeypatch.setattr(minions, "Sim", lambda **more: RingSim(folder=folder, **more))
+    monkeypatch.setattr(configured_cluster, "Sim", lambda **more: RingSim(folder=folder, **more))
     sim, oracle, caller, _ = cluster(seed=seed, **kw)
     assert isinstance(sim, RingSim)
     return sim, oracle, caller
--- a/tests/node/test_refused_calls.py
+++ b/tests/node/test_refused_calls.py
@@ -8,7 +8,8 @@
 from yarrowloom.node.call_messages import NOT_PRIMARY, CallOperation, GroupReply, NoArguments
 from yarrowloom.node.group_calls import CallResult, GroupCalls
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import HOST, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import HOST
 from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message import Message
 
--- a/tests/node/test_updates_between_nodes.py
+++ b/tests/node/test_updates_between_nodes.py
@@ -13,7 +13,7 @@
 from yarrowloom.node.messages import ClusterUpdate, Heartbeat, HeartbeatAck, RegistryUpdate, VersionsHeld
 from yarrowloom.replication.epoch import Epoch
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import config
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.transport.message_kinds import Kind
 
 OTHER = "10.0.1.9:7001#x"
--- a/tests/replication/test_half_open_connections.py
+++ b/tests/replication/test_half_open_connections.py
@@ -13,10 +13,10 @@
 from tests.replication.test_handover import CATCH_UP_S
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.node_base import JOB_GROUPS
-from yarrowloom.simulator import minions
+from yarrowloom.simulator import configured_cluster
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.message_kinds import LANES, Kind, Lane
 
 CI_SEEDS = 3
@@ -112,12 +112,12 @@
 def test_groups_are_served_again_after_each_of_many_losses(
     seed: int, cores: int, is_mixed: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(minions, "Sim", HalfOpenSim)
+    monkeypatch.setattr(configured_cluster, "Sim", HalfOpenSim)
     assert losses_survived(seed=seed, cores=cores, is_mixed=is_mixed) == LOSSES
 
 
 # The proof that the test above can fail: connections that stay with the former life lose a group for good.
 def test_without_renewal_a_group_is_lost_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(minions, "Sim", HalfOpenSim)
+    monkeypatch.setattr(configured_cluster, "Sim", HalfOpenSim)
     monkeypatch.setattr(HalfOpenSim, "renews", False)
     assert any(losses_survived(seed=seed, cores=3, is_mixed=False) < LOSSES for seed in range(CI_SEEDS))
--- a/tests/replication/test_handover.py
+++ b/tests/replication/test_handover.py
@@ -6,7 +6,8 @@
 from yarrowloom.node.draining import CORE_DRAIN_MINIMUM_S, GRACE_RESERVE_S
 from yarrowloom.node.node_base import JOB_GROUPS
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import HOST, cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import HOST, config
 
 SETTLE_S = 6.0
 GRACE_S = 6.0
--- a/tests/replication/test_install.py
+++ b/tests/replication/test_install.py
@@ -4,8 +4,8 @@
 
 from yarrowloom.replication.roles import Role
 from yarrowloom.replication.timing import LEASE_S
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 LATE_S = 0.76  # the witnesses' answers come after the fourth INSTALL
--- a/tests/replication/test_quorum_contact.py
+++ b/tests/replication/test_quorum_contact.py
@@ -7,7 +7,8 @@
 from yarrowloom.node.node_base import JOB_GROUPS
 from yarrowloom.replication.epoch import Epoch
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import config
 
 SETTLE_S = 6.0
 
--- a/tests/replication/test_single_core.py
+++ b/tests/replication/test_single_core.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 
--- a/tests/replication/test_stalled_process.py
+++ b/tests/replication/test_stalled_process.py
@@ -9,8 +9,10 @@
 
 from tests.replication.test_quorum_contact import holders, newest
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import SimMinion, cluster, config
+from yarrowloom.simulator.minions import SimMinion
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.transport.http_messages import Response
 from yarrowloom.transport.message_kinds import Kind
 
--- a/tests/replication/test_successive_losses.py
+++ b/tests/replication/test_successive_losses.py
@@ -8,10 +8,10 @@
 from tests.replication.test_quorum_contact import holders, newest
 from yarrowloom.node.node_base import JOB_GROUPS
 from yarrowloom.replication.timing import BACKUP_TIMEOUT_S, LEADER_TIMEOUT_S, LEASE_RENEWAL_S, TAKEOVER_STAGGER_S
-from yarrowloom.simulator import minions
+from yarrowloom.simulator import configured_cluster
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 SETTLE_S = 6.0
@@ -47,7 +47,7 @@
 
 
 def start(monkeypatch: pytest.MonkeyPatch, *, seed: int, cores: int, losses: int) -> HarshSim:
-    monkeypatch.setattr(minions, "Sim", HarshSim)
+    monkeypatch.setattr(configured_cluster, "Sim", HarshSim)
     sim, _, _, _ = cluster(seed=seed, cores=cores, losses=losses, minions=2)
     assert isinstance(sim, HarshSim)
     sim.run(seconds=SETTLE_S)
--- a/tests/replication/test_two_disks_lost.py
+++ b/tests/replication/test_two_disks_lost.py
@@ -5,7 +5,8 @@
 import pytest
 
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import HOST, cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import HOST, config
 
 
 def holders(sim: Sim, *, group_id: int, which: tuple[int, int]) -> list[str]:
--- a/tests/replication/test_zones.py
+++ b/tests/replication/test_zones.py
@@ -10,7 +10,8 @@
 from yarrowloom.node.messages import RegistryUpdate
 from yarrowloom.node.node_base import JOB_GROUPS
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster, config
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import config
 
 SETTLE_S = 6.0
 MEND_S = 6.0  # after the return of a zone: seen (0.3 s), enrolled, wished for 2 s, once a second looked at
--- a/tests/scheduling/test_binding.py
+++ b/tests/scheduling/test_binding.py
@@ -6,9 +6,11 @@
 import pytest
 
 from yarrowloom.common.resources import NO_RESOURCES
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
 from yarrowloom.simulator.machines.process import Proc
-from yarrowloom.simulator.minions import Oracle, SimCaller, cluster
 from yarrowloom.transport.message_kinds import Kind
 
 TASK: dict[str, Any] = {"task-count": 3, "cpus": 1000, "mem-mb": 100, "estimate-ms": 500}
--- a/tests/scheduling/test_lease_identity.py
+++ b/tests/scheduling/test_lease_identity.py
@@ -4,7 +4,7 @@
 
 from yarrowloom.common.resources import Resources
 from yarrowloom.scheduling.binding import OpenLeaseRequest
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -7,7 +7,7 @@
 from yarrowloom.common.records import MalformedRecordError
 from yarrowloom.scheduling.scheduler import Scheduler
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.message_kinds import Kind
 
 MALFORMED: dict[Kind, tuple[dict[str, Any], str]] = {
--- a/tests/scheduling/test_warm_capacity.py
+++ b/tests/scheduling/test_warm_capacity.py
@@ -8,8 +8,12 @@
 from yarrowloom.common.defaults import SHIPPED, Defaults
 from yarrowloom.prediction import History
 from yarrowloom.scheduling.scheduler import Scheduler
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import HOST, Oracle, SimCaller, SimMinion, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
+from yarrowloom.simulator.minions import SimMinion
+from yarrowloom.simulator.sample_config import HOST
 
 URGENT: dict[str, Any] = {"task-count": 2, "cpus": 4000, "mem-mb": 100, "estimate-ms": 500, "gang": True}
 FILL: dict[str, Any] = {"task-count": 4, "cpus": 2000, "mem-mb": 100, "estimate-ms": 3000}
--- a/tests/simulator/test_history_runs.py
+++ b/tests/simulator/test_history_runs.py
@@ -10,9 +10,11 @@
 from yarrowloom.node.call_messages import GroupReply
 from yarrowloom.node.group_calls import GroupCalls
 from yarrowloom.simulator.cluster import Sim
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.simulator.judges.history import Breach, History, JobCall, JobVerb, Operation, Outcome, outcome_of
 from yarrowloom.simulator.judges.history_checks import check_answers, check_jobs
-from yarrowloom.simulator.minions import HOST, Oracle, cluster
+from yarrowloom.simulator.judges.oracle import Oracle
+from yarrowloom.simulator.sample_config import HOST
 from yarrowloom.transport.http_messages import Response
 
 PATIENCE_S = 3.0
--- a/tests/storage/write_data.py
+++ b/tests/storage/write_data.py
@@ -22,7 +22,8 @@
 from yarrowloom.jobs.submission import parse_submission
 from yarrowloom.node.core import CoreNode
 from yarrowloom.node.messages import RegistryUpdate
-from yarrowloom.simulator import minions
+from yarrowloom.simulator import configured_cluster
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.storage import SNAPSHOT_END, RingJournal
 from yarrowloom.transport.message_kinds import Kind
 
@@ -68,7 +69,7 @@
 
 def configuration(*, version: int, rank: int = 0, more: int = 8) -> dict[str, Any]:
     """A valid configuration."""
-    document = minions.config(version=version, more=more)
+    document = config(version=version, more=more)
     document["route-table"][0]["rank"] = rank
     return document
 
@@ -334,17 +335,17 @@
             return RingJournal(folder=str(self.folder / ip), file_bytes=RING_BYTES, salt=salts.__next__)
 
     usual = RingSim.__base__
-    setattr(minions, "Sim", lambda **more: SaltedSim(folder=folder, **more))  # noqa: B010
+    setattr(configured_cluster, "Sim", lambda **more: SaltedSim(folder=folder, **more))  # noqa: B010
     try:
-        sim, _, caller, _ = minions.cluster(seed=21, minions=4, fail=0.2)
+        sim, _, caller, _ = configured_cluster.cluster(seed=21, minions=4, fail=0.2)
     finally:
-        setattr(minions, "Sim", usual)  # noqa: B010
+        setattr(configured_cluster, "Sim", usual)  # noqa: B010
     version = 3
     for turn in range(3):
         jobs = [caller.submit(stages=stages) for stages in (PLAIN, GANG, [{"task-count": 2, "cpus": 100}])]
         sim.run(seconds=1.0)
         caller.cancel(job_id=jobs[turn % 3])
-        document, match = minions.config(version=version + 1), {"if-match": str(version)}
+        document, match = config(version=version + 1), {"if-match": str(version)}
         status, _ = sim.ask(ip=sim.core_ips[turn], method="PUT", path="/config", document=document, headers=match)
         version += status == 200
         sim.kill(ip=sim.core_ips[turn], power=True)
--- a/tests/support/caller_crowd.py
+++ b/tests/support/caller_crowd.py
@@ -14,8 +14,8 @@
 
 import trio
 
-from yarrowloom.simulator.minions import HOST as HOST_NAME
-from yarrowloom.simulator.minions import config
+from yarrowloom.simulator.sample_config import HOST as HOST_NAME
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.testbed.cluster import Cluster, Node, Shape
 
 GUARD_S = 240.0  # ends a test that would hang; no test is about time
--- a/tests/support/hostile_input.py
+++ b/tests/support/hostile_input.py
@@ -15,7 +15,9 @@
 from tests.support.recorded_log import RecordedLog
 from yarrowloom.node.input_scheduler import Input
 from yarrowloom.node.runtime import Node, Runtime
-from yarrowloom.simulator.minions import HOST, SimCaller, cluster, config
+from yarrowloom.simulator.caller import SimCaller
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.sample_config import HOST, config
 from yarrowloom.simulator.workload import task
 from yarrowloom.transport.http_messages import Limits
 from yarrowloom.transport.http_server import Server
--- a/tests/support/two_operators.py
+++ b/tests/support/two_operators.py
@@ -7,8 +7,8 @@
 from yarrowloom.simulator.judges.history import Breach
 from yarrowloom.simulator.judges.history_checks import check_evacuations
 from yarrowloom.simulator.judges.linearizability import check_configuration
-from yarrowloom.simulator.minions import config
 from yarrowloom.simulator.operators import Answer, Habits, Operator, Recorder
+from yarrowloom.simulator.sample_config import config
 from yarrowloom.transport.http_messages import Response
 
 
--- a/tests/testbed/test_simulated_minion.py
+++ b/tests/testbed/test_simulated_minion.py
@@ -7,8 +7,10 @@
 import pytest
 
 from tests.integration.test_cluster import TASK, finish
+from yarrowloom.simulator.caller import SimCaller
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import Oracle, SimCaller, cluster
+from yarrowloom.simulator.configured_cluster import cluster
+from yarrowloom.simulator.judges.oracle import Oracle
 from yarrowloom.testbed.judge import Judge
 from yarrowloom.testbed.simulated_minion import Bounds, Hollow, How, Yard, mark
 from yarrowloom.testbed.work import write
--- a/tests/transport/test_incarnations.py
+++ b/tests/transport/test_incarnations.py
@@ -1,7 +1,7 @@
 """Lives of a process: told apart without a clock, in whatever order their connections and frames come."""
 
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import config
+from yarrowloom.simulator.sample_config import config
 
 
 def running(*, seed: int) -> Sim:
--- a/tests/transport/test_malformed_frames.py
+++ b/tests/transport/test_malformed_frames.py
@@ -15,7 +15,7 @@
 from yarrowloom.node.group_calls import ignore_result
 from yarrowloom.node.runtime import Runtime
 from yarrowloom.simulator.cluster import Sim
-from yarrowloom.simulator.minions import cluster
+from yarrowloom.simulator.configured_cluster import cluster
 from yarrowloom.transport.envelope import MAX_FRAME_BYTES, Frame, join_messages, pack_frame
 from yarrowloom.transport.message_kinds import Kind, Lane
 from yarrowloom.transport.peer_connections import PeerConnections
--- a/yarrowloom/simulator/judges/job_rules.py
+++ b/yarrowloom/simulator/judges/job_rules.py
@@ -1,10 +1,11 @@
-"""The rules on jobs, checked against what minions and callers observe; covers more rules than `minions.Oracle`."""
+"""The rules on jobs, checked against what minions and callers observe; covers more rules than `oracle.Oracle`."""
 
 from typing import Any
 
 from ..cluster import Sim
-from ..minions import Oracle, SimMinion
+from ..minions import SimMinion
 from ..tenants import SimTenant, used_by
+from .oracle import Oracle
 
 CANCEL_S = 4.0
 VISIBLE_S = 3.0
--- a/yarrowloom/simulator/link_cluster.py
+++ b/yarrowloom/simulator/link_cluster.py
@@ -13,7 +13,7 @@
 from .errors import SimulationError
 from .machines.machine_set import ClusterOptions
 from .machines.process import Proc
-from .minions import HOST
+from .sample_config import HOST
 
 HEAD = 80  # bytes of envelope and of TCP that come with each frame
 
--- a/yarrowloom/simulator/minion_population.py
+++ b/yarrowloom/simulator/minion_population.py
@@ -1,9 +1,12 @@
 """Simulated clusters with many minions, and measurements of how fast all are attached again."""
 
 from ..agent.minion import Phase
+from .caller import SimCaller
 from .cluster import Sim
 from .errors import SimulationError
-from .minions import Oracle, SimCaller, SimMinion, config
+from .judges.oracle import Oracle
+from .minions import SimMinion
+from .sample_config import config
 
 
 def populated_cluster(
--- a/yarrowloom/simulator/minions.py
+++ b/yarrowloom/simulator/minions.py
@@ -1,154 +1,30 @@
-"""Simulated minions and clients, and an oracle that checks the rules on jobs."""
+"""Simulated minions."""
 
-from typing import Any, Unpack
+from typing import Any, Protocol
 
 import orjson
 
 from ..transport.http_messages import Response
 from .cluster import Sim
-from .errors import SimulationError
-from .machines.machine_set import ClusterOptions
-from .tenants import SimTenant, breach_of_bound, headers_of
 
-HOST = "h.example"
 SLOW = 1.02  # a minion's clock runs so much slower than true time
 STOP_S = 0.2  # a run ends so long after the order to stop
 
 
-def config(*, version: int, guards: bool = False, tries: int = 3, more: int = 0) -> dict[str, Any]:
-    """A configuration of two queues on one service."""
-
-    def row(name: str, prefix: str, rank: int) -> dict[str, Any]:
-        return {
-            "name": name,
-            "host-name": HOST,
-            "path-prefix": prefix,
-            "route-kind": "mutating",
-            "deadline-ms": 3000,
-            "target-ms": 2000,
-            "rank": rank,
-            "backend": "svc",
-            "max-tries": tries,
-            "stretch": 2.0,
-        }
-
-    routes = [row("fast", "/fast/", 0), row("slow", "/slow/", 1)]
-    routes += [row(f"x{i}", f"/x{i}/", 2) for i in range(more)]
-    return {
-        "config-version": version,
-        "route-table": routes,
-        "service-table": [{"name": "svc", "conn-limit": 64, "guards": guards}],
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144},
-    }
-
-
-class Oracle:
-    """Judges starts and ends as minions see them. Each entry of `broken` is a rule's name and what happened."""
-
-    def __init__(self, *, sim: Sim) -> None:
-        self.sim = sim
-        self.broken: list[str] = []
-        self.jobs: dict[str, dict[str, Any]] = {}
-        self.alive: dict[str, list[tuple[str, int]]] = {}
-        self.noted: set[str] = set()
-        self.done: set[str] = set()
-        self.failed: dict[str, int] = {}
-        self.refused: set[str] = set()
-        self.accepted: dict[str, float] = {}
-        self.cancelled: dict[str, float] = {}
-        self.tries = 3
-        self.tenant_of: dict[str, SimTenant] = {}  # by job id; jobs of no tenant are not in it
+class MinionObserver(Protocol):
+    """Is told what minions see."""
 
     def step_of(self, task: str) -> dict[str, Any]:
         """The step that a task belongs to."""
-        job_id, _, s, _ = task.split(".")
-        row: dict[str, Any] = self.jobs[job_id]["stages"][int(s)]
-        return row
 
     def started(self, *, m: "SimMinion", task: str, run: int, spec: str, saved: str) -> None:
-        """Check the start of a task on a minion."""
-        job_id = task.split(".")[0]
-        job = self.jobs.get(job_id)
-        if job is None or spec != job["task-spec"]:
-            self.broken.append(f"UNASKED {task}")
-            return
-        self._check_request(task=task, job_id=job_id)
-        self._check_attempts(m=m, task=task, run=run)
-        self._check_order(task=task, job=job)
-        self._check_constraints(m=m, task=task)
-        self._check_capacity(m=m, task=task)
-        self.alive.setdefault(task, []).append((m.minion_id, run))
-        self._check_bound(task=task, job_id=job_id)
-
-    def _check_bound(self, *, task: str, job_id: str) -> None:
-        """What a tenant has running is within its bound."""
-        tenant = self.tenant_of.get(job_id)
-        if tenant is None:
-            return
-        breach = breach_of_bound(tenant=tenant, running=self.tasks_of(tenant), started=task, step_of=self.step_of)
-        if breach:
-            self.broken.append(breach)
-
-    def tasks_of(self, tenant: SimTenant) -> list[str]:
-        """The tasks of a tenant that run."""
-        return [name for name, runs in self.alive.items() if runs and self.tenant_of.get(name.split(".")[0]) == tenant]
-
-    def _check_request(self, *, task: str, job_id: str) -> None:
-        """A task runs only for a job that was accepted and not cancelled."""
-        if job_id in self.refused and job_id not in self.accepted:
-            self.broken.append(f"REFUSED {task}")
-        if job_id in self.cancelled and self.sim.now > self.cancelled[job_id] + 3.0:
-            self.broken.append(f"UNASKED {task} after cancel")
-
-    def _check_attempts(self, *, m: "SimMinion", task: str, run: int) -> None:
-        """A task runs on one minion at a time, not after its end, and not more often than the retry limit allows."""
-        if self.alive.get(task):
-            self.broken.append(f"TWICE {task} run {run} on {m.minion_id}, also {self.alive[task]}")
-        if task in self.noted and not self.step_of(task).get("long-running"):
-            self.broken.append(f"TWICE {task} run {run} after its end was noted")
-        if self.failed.get(task, 0) >= self.tries:
-            self.broken.append(f"BUDGET {task}")
-
-    def _check_order(self, *, task: str, job: dict[str, Any]) -> None:
-        """A task runs after the stages that its stage depends on; of a gang, one member's end is enough."""
-        job_id, k, _, _ = task.split(".")
-        for d in self.step_of(task).get("depends-on", []):
-            n = job["stages"][d]["task-count"]
-            gang = job["stages"][d].get("gang")
-            ends = [f"{job_id}.{k}.{d}.{i}" in self.done for i in range(n)]
-            if not (any(ends) if gang else all(ends)):
-                self.broken.append(f"ORDER {task}")
-
-    def _check_constraints(self, *, m: "SimMinion", task: str) -> None:
-        """A task runs on a minion with the required label, and its anti-affinity limit holds there."""
-        row = self.step_of(task)
-        if row.get("requires") and row["requires"] not in m.labels:
-            self.broken.append(f"ROUTE {task}")
-        apart = row.get("anti-affinity", 0)
-        if apart and sum(t.rsplit(".", 1)[0] == task.rsplit(".", 1)[0] for t in m.running) >= apart:
-            self.broken.append(f"ROUTE {task} apart")
-
-    def _check_capacity(self, *, m: "SimMinion", task: str) -> None:
-        """The tasks on a minion fit into its capacity."""
-        used = [0, 0, 0]
-        for other in [*m.running, task]:
-            need = self.step_of(other)
-            used = [used[0] + need.get("cpus", 0), used[1] + need.get("mem-mb", 0), used[2] + need.get("gpus", 0)]
-        if any(u > c for u, c in zip(used, m.cap, strict=True)):
-            self.broken.append(f"LIMIT {m.minion_id} {used} over {m.cap}")
+        """A minion begins a task."""
 
     def ended(self, *, m: "SimMinion", task: str, run: int, how: str) -> None:
         """A minion's run of a task ended."""
-        self.alive.get(task, []).remove((m.minion_id, run))
-        if how == "done":
-            self.done.add(task)
 
     def note(self, *, task: str, how: str) -> None:
         """An end was acknowledged."""
-        if how == "done":
-            self.noted.add(task)
-        if how == "failed":
-            self.failed[task] = self.failed.get(task, 0) + 1
 
 
 class SimMinion:
@@ -162,7 +38,7 @@
         self,
         *,
         sim: Sim,
-        oracle: Oracle,
+        oracle: MinionObserver,
         minion_id: str,
         zone: str,
         cap: tuple[int, int, int],
@@ -333,131 +209,3 @@
         """End a run if it still goes on."""
         if self.up and task in self.running and self.running[task]["run"] == run:
             self.end(task=task, how=how)
-
-
-class SimCaller:
-    """Submits jobs as clients do, and again under the same ID after a time-out, 502 or 504.
-
-    Attributes:
-        withdrawn: Jobs that it cancels; they are not submitted again.
-    """
-
-    def __init__(self, *, sim: Sim, oracle: Oracle) -> None:
-        self.sim, self.oracle = sim, oracle
-        self.n = 0
-        self.withdrawn: set[str] = set()
-
-    def headers(self, *, job_id: str) -> dict[str, str]:
-        """Headers of a call about a job, with the key of its tenant."""
-        return {"host": HOST, "x-deadline-ms": "3000", **headers_of(self.oracle.tenant_of.get(job_id))}
-
-    def submit(
-        self,
-        *,
-        stages: list[dict[str, Any]],
-        queue: str = "fast",
-        tenant: SimTenant | None = None,
-        **more: object,
-    ) -> str:
-        """Submit a job; return its ID."""
-        self.n += 1
-        job_id = f"{self.sim.rng.getrandbits(64):016x}"
-        document = {"task-spec": f"spec-{job_id}", "stages": stages, **more}
-        self.oracle.jobs[job_id] = document
-        if tenant is not None:
-            self.oracle.tenant_of[job_id] = tenant
-        self._send(job_id=job_id, queue=queue, document=document, left=5)
-        return job_id
-
-    def _send(self, *, job_id: str, queue: str, document: object, left: int) -> None:
-        ip = self.sim.rng.choice(self.sim.edge_ips)
-        state = {"done": False}
-
-        def again() -> None:
-            if left and job_id not in self.withdrawn:
-                self._send(job_id=job_id, queue=queue, document=document, left=left - 1)
-
-        def back(response: Response) -> None:
-            if state["done"]:
-                return
-            state["done"] = True
-            if 200 <= response.status < 300:
-                self.oracle.accepted.setdefault(job_id, self.sim.now)
-            elif response.status in (429, 503) and left == 5:
-                self.oracle.refused.add(job_id)
-            elif response.status in (502, 504):
-                again()
-
-        def late() -> None:
-            if not state["done"]:
-                state["done"] = True
-                again()
-
-        self.sim.http(
-            ip=ip,
-            src="caller",
-            method="POST",
-            path=f"/{queue}/{job_id}",
-            document=document,
-            headers=self.headers(job_id=job_id),
-            back=back,
-        )
-        self.sim.at(delay=3.0, fn=late)
-
-    def state(self, *, job_id: str, queue: str = "fast") -> tuple[int, Any]:
-        """Ask for a job's state."""
-        status, document = self.sim.ask(
-            ip=self.sim.edge_ips[0],
-            method="GET",
-            path=f"/{queue}/{job_id}",
-            headers=self.headers(job_id=job_id),
-        )
-        return status, document["state"] if status == 200 else None
-
-    def cancel(self, *, job_id: str, queue: str = "fast") -> int:
-        """Cancel a job."""
-        status, _ = self.sim.ask(
-            ip=self.sim.edge_ips[0],
-            method="DELETE",
-            path=f"/{queue}/{job_id}",
-            headers=self.headers(job_id=job_id),
-        )
-        if status == 200:
-            self.oracle.cancelled[job_id] = self.sim.now
-        return status
-
-
-def cluster(
-    *,
-    seed: int,
-    minions: int = 6,
-    work: float = 0.5,
-    cap: tuple[int, int, int] = (4000, 8000, 0),
-    fail: float = 0.0,
-    **kw: Unpack[ClusterOptions],
-) -> tuple[Sim, Oracle, SimCaller, list[SimMinion]]:
-    """A configured cluster with minions."""
-    sim = Sim(seed=seed, **kw)
-    oracle = Oracle(sim=sim)
-    fleet = [
-        SimMinion(
-            sim=sim,
-            oracle=oracle,
-            minion_id=f"i-{i}",
-            zone=f"z{i % len(sim.zones)}",
-            cap=cap,
-            work=work,
-            labels=("a", f"r{i % len(sim.zones)}"),
-            fail=fail,
-        )
-        for i in range(minions)
-    ]
-    sim.run(seconds=1.0)
-    for ip in sim.core_ips:
-        status, _ = sim.ask(ip=ip, method="PUT", path="/config", document=config(version=3), headers={"if-match": "0"})
-        if status == 200:
-            break
-    if status != 200:
-        raise SimulationError(text=f"the configuration was answered {status}")
-    sim.run(seconds=2.0)
-    return sim, oracle, SimCaller(sim=sim, oracle=oracle), fleet
--- a/yarrowloom/simulator/observers.py
+++ b/yarrowloom/simulator/observers.py
@@ -9,7 +9,8 @@
 from .events import JobEvent
 from .faulty_cluster import FaultyCluster
 from .judges.job_rules import Judge
-from .minions import HOST, SimMinion
+from .minions import SimMinion
+from .sample_config import HOST
 
 LOOK_S = 0.1
 CHANGE_S = (0.5, 3.0)  # an operator rests this long between changes
--- a/yarrowloom/simulator/workload.py
+++ b/yarrowloom/simulator/workload.py
@@ -6,16 +6,15 @@
 import orjson
 
 from ..transport.http_messages import Response
+from .caller import GONE, SimCaller
 from .cluster import Sim
 from .errors import SimulationError
 from .judges.job_rules import ENDS, Judge
 from .machines.machine_set import ClusterOptions
-from .minions import SimCaller, config
+from .sample_config import config
 from .tenants import SimTenant
 from .worker import Worker, World
 
-GONE = 410
-
 
 class Client(SimCaller):
     """Asks and cancels without waiting. Every answer goes to the judge."""
