--- a/tests/transport/test_caller_budget.py
+++ b/tests/transport/test_caller_budget.py
@@ -3,7 +3,6 @@
 import random
 import tracemalloc
 from collections.abc import Callable
-from typing import cast
 
 import orjson
 import pytest
@@ -135,7 +134,7 @@
 
     async def connect() -> bytes | bytearray:
         ours, theirs = trio.testing.memory_stream_pair()
-        await server.serve(cast(trio.SocketStream, theirs))
+        await server.serve(theirs)
         return await ours.receive_some(1)
 
     assert trio.run(connect) == b""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,7 +1,6 @@
 """The callers' side over in-memory streams and a simulated clock: limits, slow and broken heads, draining."""
 
 import random
-from typing import cast
 
 import h11
 import pytest
@@ -27,7 +26,7 @@
         begun = trio.current_time()
         got = b""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(server.serve, cast(trio.SocketStream, theirs))
+            nursery.start_soon(server.serve, theirs)
             await ours.send_all(data)
             while chunk := await ours.receive_some(65536):
                 got += chunk
@@ -105,7 +104,7 @@
 
         begun = trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(server.serve, cast(trio.SocketStream, theirs))
+            nursery.start_soon(server.serve, theirs)
             nursery.start_soon(push)
             while chunk := await ours.receive_some(65536):
                 got += chunk
--- a/tests/transport/test_incarnations_wire.py
+++ b/tests/transport/test_incarnations_wire.py
@@ -3,7 +3,7 @@
 import math
 import pathlib
 import random
-from typing import Any, cast
+from typing import Any
 
 import orjson
 import pytest
@@ -139,7 +139,7 @@
 
     async def connect(self) -> trio.StapledStream[Any, Any]:
         ours, theirs = trio.testing.memory_stream_pair()
-        self.nursery.start_soon(self.peers._receive_connection, cast(trio.SocketStream, theirs))
+        self.nursery.start_soon(self.peers._receive_connection, theirs)
         await trio.testing.wait_all_tasks_blocked()
         return ours
 
@@ -156,15 +156,9 @@
         async with trio.open_nursery() as nursery:
             to = Receiver(nursery)
             old = await to.connect()
-            await old.send_all(
-                await PeerConnections._read_challenge(stream=cast(trio.SocketStream, old))
-                + frame(node_id="#a", sequence=1, m=1)
-            )
+            await old.send_all(await PeerConnections._read_challenge(stream=old) + frame(node_id="#a", sequence=1, m=1))
             new = await to.connect()
-            await new.send_all(
-                await PeerConnections._read_challenge(stream=cast(trio.SocketStream, new))
-                + frame(node_id="#b", sequence=1, m=2)
-            )
+            await new.send_all(await PeerConnections._read_challenge(stream=new) + frame(node_id="#b", sequence=1, m=2))
             await trio.testing.wait_all_tasks_blocked()
             await old.send_all(frame(node_id="#a", sequence=2, m=3))
             await trio.testing.wait_all_tasks_blocked()
@@ -199,9 +193,7 @@
         async with trio.open_nursery() as nursery:
             to = Receiver(nursery)
             ours = await to.connect()
-            encoded = await PeerConnections._read_challenge(stream=cast(trio.SocketStream, ours)) + frame(
-                node_id="#a", sequence=1, m=1
-            )
+            encoded = await PeerConnections._read_challenge(stream=ours) + frame(node_id="#a", sequence=1, m=1)
             for at in range(0, len(encoded), 3):
                 await ours.send_all(encoded[at : at + 3])
                 await trio.testing.wait_all_tasks_blocked()
--- a/tests/transport/test_lanes.py
+++ b/tests/transport/test_lanes.py
@@ -1,7 +1,7 @@
 """Between nodes: lanes and what they lose, the order of inputs, repeats of calls."""
 
 import random
-from typing import Any, cast
+from typing import Any
 
 import pytest
 import trio
@@ -163,8 +163,8 @@
 
         async def send_one_frame() -> None:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(node._receive_connection, cast(trio.SocketStream, theirs))
-                await ours.send_all(await PeerConnections._read_challenge(stream=cast(trio.SocketStream, ours)))
+                nursery.start_soon(node._receive_connection, theirs)
+                await ours.send_all(await PeerConnections._read_challenge(stream=ours))
                 await ours.send_all(
                     pack_frame(
                         frame=Frame(lane=1, source="b", node_id="b#0", incarnation=1, sequence=1, body=b"[[20,{}]]")
@@ -176,10 +176,8 @@
         assert [repr(err) for err in raised.value.exceptions] == ["ValueError('fault')"]
         ours, theirs = trio.testing.memory_stream_pair()
         async with trio.open_nursery() as nursery:  # what the peer did wrong ends the connection
-            nursery.start_soon(node._receive_connection, cast(trio.SocketStream, theirs))
-            await ours.send_all(
-                await PeerConnections._read_challenge(stream=cast(trio.SocketStream, ours)) + b"\xff" * 9
-            )
+            nursery.start_soon(node._receive_connection, theirs)
+            await ours.send_all(await PeerConnections._read_challenge(stream=ours) + b"\xff" * 9)
 
     trio.run(main)
 
--- a/tests/transport/test_malformed_frames.py
+++ b/tests/transport/test_malformed_frames.py
@@ -94,9 +94,9 @@
     async def bring(self, *, data: bytes, pieces: random.Random | None = None) -> None:
         """A connection that brings these bytes and ends."""
         ours, theirs = trio.testing.memory_stream_pair()
-        self.nursery.start_soon(self.peers._receive_connection, cast(trio.SocketStream, theirs))
+        self.nursery.start_soon(self.peers._receive_connection, theirs)
         await trio.testing.wait_all_tasks_blocked()
-        data = await PeerConnections._read_challenge(stream=cast(trio.SocketStream, ours)) + data
+        data = await PeerConnections._read_challenge(stream=ours) + data
         with contextlib.suppress(trio.BrokenResourceError):  # the receiver has ended it
             while data:
                 size = pieces.randint(1, 200) if pieces is not None else len(data)
@@ -139,8 +139,8 @@
         streams = []
         for source in (SRC, "10.0.0.2:7000"):
             ours, theirs = trio.testing.memory_stream_pair()
-            wire.nursery.start_soon(wire.peers._receive_connection, cast(trio.SocketStream, theirs))
-            challenge = await PeerConnections._read_challenge(stream=cast(trio.SocketStream, ours))
+            wire.nursery.start_soon(wire.peers._receive_connection, theirs)
+            challenge = await PeerConnections._read_challenge(stream=ours)
             await ours.send_all(challenge + envelope(source=source, node_id=f"{source}#0"))
             streams.append(ours)
         await trio.testing.wait_all_tasks_blocked()
--- a/yarrowloom/testbed/slopes.py
+++ b/yarrowloom/testbed/slopes.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
-from typing import Any, cast
+from typing import Any
 
 import orjson
 import trio
@@ -320,7 +320,7 @@
     async def main() -> float:
         mine, theirs = trio.testing.memory_stream_pair()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(Server(handler=handler).serve, cast(trio.SocketStream, theirs))
+            nursery.start_soon(Server(handler=handler).serve, theirs)
             begun = time.process_time_ns()
             for _ in range(calls):
                 await mine.send_all(raw)
