--- a/tests/cluster_state/test_operator_requests_cluster.py
+++ b/tests/cluster_state/test_operator_requests_cluster.py
@@ -87,6 +87,7 @@
     return next(ip for ip in sim.core_ips if sim.node_ids[ip] not in {epoch.primary, *epoch.backups})
 
 
+# Guards against an old order that undoes the evacuation in force (review/9, EVAC).
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("standstill_s", [0.5, 4.0])
 @pytest.mark.parametrize("is_open", [True, False])
@@ -94,7 +95,7 @@
 def test_an_evacuation_request_that_waited_in_a_node_does_not_undo_a_later_one(
     seed: int, standstill_s: float, is_open: bool, first: str
 ) -> None:
-    """A node that stood still learns of the later requests before it reads the one that waited (review/9, EVAC)."""
+    """A node that stood still learns of the later requests before it reads the one that waited."""
     sim = cluster(seed=seed, cores=5, speed=1.0)
     then = {"POST": "DELETE", "DELETE": "POST"}[first]
     frozen, near = bystander(sim), primary(sim)
--- a/tests/scheduling/test_early_cancellation.py
+++ b/tests/scheduling/test_early_cancellation.py
@@ -36,6 +36,7 @@
     return JOB_ID in day.sim.core(day.sim.serving(group_id=1)[0]).jobs[1].jobs
 
 
+# Guards against a job that runs after its cancelling was answered with 410 (review/10, UNASKED).
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("standstill_s", [0.3, 4.0])
 @pytest.mark.parametrize("is_open", [True, False])
@@ -106,6 +107,7 @@
         assert is_known(day)
 
 
+# Guards against an old cancelling that ends a job submitted anew (LOST: cancelled without cause).
 def test_a_cancelling_that_waited_in_an_edge_does_not_end_a_job_that_was_submitted_after_the_next_one() -> None:
     day = Day(seed=41, edges=2, work=20.0)
     frozen, other = day.sim.edge_ips
