--- a/yarrowloom/scheduling/pod_group.py
+++ b/yarrowloom/scheduling/pod_group.py
@@ -1,6 +1,7 @@
 """Pod groups: the tasks of one step of a job, of one of its runs, which are scheduled as a unit."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -72,6 +73,7 @@
         failed_cycles: Cycles in a row that failed.
         backoff_until: End of the backoff after the last of them, monotonic seconds.
         last_failure: Why the last of them failed.
+        last_cycle_at: When it was last considered for a cycle, monotonic seconds.
         first_seen: When it entered the queue first, monotonic seconds.
         entry_number: Of its newest entry in a list of the queue; older entries are void.
         waiting_count: Members counted as waiting work.
@@ -98,6 +100,7 @@
     failed_cycles: int = 0
     backoff_until: float = 0.0
     last_failure: str = ""
+    last_cycle_at: float = -math.inf
     first_seen: float = 0.0
     entry_number: int = 0
     waiting_count: int = 0
--- a/yarrowloom/scheduling/scheduler.py
+++ b/yarrowloom/scheduling/scheduler.py
@@ -32,6 +32,7 @@
 from .job_queue import JobQueue
 from .pod_group import Phase, PodGroup
 from .scheduling_pass import SchedulingPass
+from .standstill import StandstillMonitor
 from .task_ends import TaskEnds
 from .warm_capacity import WarmCapacity
 
@@ -54,6 +55,7 @@
         binding: Lease requests, starts and orders.
         admission: Calls of edges.
         passes: Cycles of waiting groups.
+        standstills: Tells of jobs that stand still.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
             warm=self.warm,
             remote_factor=remote_factor,
         )
+        self.standstills = StandstillMonitor(context=self.context)
         self.swept_at = self.warm_reported_at = environment.now
 
     # -- messages of agents
@@ -226,6 +229,7 @@
     def _sweep(self) -> None:
         """What is looked through as a whole, once a second."""
         self.passes.stop_overdue_runs()
+        self.standstills.report()
         self.job_queue.forget_ended()
         self.context.leases.drop_void()
         self.context.cancellation.repeat()
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -137,6 +137,7 @@
     def _schedule(self, *, group: PodGroup, scan: UnschedulableScan) -> None:
         """A group's cycle, and what follows from it."""
         queue = self.context.queue
+        group.last_cycle_at = self.context.environment.now
         unit = self.context.jobs.jobs[group.job_id].units[group.unit_key]
         members = [index for index in unit.indices(state=WAITING) if index not in group.binding]
         if not members or (group.is_gang and unit.has_running_task()):
