Ends of backoff beyond the first 32 of a slice are left for the next one, not dropped

What callers saw: a job stood still though there was room, until other work of its service ended. Cause: run_slice took all ends of backoff off their heap and used the first 32. The other groups had no backoff left, so only capacity that grew on a minion that could hold them brought a further cycle; what ends by time alone (an avoided minion, a nomination, a wait for data) did not. The queue now gives up to a limit and keeps the rest.

Tests of the queue name a limit that is no less than what they expect.

--- a/tests/mutants/test_scheduling_mutants.py
+++ b/tests/mutants/test_scheduling_mutants.py
@@ -157,6 +157,6 @@
 
     def remove_guard(patch: pytest.MonkeyPatch) -> None:
         patch.setattr(ClusterCapacity, "take_grown", lambda self: {})
-        patch.setattr(SchedulingQueue, "take_backoff_ended", lambda self, *, now: [])
+        patch.setattr(SchedulingQueue, "take_backoff_ended", lambda self, *, now, limit: [])
 
     assert_guard_is_needed(rule="LOST", scenario=scenario, remove_guard=remove_guard)
--- a/tests/scheduling/test_scheduling_queue.py
+++ b/tests/scheduling/test_scheduling_queue.py
@@ -68,9 +68,9 @@
         assert queue.pop(service="s", scan=UnschedulableScan(looks_left=1)) is group
         queue.mark_unschedulable(group=group, now=now)
         waits.append(group.backoff_until - now)
-        assert queue.take_backoff_ended(now=group.backoff_until - 1e-6) == []
+        assert queue.take_backoff_ended(now=group.backoff_until - 1e-6, limit=8) == []
         now = group.backoff_until
-        assert queue.take_backoff_ended(now=now) == [group]
+        assert queue.take_backoff_ended(now=now, limit=8) == [group]
         queue.activate(group=group)
     assert waits[:3] == pytest.approx([0.1, 0.2, 0.4])
     assert waits[-1] == pytest.approx(2.0)
@@ -92,7 +92,7 @@
         while (popped := queue.pop(service="s", scan=scan)) is not None:
             queue.mark_unschedulable(group=popped, now=now)
         now += 2.0
-        for group in queue.take_backoff_ended(now=now):
+        for group in queue.take_backoff_ended(now=now, limit=len(groups)):
             queue.activate(group=group)
         if grows:
             scan.add_grown(sizes=[Resources(9, 9, 0)])
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -22,7 +22,7 @@
 LOOKS_PER_SLICE = 400  # groups looked at in one slice for one service
 CYCLES_PER_SLICE = 24
 VISITS_PER_SLICE = 3000  # index entries visited
-BACKOFFS_PER_SLICE = 32  # ends of backoffs taken up
+BACKOFFS_PER_SLICE = 32  # ends of backoffs taken up; the rest is for the next slices
 MEMBERS_PER_CYCLE = 256  # of a group that is no gang
 BLOCK_AFTER_S = 0.1  # a group that has waited this long keeps later ranks off the capacity it could use
 BLOCK_MAX_S = 8.0  # if it finds none even so long, it stops keeping others off
@@ -77,7 +77,7 @@
             return
         cycles, visited = self.cycles, context.capacity.visited
         context.nominator.drop_lapsed(now=now)
-        for group in context.queue.take_backoff_ended(now=now)[:BACKOFFS_PER_SLICE]:
+        for group in context.queue.take_backoff_ended(now=now, limit=BACKOFFS_PER_SLICE):
             self._reactivate(group=group)
         for service, sizes in context.capacity.take_grown().items():
             self._scan(service).add_grown(sizes=sizes)
--- a/yarrowloom/scheduling/scheduling_queue.py
+++ b/yarrowloom/scheduling/scheduling_queue.py
@@ -185,10 +185,10 @@
         elif group.phase is Phase.UNSCHEDULABLE:
             self._insert_unschedulable(group)
 
-    def take_backoff_ended(self, *, now: float) -> list[PodGroup]:
-        """Unschedulable groups whose backoff has ended since the last call."""
-        ended = []
-        while self.backoffs and self.backoffs[0][0] <= now:
+    def take_backoff_ended(self, *, now: float, limit: int) -> list[PodGroup]:
+        """Up to `limit` unschedulable groups whose backoff has ended; the others are left for the next call."""
+        ended: list[PodGroup] = []
+        while len(ended) < limit and self.backoffs and self.backoffs[0][0] <= now:
             _, job_id, unit_key = heapq.heappop(self.backoffs)
             group = self.groups.get((job_id, unit_key))
             if group is not None and group.phase is Phase.UNSCHEDULABLE and group.backoff_until <= now:
