A job that has stood still for 2 s takes capacity that is kept for others, where much of it is free

What callers saw: jobs stood still for 4 to 17 s though there was room for them twice over, and moved later. Cause: capacity was kept for groups that wait, without a bound on how long others stand for it. A group that fits nowhere kept its whole service from all later ranks for up to 8 s, one such group after the other; a nomination for a wide gang kept up to all minions of a service from other gangs for 10 s; a gang waited for one rack for up to 12 s, a group with a failure for other minions for 4 s.

Nothing is kept from a group that has waited for 2 s any more, if its tasks last, or if its job has nothing running and less than 60 % of the service is in use; its backoff ends at those 2 s. While a service is busier than that, what is free stays kept as before. Failed cycles say kept-for-rank apart from as-before.

--- a/tests/scheduling/test_standstill.py
+++ b/tests/scheduling/test_standstill.py
@@ -10,6 +10,7 @@
 MINIONS = 4
 CORES = 4000
 STANDSTILL_S = 3.0  # the rule's bound
+BURST_S = 6
 MANY = 150  # jobs: several times as many as ends of backoff are taken up at a time
 
 
@@ -22,6 +23,38 @@
     return any(task.startswith(job_id) for task in (*oracle.alive, *oracle.done))
 
 
+# Guards against small jobs that are kept off free minions by urgent ones that fit nowhere (review/4, LOST).
+@pytest.mark.parametrize("seed", range(3))
+def test_jobs_start_in_time_beside_a_stream_of_urgent_jobs_that_fit_nowhere(seed: int) -> None:
+    sim, oracle, caller, _ = cluster(seed=4800 + seed, minions=MINIONS, cap=(CORES, 8000, 0))
+    caller.submit(stages=lasting(cpus=500, count=MINIONS, **{"anti-affinity": 1}), queue="slow")
+    sim.run(seconds=2.0)
+    assert len(oracle.alive) == MINIONS
+
+    def submit_urgent(left: int) -> None:
+        caller.submit(stages=[{"task-count": 1, "cpus": CORES, "mem-mb": 10}])
+        if left:
+            sim.at(delay=1.0, fn=lambda: submit_urgent(left - 1))
+
+    submit_urgent(BURST_S)
+    sim.run(seconds=1.0)
+    small = caller.submit(stages=[{"task-count": 1, "cpus": 500, "mem-mb": 10}], queue="slow")
+    assert sim.until(cond=lambda: has_begun(oracle, job_id=small), limit=STANDSTILL_S)
+
+
+# Guards against gangs that are kept off free minions while a wider gang waits for busy ones (LOST).
+@pytest.mark.parametrize("seed", range(3))
+def test_a_gang_starts_in_time_beside_minions_nominated_for_a_wider_one(seed: int) -> None:
+    sim, oracle, caller, _ = cluster(seed=4820 + seed, minions=2 * MINIONS, cap=(CORES, 8000, 0))
+    caller.submit(stages=lasting(cpus=CORES, count=2), queue="slow")
+    sim.run(seconds=2.0)
+    gang = {"cpus": CORES, "mem-mb": 10, "gang": True}
+    caller.submit(stages=[{"task-count": 2 * MINIONS - 1, **gang}], queue="slow")
+    sim.run(seconds=4.0)
+    narrow = caller.submit(stages=[{"task-count": 2, **gang}], queue="slow")
+    assert sim.until(cond=lambda: has_begun(oracle, job_id=narrow), limit=STANDSTILL_S)
+
+
 # Guards against groups that get no further cycle, though there is room, once many backoffs end together (LOST).
 @pytest.mark.parametrize("seed", range(6))
 def test_a_job_gets_further_cycles_beside_many_that_fit_nowhere(seed: int) -> None:
--- a/yarrowloom/jobs/model.py
+++ b/yarrowloom/jobs/model.py
@@ -202,6 +202,10 @@
         """Whether a run of any of its tasks was ever placed on a minion."""
         return any(run_id for unit in self.units.values() for run_id in unit.run_ids)
 
+    def has_running_task(self) -> bool:
+        """Whether a run of any of its tasks may be alive."""
+        return any(unit.has_running_task() for unit in self.units.values())
+
     def step_of(self, *, unit_key: str) -> Step:
         """The step whose tasks a unit holds."""
         return self.steps[int(unit_key.split(".")[1])]
--- a/yarrowloom/scheduling/capacity.py
+++ b/yarrowloom/scheduling/capacity.py
@@ -109,15 +109,21 @@
     """The open minions of one service.
 
     Invariant: each open minion stands exactly once in `by_free_gpus`, under its free accelerators, in a list sorted
-    by its free cores, and in `racks` under its rack; `total` is the sum over all of them.
+    by its free cores, and in `racks` under its rack; `total` is the sum over all of them, `free` that of what is free
+    on them, where it is above 0.
     """
 
     by_free_gpus: dict[int, list[tuple[int, str]]] = field(default_factory=dict)
     minion_ids_by_label: dict[str, set[str]] = field(default_factory=dict)
     racks: dict[str, RackCapacity] = field(default_factory=dict)
     total: Resources = NO_RESOURCES
+    free: Resources = NO_RESOURCES
     minion_count: int = 0
 
+    def used_share(self) -> float:
+        """The part of the open minions that is in use, of the kind of resources of which most is; 0 without minions."""
+        return max((1 - free / total for free, total in zip(self.free, self.total, strict=True) if total), default=0.0)
+
     def add(self, *, minion: MinionCapacity) -> None:
         """A minion opens."""
         self.minion_count += 1
@@ -138,12 +144,14 @@
         if rack is None:
             rack = self.racks[minion.rack] = RackCapacity()
         rack.free = rack.free.plus(free.above_zero())
+        self.free = self.free.plus(free.above_zero())
         rack.minion_ids.add(minion.minion_id)
 
     def remove_free(self, *, minion: MinionCapacity, free: Resources) -> None:
         """Count what was free on a minion no longer."""
         rack = self.racks[minion.rack]
         rack.free = rack.free.plus(free.above_zero(), -1)
+        self.free = self.free.plus(free.above_zero(), -1)
 
     def insert_key(self, *, minion_id: str, key: tuple[int, int]) -> None:
         """Put a minion into the index."""
@@ -351,6 +359,11 @@
         self.visited += len(found)
         return sorted(found, key=lambda minion: (minion.free.gpus, minion.free.millicores, minion.minion_id))
 
+    def used_share(self, *, service: str) -> float:
+        """The part of a service's open minions that is in use; 1 if there are none."""
+        index = self.services.get(service)
+        return index.used_share() if index is not None and index.minion_count else 1.0
+
     def racks(self, *, service: str) -> dict[str, RackCapacity]:
         """The racks of a service; some may have no open minion."""
         index = self.services.get(service)
--- a/yarrowloom/scheduling/job_queue.py
+++ b/yarrowloom/scheduling/job_queue.py
@@ -90,6 +90,7 @@
             prefers_same_rack=step.prefers_same_rack,
             max_per_minion=step.max_per_minion,
             estimate_ms=step.estimate_ms,
+            is_long_running=step.is_long_running,
             worthless_after=worthless_after,
         )
         index = self.context.capacity.services.get(group.service)
--- a/yarrowloom/scheduling/pod_group.py
+++ b/yarrowloom/scheduling/pod_group.py
@@ -78,6 +78,8 @@
         entry_number: Of its newest entry in a list of the queue; older entries are void.
         waiting_count: Members counted as waiting work.
         failed_minion_ids: Minions on which a member failed.
+        is_long_running: The members run until they are stopped.
+        takes_kept_capacity: Nothing is kept from it for others: it has waited long for capacity that is there.
         exceeds_cluster: No open minions could hold it, were they empty: it keeps nobody waiting.
     """
 
@@ -105,6 +107,8 @@
     entry_number: int = 0
     waiting_count: int = 0
     failed_minion_ids: set[str] = field(default_factory=set)
+    is_long_running: bool = False
+    takes_kept_capacity: bool = False
     exceeds_cluster: bool = False
 
     @property
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -12,7 +12,7 @@
 from .pod_group import Phase, PodGroup
 from .preemption import PREEMPT_AFTER_S, Victim
 from .scheduling_cycle import Decision, PlacementRequest, run_cycle
-from .scheduling_queue import UnschedulableScan
+from .scheduling_queue import KEPT_OFF_MAX_S, UnschedulableScan
 from .warm_capacity import WarmCapacity
 
 MIN_SLICE_PERIOD_S = 0.008  # slices of passes are at least this far apart
@@ -26,6 +26,7 @@
 MEMBERS_PER_CYCLE = 256  # of a group that is no gang
 BLOCK_AFTER_S = 0.1  # a group that has waited this long keeps later ranks off the capacity it could use
 BLOCK_MAX_S = 8.0  # if it finds none even so long, it stops keeping others off
+KEPT_WHILE_USED = 0.6  # share of a service in use from which on capacity may be kept from a job for longer
 EXCLUDE_FAILED_S = 4.0  # a group keeps off minions on which a member failed at least this long
 LOCALITY_MAX_ESTIMATE_MS = 4000  # the longest run time that counts when a group waits for minions near its data
 LOCALITY_DIVISOR = 2000.0  # of that run time: half of what being away costs, in seconds
@@ -150,8 +151,11 @@
             return
         if self.context.environment.wall_now > group.worthless_after and not group.priority.is_worthless:
             self._update_priority(group=group)
+        group.takes_kept_capacity = self._may_take_kept_capacity(group=group)
         waits_for_data = self._waits_for_data(group=group)
-        if scan.would_fail(group):
+        if scan.is_blocked(group):
+            decision = Decision(placements=[], feasible=False, fitting=0, rejections={"kept-for-rank": len(members)})
+        elif scan.is_exhausted(group):
             decision = Decision(placements=[], feasible=False, fitting=0, rejections={"as-before": len(members)})
         else:
             decision = self._cycle(group=group, members=members, scan=scan, only_preferred=waits_for_data)
@@ -170,6 +174,20 @@
         else:
             queue.mark_bound(group=group)
 
+    def _may_take_kept_capacity(self, *, group: PodGroup) -> bool:
+        """Whether nothing is kept from a group any more: not for others, nor for a better place of its own.
+
+        So nothing stands still for long beside capacity that waits for something else. While most of the service is in
+        use, what little is free stays kept, but for tasks that run until they are stopped.
+        """
+        if self.context.environment.now - group.waiting_since < KEPT_OFF_MAX_S:
+            return False
+        if group.is_long_running:
+            return True
+        if self.context.capacity.used_share(service=group.service) >= KEPT_WHILE_USED:
+            return False
+        return not self.context.jobs.jobs[group.job_id].has_running_task()
+
     def _throttle(self, *, group: PodGroup, count: int) -> None:
         """The group's tenant holds all that it may: it waits for that, and keeps nobody from any minion."""
         self.context.nominator.drop(unit_id=group.unit_id, now=self.context.environment.now)
@@ -177,7 +195,7 @@
 
     def _waits_for_data(self, *, group: PodGroup) -> bool:
         """Whether a group still waits for the minions near its data: about as long as being away would cost."""
-        if not group.preferred_label:
+        if not group.preferred_label or group.takes_kept_capacity:
             return False
         patience_s = min(group.estimate_ms, LOCALITY_MAX_ESTIMATE_MS) / LOCALITY_DIVISOR * (self.remote_factor - 1)
         if self.context.environment.now - group.waiting_since >= patience_s:
@@ -204,7 +222,9 @@
         return decision
 
     def _may_span_racks(self, *, group: PodGroup) -> bool:
-        """Whether a gang has waited for one rack about as long as being apart would cost."""
+        """Whether a gang has waited for one rack about as long as being apart would cost, or may wait no longer."""
+        if group.takes_kept_capacity:
+            return True
         patience_s = min(group.estimate_ms, SAME_RACK_MAX_ESTIMATE_MS) / 1000 * (self.remote_factor - 1)
         return self.context.environment.now - group.waiting_since > patience_s
 
@@ -212,7 +232,10 @@
         self, *, group: PodGroup, members: list[int], scan: UnschedulableScan, only_preferred: bool
     ) -> PlacementRequest:
         now = self.context.environment.now
-        reserved_labels = (label for label, rank in scan.blocking_ranks.items() if label and rank < group.rank)
+        reserved_labels = [label for label, rank in scan.blocking_ranks.items() if label and rank < group.rank]
+        nominated_for_others = self.context.nominator.nominated_for_others(group=group)
+        if group.takes_kept_capacity:
+            reserved_labels, nominated_for_others = [], frozenset()
         failed_minion_ids = frozenset(group.failed_minion_ids)
         return PlacementRequest(
             service=group.service,
@@ -226,7 +249,7 @@
             max_per_minion=group.max_per_minion,
             tasks_by_minion=self.binding.members_by_minion(group=group) if group.max_per_minion else {},
             reserved_labels=tuple(sorted(reserved_labels)),
-            nominated_for_others=self.context.nominator.nominated_for_others(group=group),
+            nominated_for_others=nominated_for_others,
             failed_minion_ids=failed_minion_ids,
             excludes_failed=self._excludes_failed(group=group, failed_minion_ids=failed_minion_ids),
             now=now,
@@ -237,7 +260,7 @@
     def _excludes_failed(self, *, group: PodGroup, failed_minion_ids: frozenset[str]) -> bool:
         """Whether a group keeps off the minions on which a member failed: for a while, and if there are any others."""
         waited_s = self.context.environment.now - group.waiting_since
-        if not failed_minion_ids or waited_s >= EXCLUDE_FAILED_S:
+        if not failed_minion_ids or waited_s >= EXCLUDE_FAILED_S or group.takes_kept_capacity:
             return False
         return self.context.capacity.could_ever_hold(
             service=group.service,
--- a/yarrowloom/scheduling/scheduling_queue.py
+++ b/yarrowloom/scheduling/scheduling_queue.py
@@ -13,6 +13,7 @@
 BACKOFF_MAX_S = 2.0
 BACKOFF_DOUBLINGS = 10  # beyond these the exponent no longer grows
 VOID_ENTRIES_ALLOWED = 64  # void entries that a list may hold beyond two for each group
+KEPT_OFF_MAX_S = 2.0  # a group that has waited this long may take capacity that is kept for others
 EXHAUSTED_SIZES_KEPT = 15  # sizes without capacity that a scan remembers, beside the newest
 
 
@@ -76,17 +77,21 @@
         ]
         self.exhausted = [*others[:EXHAUSTED_SIZES_KEPT], (size, required_label)]
 
-    def would_fail(self, group: PodGroup) -> bool:
-        """Whether a cycle of this group would find nothing."""
-        if any(not label and rank < group.rank for label, rank in self.blocking_ranks.items()):
-            return True
+    def is_blocked(self, group: PodGroup) -> bool:
+        """Whether all capacity is kept for an earlier rank."""
+        if group.takes_kept_capacity:
+            return False
+        return any(not label and rank < group.rank for label, rank in self.blocking_ranks.items())
+
+    def is_exhausted(self, group: PodGroup) -> bool:
+        """Whether no open minion has capacity for one member."""
         size, required_label = group.size, group.required_label
         return any(size.holds(other) and label in ("", required_label) for other, label in self.exhausted)
 
     def should_skip(self, group: PodGroup) -> bool:
         """Whether nothing has changed for an unschedulable group since its last cycle."""
         size = group.size
-        return not any(free.holds(size) for free in self.grown) or self.would_fail(group)
+        return not any(free.holds(size) for free in self.grown) or self.is_blocked(group) or self.is_exhausted(group)
 
 
 class SchedulingQueue:
@@ -155,10 +160,15 @@
             self._push_active(group)
 
     def mark_unschedulable(self, *, group: PodGroup, now: float) -> None:
-        """A cycle failed: the group waits; its backoff doubles with each failure in a row."""
+        """A cycle failed: the group waits; its backoff doubles with each failure in a row.
+
+        It ends no later than the time from which the group may take capacity that is kept for others.
+        """
         group.transition(Phase.UNSCHEDULABLE)
         backoff_s = min(BACKOFF_S * 2.0 ** min(group.failed_cycles, BACKOFF_DOUBLINGS), BACKOFF_MAX_S)
         group.backoff_until = now + backoff_s
+        if now < group.waiting_since + KEPT_OFF_MAX_S < group.backoff_until:
+            group.backoff_until = group.waiting_since + KEPT_OFF_MAX_S
         group.failed_cycles += 1
         self._insert_unschedulable(group)
         heapq.heappush(self.backoffs, (group.backoff_until, group.job_id, group.unit_key))
--- a/yarrowloom/scheduling/standstill.py
+++ b/yarrowloom/scheduling/standstill.py
@@ -81,7 +81,7 @@
             if group.waiting_count and now - group.waiting_since >= STANDSTILL_S and not group.exceeds_cluster
         ]
         for group in waiting[:LOOKS_PER_REPORT]:
-            if not _has_running_task(self.context.jobs.jobs[group.job_id]):
+            if not self.context.jobs.jobs[group.job_id].has_running_task():
                 found.setdefault(self._cause(group), Standstill()).add(
                     job_id=group.job_id,
                     unit_key=group.unit_key,
@@ -133,7 +133,3 @@
         return any(
             unit.minion_ids[index] not in silent for unit in job.units.values() for index in unit.indices(state=RUNNING)
         )
-
-
-def _has_running_task(job: Job) -> bool:
-    return any(unit.has_running_task() for unit in job.units.values())
