A group that waited under the former primary is not kept off anew by the next one

Cause: a new primary's scheduler dates all waits from its own beginning. How long a group waited is not in the record, so one that is adopted may take kept capacity at once.

Before: the new test red; after: green.

--- a/tests/scheduling/test_standstill.py
+++ b/tests/scheduling/test_standstill.py
@@ -42,6 +42,21 @@
     assert sim.until(cond=lambda: has_begun(oracle, job_id=small), limit=STANDSTILL_S)
 
 
+# Guards against waits that begin anew with each new primary, which follow one another after losses (LOST).
+def test_nothing_is_kept_from_a_job_that_waited_under_the_former_primary() -> None:
+    sim, _, caller, _ = cluster(seed=4830, minions=MINIONS, cap=(CORES, 8000, 0))
+    caller.submit(stages=lasting(cpus=500, count=MINIONS, **{"anti-affinity": 1}), queue="slow")
+    sim.run(seconds=2.0)
+    waiting = caller.submit(stages=[{"task-count": 1, "cpus": CORES, "mem-mb": 10}])
+    sim.run(seconds=0.5)
+    former = sim.serving(group_id=1)
+    sim.kill(ip=former[0])
+    assert sim.until(cond=lambda: sim.serving(group_id=1) not in ([], former), limit=10.0)
+    sim.run(seconds=1.0)  # less than a job may be kept off by others
+    queue = sim.core(sim.serving(group_id=1)[0]).schedulers[1].context.queue
+    assert queue.groups[waiting, "0.0"].takes_kept_capacity
+
+
 # Guards against gangs that are kept off free minions while a wider gang waits for busy ones (LOST).
 @pytest.mark.parametrize("seed", range(3))
 def test_a_gang_starts_in_time_beside_minions_nominated_for_a_wider_one(seed: int) -> None:
--- a/yarrowloom/scheduling/job_queue.py
+++ b/yarrowloom/scheduling/job_queue.py
@@ -50,6 +50,7 @@
             is_waiting = not job.has_ended and unit.unfinished_tasks and WAITING in unit.task_states
             if is_waiting and _may_start(job=job, unit_key=unit_key):
                 self.enter(job_id=job_id, unit_key=unit_key)
+                self.context.queue.groups[job_id, unit_key].was_adopted = True
             self.context.running.adopt(job_id=job_id, job=job, unit_key=unit_key)
 
     # -- groups
@@ -65,6 +66,7 @@
             queue.add(group=group)
         elif group.phase is Phase.BOUND:
             group.waiting_since, group.failed_cycles = self.context.environment.now, 0
+            group.was_adopted = False
             queue.activate(group=group)
         self.count_waiting(group=group)
 
--- a/yarrowloom/scheduling/pod_group.py
+++ b/yarrowloom/scheduling/pod_group.py
@@ -79,6 +79,7 @@
         waiting_count: Members counted as waiting work.
         failed_minion_ids: Minions on which a member failed.
         is_long_running: The members run until they are stopped.
+        was_adopted: It waited already under the primary before this one.
         takes_kept_capacity: Nothing is kept from it for others: it has waited long for capacity that is there.
         exceeds_cluster: No open minions could hold it, were they empty: it keeps nobody waiting.
     """
@@ -108,6 +109,7 @@
     waiting_count: int = 0
     failed_minion_ids: set[str] = field(default_factory=set)
     is_long_running: bool = False
+    was_adopted: bool = False
     takes_kept_capacity: bool = False
     exceeds_cluster: bool = False
 
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -180,7 +180,8 @@
         So nothing stands still for long beside capacity that waits for something else. While most of the service is in
         use, what little is free stays kept, but for tasks that run until they are stopped.
         """
-        if self.context.environment.now - group.waiting_since < KEPT_OFF_MAX_S:
+        waited_s = self.context.environment.now - group.waiting_since
+        if waited_s < KEPT_OFF_MAX_S and not group.was_adopted:  # how long an adopted one waited is not recorded
             return False
         if group.is_long_running:
             return True
