Lasting tasks that have waited for 2 s get minions nominated, as gangs do

What callers saw: lasting tasks that need most of a minion stood still while smaller tasks took all that came free. Cause: capacity was kept for a group only in its first 8 s; after that nothing was.

--- a/tests/scheduling/test_standstill.py
+++ b/tests/scheduling/test_standstill.py
@@ -11,6 +11,7 @@
 CORES = 4000
 STANDSTILL_S = 3.0  # the rule's bound
 BURST_S = 6
+LARGE_S = 9.0  # of the rule: a lasting task may stand for 6 s, and 3 s beside room for it
 MANY = 150  # jobs: several times as many as ends of backoff are taken up at a time
 
 
@@ -42,6 +43,21 @@
     assert sim.until(cond=lambda: has_begun(oracle, job_id=small), limit=STANDSTILL_S)
 
 
+# Guards against lasting tasks that never find a whole minion beside small tasks that take all that comes free (LOST).
+@pytest.mark.parametrize("seed", range(3))
+def test_a_large_lasting_task_starts_beside_a_stream_of_small_tasks(seed: int) -> None:
+    sim, oracle, caller, _ = cluster(seed=4840 + seed, minions=MINIONS, cap=(CORES, 8000, 0), work=1.5)
+
+    def submit_small() -> None:
+        caller.submit(stages=[{"task-count": 3, "cpus": 1300, "mem-mb": 10, "estimate-ms": 1500}], queue="slow")
+        sim.at(delay=0.3, fn=submit_small)
+
+    submit_small()
+    sim.run(seconds=5.0)
+    large = caller.submit(stages=lasting(cpus=CORES), queue="slow")
+    assert sim.until(cond=lambda: has_begun(oracle, job_id=large), limit=LARGE_S)
+
+
 # Guards against waits that begin anew with each new primary, which follow one another after losses (LOST).
 def test_nothing_is_kept_from_a_job_that_waited_under_the_former_primary() -> None:
     sim, _, caller, _ = cluster(seed=4830, minions=MINIONS, cap=(CORES, 8000, 0))
--- a/yarrowloom/scheduling/binding.py
+++ b/yarrowloom/scheduling/binding.py
@@ -389,7 +389,12 @@
         if not starts:
             return
         self._trace_start(group=group, count=len(starts))
-        self.context.nominator.drop(unit_id=group.unit_id, now=self.context.environment.now)
+        self.context.nominator.members_placed(
+            group=group,
+            minion_ids=[start.lease.minion_id for start in starts],
+            waiting=unit.task_states.count(WAITING) - len(starts),
+            now=self.context.environment.now,
+        )
         bound = self.context.placements.bind(
             job_id=job_id,
             unit_key=unit_key,
--- a/yarrowloom/scheduling/capacity.py
+++ b/yarrowloom/scheduling/capacity.py
@@ -359,6 +359,11 @@
         self.visited += len(found)
         return sorted(found, key=lambda minion: (minion.free.gpus, minion.free.millicores, minion.minion_id))
 
+    def minion_count(self, *, service: str) -> int:
+        """How many minions of a service are open."""
+        index = self.services.get(service)
+        return index.minion_count if index is not None else 0
+
     def used_share(self, *, service: str) -> float:
         """The part of a service's open minions that is in use; 1 if there are none."""
         index = self.services.get(service)
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -304,6 +304,8 @@
                 self._nominate(group=group, count=count, waited_s=waited_s)
             else:
                 self._preempt_for(group=group, count=count, waited_s=waited_s, only_preferred=waits_for_data)
+                if group.is_long_running:  # members wait for whole minions beside small work that never stops coming
+                    self._nominate(group=group, count=count, waited_s=waited_s)
                 if not waits_for_data and could_hold and BLOCK_AFTER_S <= waited_s < BLOCK_MAX_S:
                     self._block_later_ranks(group=group, scan=scan)
         self.context.queue.mark_unschedulable(group=group, now=self.context.environment.now)
@@ -332,10 +334,15 @@
         self._preempt(victims=victims, service=group.service, awaited_by=group.service)
 
     def _nominate(self, *, group: PodGroup, count: int, waited_s: float) -> None:
-        """Nominate minions for a gang that has waited long, and preempt what may be preempted there."""
+        """Nominate minions for a group that has waited long, and preempt what may be preempted there."""
         if waited_s <= NOMINATE_AFTER_S:
             return
-        nomination = self.context.nominator.nominate(group=group, count=count, now=self.context.environment.now)
+        nomination = self.context.nominator.nominate(
+            group=group,
+            count=count,
+            tasks_by_minion=self.binding.members_by_minion(group=group) if group.max_per_minion else {},
+            now=self.context.environment.now,
+        )
         if nomination is None:
             return
         victims = self.context.preemptor.victims_on(
