A job that stood still takes kept capacity for one task only; nominations for lasting tasks shrink

One task is enough for a job to stand still no longer; what else is kept stays kept. A nomination whose minions are of use one by one loses those that close or are used, and pauses nobody.

--- a/yarrowloom/scheduling/nomination.py
+++ b/yarrowloom/scheduling/nomination.py
@@ -23,12 +23,14 @@
         minion_ids: The minions.
         service: The group's service.
         rank: The group's rank.
+        is_for_gang: Less than all of the minions is of no use.
         until: When the nomination lapses, monotonic seconds.
     """
 
     minion_ids: frozenset[str]
     service: str
     rank: int
+    is_for_gang: bool
     until: float
 
 
@@ -56,8 +58,9 @@
         return minion_ids
 
     def drop(self, *, unit_id: tuple[str, str], now: float) -> None:
-        """A group is placed or gone."""
-        if self.nominations.pop(unit_id, None) is not None:
+        """A group is placed or gone, or its nomination came to nothing."""
+        nomination = self.nominations.pop(unit_id, None)
+        if nomination is not None and nomination.is_for_gang:
             self.paused_until[unit_id] = now + PAUSE_AFTER_NOMINATION_S
 
     def members_placed(self, *, group: PodGroup, minion_ids: Iterable[str], waiting: int, now: float) -> None:
@@ -66,16 +69,20 @@
         if nomination is None:
             return
         left = nomination.minion_ids - frozenset(minion_ids)
-        if not waiting or not left:
-            self.drop(unit_id=group.unit_id, now=now)
-        else:
+        if waiting and left:
             self.nominations[group.unit_id] = replace(nomination, minion_ids=left)
+        else:
+            self.drop(unit_id=group.unit_id, now=now)
 
     def drop_lapsed(self, *, now: float) -> None:
-        """Drop what lasted too long, or names a minion that is gone or takes nothing."""
+        """Drop what lasted too long, and minions that are gone or take nothing."""
         for unit_id, nomination in list(self.nominations.items()):
-            if now > nomination.until or not all(map(self._is_open, nomination.minion_ids)):
+            still_open = frozenset(filter(self._is_open, nomination.minion_ids))
+            needs_all = nomination.is_for_gang and still_open != nomination.minion_ids
+            if now > nomination.until or needs_all or not still_open:
                 self.drop(unit_id=unit_id, now=now)
+            else:
+                self.nominations[unit_id] = replace(nomination, minion_ids=still_open)
         if len(self.paused_until) > MAX_PAUSES:
             self.paused_until.clear()
 
@@ -109,7 +116,11 @@
             self.paused_until[group.unit_id] = now + PAUSE_AFTER_FAILURE_S
             return None
         nomination = Nomination(
-            minion_ids=frozenset(minion_ids), service=group.service, rank=group.rank, until=now + NOMINATION_MAX_S
+            minion_ids=frozenset(minion_ids),
+            service=group.service,
+            rank=group.rank,
+            is_for_gang=group.is_gang,
+            until=now + NOMINATION_MAX_S,
         )
         self.nominations[group.unit_id] = nomination
         return nomination
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -152,6 +152,8 @@
         if self.context.environment.wall_now > group.worthless_after and not group.priority.is_worthless:
             self._update_priority(group=group)
         group.takes_kept_capacity = self._may_take_kept_capacity(group=group)
+        if group.takes_kept_capacity and not group.is_gang and not group.is_long_running:
+            members = members[:1]  # its job stands still no longer: what else is kept stays kept
         waits_for_data = self._waits_for_data(group=group)
         if scan.is_blocked(group):
             decision = Decision(placements=[], feasible=False, fitting=0, rejections={"kept-for-rank": len(members)})
@@ -187,7 +189,7 @@
             return True
         if self.context.capacity.used_share(service=group.service) >= KEPT_WHILE_USED:
             return False
-        return not self.context.jobs.jobs[group.job_id].has_running_task()
+        return not group.binding and not self.context.jobs.jobs[group.job_id].has_running_task()
 
     def _throttle(self, *, group: PodGroup, count: int) -> None:
         """The group's tenant holds all that it may: it waits for that, and keeps nobody from any minion."""
