Lasting tasks that have waited for 2 s go before all ranks

What callers saw: lasting tasks stood for 8 to 25 s beside room for them, then moved. Cause: they waited behind every task of earlier ranks, and the scan of waiting groups gave what came free to whoever was next in it, mostly later ranks, of which there were a hundred.

Such a group is put before all ranks in the queue's order only; for what is kept and preempted it has its own rank.

Before: 3 of 3 new cases red; after: green.

--- a/tests/scheduling/test_standstill.py
+++ b/tests/scheduling/test_standstill.py
@@ -58,6 +58,21 @@
     assert sim.until(cond=lambda: has_begun(oracle, job_id=large), limit=LARGE_S)
 
 
+# Guards against lasting tasks that wait behind earlier ranks for as long as there are any (LOST).
+@pytest.mark.parametrize("seed", range(3))
+def test_a_lasting_task_starts_beside_a_stream_of_an_earlier_rank(seed: int) -> None:
+    sim, oracle, caller, _ = cluster(seed=4850 + seed, minions=MINIONS, cap=(CORES, 8000, 0), work=1.5)
+
+    def submit_urgent() -> None:
+        caller.submit(stages=[{"task-count": 6, "cpus": 1000, "mem-mb": 10, "estimate-ms": 1500}])
+        sim.at(delay=0.3, fn=submit_urgent)
+
+    submit_urgent()
+    sim.run(seconds=8.0)
+    job_id = caller.submit(stages=lasting(cpus=1000), queue="slow")
+    assert sim.until(cond=lambda: has_begun(oracle, job_id=job_id), limit=LARGE_S)
+
+
 # Guards against waits that begin anew with each new primary, which follow one another after losses (LOST).
 def test_nothing_is_kept_from_a_job_that_waited_under_the_former_primary() -> None:
     sim, _, caller, _ = cluster(seed=4830, minions=MINIONS, cap=(CORES, 8000, 0))
--- a/yarrowloom/scheduling/job_queue.py
+++ b/yarrowloom/scheduling/job_queue.py
@@ -67,9 +67,21 @@
         elif group.phase is Phase.BOUND:
             group.waiting_since, group.failed_cycles = self.context.environment.now, 0
             group.was_adopted = False
+            if group.ordinary_rank is not None:
+                self._restore_rank(group=group)
             queue.activate(group=group)
         self.count_waiting(group=group)
 
+    def _restore_rank(self, *, group: PodGroup) -> None:
+        """A group that went before all ranks waits anew."""
+        priority, _ = self.context.policy.priority(
+            job=self.context.jobs.jobs[group.job_id],
+            job_id=group.job_id,
+            unit_key=group.unit_key,
+            first_seen=group.first_seen,
+        )
+        self.context.queue.reprioritize(group=group, priority=priority, service=group.service)
+
     def _new_group(self, *, job_id: str, job: Job, unit_key: str) -> PodGroup:
         policy, now = self.context.policy, self.context.environment.now
         step = job.step_of(unit_key=unit_key)
--- a/yarrowloom/scheduling/pod_group.py
+++ b/yarrowloom/scheduling/pod_group.py
@@ -29,12 +29,15 @@
 }
 
 
+FIRST_RANK = -1  # of groups that go before all ranks
+
+
 class Priority(NamedTuple):
     """A group's place in the queue; the lesser one goes first.
 
     Attributes:
         is_worthless: Its job can earn nothing any more.
-        rank: The rank of its job's queue; 0 goes first.
+        rank: The rank of its job's queue; 0 goes first, `FIRST_RANK` before all.
         latest_start_ms: The latest start by which the job can still meet its target, wall milliseconds.
         first_seen: When the group entered the queue first, monotonic seconds.
         job_id: The job.
@@ -78,6 +81,7 @@
         entry_number: Of its newest entry in a list of the queue; older entries are void.
         waiting_count: Members counted as waiting work.
         failed_minion_ids: Minions on which a member failed.
+        ordinary_rank: The rank of the job's queue while the group goes before all ranks; None: `priority` has it.
         is_long_running: The members run until they are stopped.
         was_adopted: It waited already under the primary before this one.
         takes_kept_capacity: Nothing is kept from it for others: it has waited long for capacity that is there.
@@ -108,6 +112,7 @@
     entry_number: int = 0
     waiting_count: int = 0
     failed_minion_ids: set[str] = field(default_factory=set)
+    ordinary_rank: int | None = None
     is_long_running: bool = False
     was_adopted: bool = False
     takes_kept_capacity: bool = False
@@ -121,7 +126,7 @@
     @property
     def rank(self) -> int:
         """The rank of the job's queue; 0 goes first."""
-        return self.priority.rank
+        return self.priority.rank if self.ordinary_rank is None else self.ordinary_rank
 
     def transition(self, phase: Phase) -> None:
         """Change phase, as `TRANSITIONS` allows."""
--- a/yarrowloom/scheduling/scheduling_pass.py
+++ b/yarrowloom/scheduling/scheduling_pass.py
@@ -101,7 +101,8 @@
         priority, _ = self.context.policy.priority(
             job=job, job_id=group.job_id, unit_key=group.unit_key, first_seen=group.first_seen
         )
-        self.context.queue.reprioritize(group=group, priority=priority, service=group.service)
+        goes_first = group.is_long_running and self._has_waited_long(group=group)
+        self.context.queue.reprioritize(group=group, priority=priority, service=group.service, goes_first=goes_first)
 
     def _run_service(self, *, service: str) -> None:
         capacity, scan = self.context.capacity, self._scan(service)
@@ -182,8 +183,7 @@
         So nothing stands still for long beside capacity that waits for something else. While most of the service is in
         use, what little is free stays kept, but for tasks that run until they are stopped.
         """
-        waited_s = self.context.environment.now - group.waiting_since
-        if waited_s < KEPT_OFF_MAX_S and not group.was_adopted:  # how long an adopted one waited is not recorded
+        if not self._has_waited_long(group=group):
             return False
         if group.is_long_running:
             return True
@@ -191,6 +191,10 @@
             return False
         return not group.binding and not self.context.jobs.jobs[group.job_id].has_running_task()
 
+    def _has_waited_long(self, *, group: PodGroup) -> bool:
+        """Whether a group has waited so long that nothing is kept from it. How long before its adoption isn't known."""
+        return group.was_adopted or self.context.environment.now - group.waiting_since >= KEPT_OFF_MAX_S
+
     def _throttle(self, *, group: PodGroup, count: int) -> None:
         """The group's tenant holds all that it may: it waits for that, and keeps nobody from any minion."""
         self.context.nominator.drop(unit_id=group.unit_id, now=self.context.environment.now)
--- a/yarrowloom/scheduling/scheduling_queue.py
+++ b/yarrowloom/scheduling/scheduling_queue.py
@@ -7,10 +7,11 @@
 from typing import NamedTuple
 
 from ..common.resources import Resources
-from .pod_group import Phase, PodGroup, Priority
+from .pod_group import FIRST_RANK, Phase, PodGroup, Priority
 
 BACKOFF_S = 0.1  # after the first failed cycle; doubles with each further one
 BACKOFF_MAX_S = 2.0
+BACKOFF_FIRST_MAX_S = 1.0  # of groups that go before all ranks
 BACKOFF_DOUBLINGS = 10  # beyond these the exponent no longer grows
 VOID_ENTRIES_ALLOWED = 64  # void entries that a list may hold beyond two for each group
 KEPT_OFF_MAX_S = 2.0  # a group that has waited this long may take capacity that is kept for others
@@ -165,7 +166,8 @@
         It ends no later than the time from which the group may take capacity that is kept for others.
         """
         group.transition(Phase.UNSCHEDULABLE)
-        backoff_s = min(BACKOFF_S * 2.0 ** min(group.failed_cycles, BACKOFF_DOUBLINGS), BACKOFF_MAX_S)
+        longest_s = BACKOFF_MAX_S if group.ordinary_rank is None else BACKOFF_FIRST_MAX_S
+        backoff_s = min(BACKOFF_S * 2.0 ** min(group.failed_cycles, BACKOFF_DOUBLINGS), longest_s)
         group.backoff_until = now + backoff_s
         if now < group.waiting_since + KEPT_OFF_MAX_S < group.backoff_until:
             group.backoff_until = group.waiting_since + KEPT_OFF_MAX_S
@@ -182,13 +184,23 @@
         """All members run or have a lease asked for."""
         group.transition(Phase.BOUND)
 
-    def reprioritize(self, *, group: PodGroup, priority: Priority, service: str) -> None:
-        """A group's priority or service changed."""
+    def reprioritize(self, *, group: PodGroup, priority: Priority, service: str, goes_first: bool = False) -> None:
+        """A group's priority or service changed.
+
+        Args:
+            group: The group.
+            priority: By its job's queue.
+            service: On whose minions its tasks run.
+            goes_first: It goes before all ranks, of whatever rank its job is.
+        """
+        ordinary_rank = priority.rank if goes_first else None
+        if goes_first:
+            priority = priority._replace(is_worthless=False, rank=FIRST_RANK)
         if priority == group.priority and service == group.service:
             return
         count = group.waiting_count
         self.set_waiting(group=group, count=0)
-        group.priority, group.service = priority, service
+        group.priority, group.service, group.ordinary_rank = priority, service, ordinary_rank
         self.set_waiting(group=group, count=count)
         if group.phase is Phase.ACTIVE:
             self._push_active(group)
